--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# Everything a newcomer needs: `make demo` and `make test`.
+BUILD ?= build
+JOBS ?= $(shell nproc)
+PROGRAMS = $(BUILD)/bin
+
+.PHONY: all deps build demo test check format measure measure-slopes clean
+
+all: build
+
+deps:
+	@sh tools/install-deps.sh
+
+build: deps
+	@cmake -S . -B $(BUILD) > $(BUILD).configure.log 2>&1 || { cat $(BUILD).configure.log; exit 1; }
+	@rm -f $(BUILD).configure.log
+	@cmake --build $(BUILD) -j $(JOBS)
+
+demo: build
+	$(PROGRAMS)/toucanlab run --scenario testsuite/scenarios/two-users.json --programs $(PROGRAMS)
+
+test: build
+	sh tools/run-tests.sh $(BUILD)
+
+check: deps
+	sh tools/check.sh $(BUILD)
+
+format: deps
+	git ls-files 'src/*.cpp' 'src/*.h' 'testsuite/*.cpp' 'testsuite/*.h' | grep -v generated | xargs clang-format -i
+
+clean:
+	rm -rf $(BUILD)
--- /dev/null
+++ b/src/include/toucan/admission.h
@@ -0,0 +1,79 @@
+#pragma once
+
+/// How many requests a target is trusted with at once.
+///
+/// The limit starts at what a cold target bears, grows by one for each full round of answers in
+/// good time, and falls back at the first sign of trouble. What the target says of itself can lower
+/// the limit but never raise it.
+
+#include <cstdint>
+#include <string_view>
+#include <toucan/endpoint.h>
+
+namespace toucan {
+
+/// Priority classes, most urgent first.
+enum class request_class : std::uint8_t { submission, pull, watch };
+
+/// Number of priority classes.
+inline constexpr std::size_t requestClassCount = 3;
+
+/// Name of a class, for logs and metrics.
+std::string_view toString(request_class value);
+
+/// What a target bears, from its service's record.
+struct admission_options
+{
+    std::uint64_t slots = 10; ///< Requests at once when warm.
+    std::uint64_t coldSlots = 1; ///< Requests at once when cold.
+};
+
+/// The limit of one target. Not thread-safe.
+class admission
+{
+public:
+    explicit admission(const admission_options &options);
+
+    /// Applies changed options; the limit never grows by this.
+    void setOptions(const admission_options &options);
+
+    /// True when a request of the class may be passed on now. The last fifth of the slots is kept
+    /// for submissions.
+    bool hasRoom(request_class value) const;
+    /// Counts a request in.
+    void acquire();
+    /// Counts a request out, whatever became of it.
+    void release();
+
+    /// A request was answered after `latency`.
+    void onAnswer(instant now, instant latency);
+    /// The target refused a request, lost one, or is known to have turned cold.
+    void collapse(instant now);
+    /// A request has been in progress for `age`; collapses the limit when that is too long.
+    void onPending(instant now, instant age);
+    /// The target's health endpoint reports; `cold` or `draining` ones lower the limit.
+    void onHealth(instant now, bool healthy);
+    /// Latency that warm members of the service report; 0 when unknown.
+    void setReference(instant latency);
+
+    std::uint64_t limit() const { return m_limit; }
+    std::uint64_t inProgress() const { return m_inProgress; }
+    /// Typical latency seen here while all was well; 0 when unknown.
+    instant typicalLatency() const { return m_typical; }
+
+private:
+    instant reference() const;
+
+    admission_options m_options;
+    std::uint64_t m_limit;
+    std::uint64_t m_inProgress = 0;
+    std::uint64_t m_goodAnswers = 0;
+    instant m_lastChange{};
+    instant m_lastCollapse{};
+    instant m_recent{}; ///< Smoothed latency.
+    instant m_typical{};
+    instant m_peerReference{};
+    bool m_healthy = true;
+};
+
+} // namespace toucan
--- /dev/null
+++ b/src/include/toucan/claim_ledger.h
@@ -0,0 +1,95 @@
+#pragma once
+
+/// A holder's memory of claims on non-idempotent requests.
+///
+/// Each key has at most one claim. A claim is never taken over; it ends by being voided by its own
+/// claimer, by an answer, or by the end of the retention.
+
+#include <deque>
+#include <span>
+#include <string>
+#include <toucan/generated/messages.h>
+#include <toucan/peer_message.h>
+#include <unordered_map>
+
+namespace toucan {
+
+/// Hash of owned bytes, for containers.
+struct bytes_hash
+{
+    std::size_t operator()(const byte_buffer &bytes) const noexcept;
+};
+
+/// Limits of a ledger.
+struct ledger_options
+{
+    /// Time for which a claim is kept; outlasts CoAP's EXCHANGE_LIFETIME of 247 s.
+    std::chrono::seconds retention{250};
+    /// Claims kept at most; further ones are abstained from.
+    std::size_t capacity = 100'000;
+};
+
+/// Claims of one holder. Not thread-safe.
+class claim_ledger
+{
+public:
+    explicit claim_ledger(const ledger_options &options);
+
+    /// What applying an operation came to.
+    struct verdict
+    {
+        claim_verdict kind{};
+        std::string other; ///< The other claimer, when held.
+        std::uint64_t otherBoot = 0; ///< Its boot number.
+        byte_view answer; ///< The kept answer, when answered; valid until the next call.
+    };
+
+    /// Applies a claim, void or settle operation. Idempotent.
+    verdict apply(instant now, const claim_request &request);
+
+    /// Takes in claims that another holder recorded. They block other claimers and are never
+    /// granted again, not even to their own claimer. Returns false when the memory is full.
+    bool import(instant now, std::span<const ledger_claim> claims);
+
+    /// A part of the ledger in recording order, from position `cursor`, at most `limit` claims.
+    /// `next` is the position to continue from, or 0 at the end.
+    std::vector<ledger_claim> part(
+        instant now, std::uint64_t cursor, std::size_t limit, std::uint64_t &next) const;
+
+    /// Forgets claims whose retention has ended.
+    void expire(instant now);
+
+    /// Claims held.
+    std::size_t size() const { return m_claims.size(); }
+
+private:
+    struct claim
+    {
+        std::string claimer; ///< Empty when nobody holds it.
+        std::uint64_t boot = 0;
+        std::uint64_t voidedAttempts = 0; ///< Attempts below this number must not run.
+        byte_buffer answer;
+        bool imported = false;
+        instant recorded{};
+    };
+    struct recorded_key
+    {
+        instant recorded;
+        byte_buffer key;
+    };
+
+    verdict applyClaim(claim &entry, const claim_request &request);
+    static verdict applyVoid(claim &entry, const claim_request &request);
+    static verdict applySettle(claim &entry, const claim_request &request);
+    static verdict applyRelease(claim &entry, const claim_request &request);
+    static void importClaimer(claim &entry, const ledger_claim &source);
+    claim *obtain(instant now, const byte_buffer &key);
+    void touch(instant now, const byte_buffer &key, claim &entry);
+
+    ledger_options m_options;
+    std::unordered_map<byte_buffer, claim, bytes_hash> m_claims;
+    std::deque<recorded_key> m_order; ///< In recording order, for expiry and transfer.
+    std::uint64_t m_firstPosition = 1; ///< Position of m_order.front().
+};
+
+} // namespace toucan
--- /dev/null
+++ b/src/include/toucan/config_agent.h
@@ -0,0 +1,98 @@
+#pragma once
+
+/// Keeps the configuration in force: announces the process, follows the platform, and catches up
+/// from peers. Runs on a control thread of its own; a helper thread waits for the platform.
+
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <spdlog/spdlog.h>
+#include <thread>
+#include <toucan/platform_client.h>
+#include <variant>
+
+namespace toucan {
+
+/// How a process takes part.
+struct agent_options
+{
+    endpoint platform;
+    std::chrono::milliseconds platformTimeout{1000};
+    std::vector<endpoint> peers; ///< Control links to start from while the platform is down.
+    std::string_view kind; ///< Kind of the own record.
+    std::string name; ///< Name of the own record.
+    nlohmann::json record; ///< The own record, announced at each start.
+    bool follows = false; ///< Waits for changes at the platform; others hear of them from peers.
+};
+
+/// The agent of one process.
+class config_agent
+{
+public:
+    /// Called on the control thread with each newer configuration.
+    using publish_handler = std::function<void(const config_ptr &)>;
+
+    config_agent(agent_options options, publish_handler handler);
+    ~config_agent();
+    config_agent(const config_agent &) = delete;
+    config_agent &operator=(const config_agent &) = delete;
+
+    /// A peer has at least this version; fetches it. Any thread.
+    void requestPull(const endpoint &control, std::uint64_t version);
+    /// The configuration in force, or null. Any thread.
+    config_ptr current() const;
+    /// True once the own record is in the platform. Any thread.
+    bool isAnnounced() const { return m_announced; }
+
+    /// Answers a peer's request for the configuration; null when it has it already.
+    nlohmann::json answerPull(std::uint64_t have) const;
+
+private:
+    struct pull_event
+    {
+        endpoint control;
+        std::uint64_t version;
+    };
+    struct list_event
+    {
+        object_list list;
+        bool complete; ///< Everything, rather than what changed.
+    };
+    using event = std::variant<pull_event, list_event>;
+
+    void post(event item);
+    void runControl(const std::stop_token &stop);
+    void runPlatform(const std::stop_token &stop);
+    bool announce(platform_client &client);
+    void follow(platform_client &client, const std::stop_token &stop);
+    void handle(const pull_event &item);
+    void handle(const list_event &item);
+    void publish(const config_ptr &config);
+    bool pause(const std::stop_token &stop, std::chrono::milliseconds time);
+    std::uint64_t version() const;
+
+    agent_options m_options;
+    publish_handler m_handler;
+    std::shared_ptr<spdlog::logger> m_log;
+    mutable std::mutex m_mutex;
+    std::condition_variable_any m_wake;
+    std::deque<event> m_events;
+    config_ptr m_current;
+    std::atomic<bool> m_announced = false;
+    std::jthread m_platformThread;
+    std::jthread m_controlThread;
+};
+
+/// Fetches a newer configuration than `have` from a control link; nullopt when there is none or the
+/// link does not answer.
+std::optional<config_ptr> pullConfig(
+    const endpoint &control, std::uint64_t have, std::chrono::milliseconds timeout);
+
+/// Sends a typed request to a control link and decodes the answer; nullopt on silence.
+std::optional<nlohmann::json> askControlLink(
+    const endpoint &control, const nlohmann::json &request, std::chrono::milliseconds timeout);
+
+} // namespace toucan
--- /dev/null
+++ b/src/include/toucan/fields.h
@@ -0,0 +1,56 @@
+#pragma once
+
+/// Field tables: the generated structs describe their members with these, and one generic reader
+/// and writer for each format walks the tables.
+
+#include <chrono>
+#include <cstdint>
+#include <limits>
+#include <string>
+#include <string_view>
+#include <toucan/endpoint.h>
+#include <tuple>
+#include <vector>
+
+namespace toucan {
+
+/// One member of a generated struct, with the constraints that its schema states.
+template <class C, class T>
+struct field
+{
+    std::string_view name; ///< Name in JSON, or "section.key" in INI.
+    T C::*member; ///< The member itself.
+    std::string_view doc; ///< One phrase for people.
+    bool required = false; ///< Whether input without it is refused.
+    int since = 1; ///< First schema version that has the field.
+    std::uint64_t minimum = 0; ///< Smallest number allowed.
+    std::uint64_t maximum = std::numeric_limits<std::uint64_t>::max(); ///< Largest number allowed.
+    std::string_view choices; ///< Words allowed, separated by spaces; empty allows any.
+};
+
+/// Specialised for each generated struct: its name and its table of fields.
+template <class T>
+struct fields_of;
+
+/// Calls visit(field) for each field of T in the order of the schema.
+template <class T, class F>
+constexpr void forEachField(F &&visit)
+{
+    std::apply([&](const auto &...fields) { (visit(fields), ...); }, fields_of<T>::table);
+}
+
+/// True when `choices` allows `word`.
+constexpr bool isChoice(std::string_view choices, std::string_view word)
+{
+    if (choices.empty())
+        return true;
+    while (!choices.empty()) {
+        const auto end = choices.find(' ');
+        if (choices.substr(0, end) == word)
+            return true;
+        choices.remove_prefix(end == std::string_view::npos ? choices.size() : end + 1);
+    }
+    return false;
+}
+
+} // namespace toucan
--- /dev/null
+++ b/src/include/toucan/lab/platform_stand_in.h
@@ -0,0 +1,79 @@
+#pragma once
+
+/// Stand-in for the platform's object service: objects with versions, conditional writes, waiting
+/// for changes, and faults on demand. Counts every call.
+
+#include <Poco/Net/HTTPServer.h>
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <toucan/config.h>
+
+namespace toucan::lab {
+
+/// How the stand-in misbehaves.
+struct platform_faults
+{
+    bool down = false; ///< Closes every connection without an answer.
+    std::chrono::milliseconds delay{0}; ///< Before each call is handled.
+    bool loseWriteAnswers = false; ///< Writes take effect, their answers are cut off.
+};
+
+/// The object store and its HTTP server. Thread-safe.
+class platform_stand_in
+{
+public:
+    explicit platform_stand_in(const endpoint &address);
+    ~platform_stand_in();
+    platform_stand_in(const platform_stand_in &) = delete;
+    platform_stand_in &operator=(const platform_stand_in &) = delete;
+
+    void setFaults(const platform_faults &faults);
+    platform_faults faults() const;
+
+    /// Calls so far: {"reads", "writes", "waits", "waitingNow"}.
+    nlohmann::json counts() const;
+
+    // What the HTTP handler calls.
+    struct outcome
+    {
+        int status = 200;
+        nlohmann::json body;
+    };
+    outcome list();
+    outcome get(const std::string &kind, const std::string &name);
+    outcome put(const std::string &kind, const std::string &name, const nlohmann::json &body,
+        std::optional<std::uint64_t> expected);
+    outcome remove(
+        const std::string &kind, const std::string &name, std::optional<std::uint64_t> expected);
+    outcome changesAfter(std::uint64_t version, std::chrono::milliseconds wait);
+
+private:
+    using object_id = std::pair<std::string, std::string>;
+    struct change
+    {
+        std::uint64_t version;
+        object_id id;
+    };
+    nlohmann::json describe(const object_id &id) const;
+    std::uint64_t record(const object_id &id);
+    std::uint64_t versionOf(const object_id &id) const;
+
+    mutable std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::map<object_id, stored_object> m_objects;
+    std::deque<change> m_changes;
+    std::uint64_t m_version = 1;
+    platform_faults m_faults;
+    bool m_stopping = false;
+    std::uint64_t m_reads = 0;
+    std::uint64_t m_writes = 0;
+    std::uint64_t m_waits = 0;
+    std::uint64_t m_waitingNow = 0;
+    std::unique_ptr<Poco::Net::HTTPServer> m_server;
+};
+
+} // namespace toucan::lab
--- /dev/null
+++ b/src/include/toucan/message_cbor.h
@@ -0,0 +1,113 @@
+#pragma once
+
+/// Peer messages as CBOR arrays of their fields in schema order. A reader ignores trailing
+/// elements that it does not know and leaves missing ones at their defaults, so that two
+/// versions of the programs understand each other.
+
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <toucan/fields.h>
+
+namespace toucan::message_cbor {
+
+using json = nlohmann::json;
+
+template <class T>
+json toElement(const T &message);
+
+template <class T>
+void fromElement(const json &element, T &out);
+
+inline json toElement(const endpoint &value)
+{
+    return (std::uint64_t{value.ip} << 16U) | value.port;
+}
+
+inline json toElement(const byte_buffer &value)
+{
+    return json::binary(value);
+}
+
+inline json toElement(const std::string &value)
+{
+    return value;
+}
+
+inline json toElement(std::uint64_t value)
+{
+    return value;
+}
+
+inline json toElement(bool value)
+{
+    return value;
+}
+
+template <class T>
+json toElement(const std::vector<T> &values)
+{
+    json array = json::array();
+    for (const auto &value : values)
+        array.push_back(toElement(value));
+    return array;
+}
+
+template <class T>
+json toElement(const T &message)
+{
+    json array = json::array();
+    forEachField<T>([&](const auto &spec) { array.push_back(toElement(message.*spec.member)); });
+    return array;
+}
+
+inline void fromElement(const json &element, endpoint &out)
+{
+    const auto value = element.get<std::uint64_t>();
+    out = {
+        .ip = static_cast<std::uint32_t>(value >> 16U), .port = static_cast<std::uint16_t>(value)};
+}
+
+inline void fromElement(const json &element, byte_buffer &out)
+{
+    out = element.get_binary();
+}
+
+inline void fromElement(const json &element, std::string &out)
+{
+    out = element.get<std::string>();
+}
+
+inline void fromElement(const json &element, std::uint64_t &out)
+{
+    if (!element.is_number_unsigned())
+        throw std::invalid_argument("expected an unsigned number");
+    out = element.get<std::uint64_t>();
+}
+
+inline void fromElement(const json &element, bool &out)
+{
+    out = element.get<bool>();
+}
+
+template <class T>
+void fromElement(const json &element, std::vector<T> &out)
+{
+    out.clear();
+    for (const auto &item : element)
+        fromElement(item, out.emplace_back());
+}
+
+template <class T>
+void fromElement(const json &element, T &out)
+{
+    if (!element.is_array())
+        throw std::invalid_argument("expected an array");
+    std::size_t index = 0;
+    forEachField<T>([&](const auto &spec) {
+        if (index < element.size())
+            fromElement(element[index], out.*spec.member);
+        ++index;
+    });
+}
+
+} // namespace toucan::message_cbor
--- /dev/null
+++ b/src/include/toucan/settings.h
@@ -0,0 +1,28 @@
+#pragma once
+
+/// Settings files in INI, checked against the schema.
+
+#include <string>
+#include <string_view>
+#include <toucan/error.h>
+#include <toucan/generated/settings.h>
+
+namespace toucan::settings {
+
+/// Reads and checks INI text. An error lists every fault, one a line, as "file:line: key: text".
+/// Instantiated for bridge_settings and target_settings.
+template <class T>
+result<T> parse(std::string_view text, std::string_view fileName);
+
+/// Reads and checks a file.
+template <class T>
+result<T> load(const std::string &fileName);
+
+/// An annotated example with every key, its meaning, and its default.
+template <class T>
+std::string example();
+
+/// Reads "250ms", "3s" or "2min"; nullopt for anything else.
+std::optional<std::chrono::milliseconds> parseDuration(std::string_view text);
+
+} // namespace toucan::settings
--- /dev/null
+++ b/src/include/toucan/target_engine.h
@@ -0,0 +1,97 @@
+#pragma once
+
+/// All decisions of a target process. Does no I/O: datagrams, configurations and time come in,
+/// actions go out. Used by one thread.
+
+#include <toucan/flow_router.h>
+#include <toucan/request_runner.h>
+
+namespace toucan {
+
+/// How a target process starts.
+struct target_options
+{
+    target_identity identity;
+    target_policy policy = target_policy::claims;
+    std::uint64_t seed = 0; ///< For random choices.
+    ledger_options ledger;
+};
+
+/// A target process's state for its status report.
+struct target_status
+{
+    std::uint64_t version = 0;
+    std::uint64_t flows = 0;
+    std::uint64_t inProgress = 0;
+    std::uint64_t limit = 0;
+    std::uint64_t claims = 0;
+    std::string state; ///< starting, serving, draining, drained or out.
+};
+
+/// The engine of one target process.
+class target_engine
+{
+public:
+    target_engine(target_options options, metrics::registry &metrics, instant now);
+
+    /// A datagram arrived on the data socket.
+    void onDatagram(instant now, const endpoint &from, byte_view datagram);
+    /// The target sent a datagram on a flow's local socket.
+    void onTargetDatagram(instant now, const flow_key &key, byte_view datagram);
+    /// A newer configuration is in force; older ones are ignored.
+    void onConfig(instant now, const config_ptr &config);
+    /// The target's health endpoint was asked; `healthy` is false when it says cold or draining, or
+    /// does not answer.
+    void onHealth(instant now, bool healthy);
+    /// Time passed. Call every 20 ms or so.
+    void onTick(instant now);
+
+    /// Actions decided since the last call.
+    std::vector<action> takeActions();
+    target_status status() const;
+    std::uint64_t version() const { return m_context.version(); }
+
+private:
+    void advance(instant now);
+    void onPacket(const endpoint &from, const decoded_packet &packet);
+    void onMessage(const endpoint &from, const peer_message &message);
+    void handle(const endpoint &from, const heartbeat &message);
+    void handle(const endpoint &from, const claim_request &message);
+    void handle(const endpoint &from, const claim_reply &message);
+    void handle(const endpoint &from, const ledger_pull &message);
+    void handle(const endpoint &from, const ledger_part &message);
+    void handle(const endpoint &from, const flow_pointers &message);
+    void handle(const endpoint &from, const flow_handover &message);
+    void handle(const endpoint &from, const flow_accepted &message);
+    void handle(const endpoint &from, const probe &message);
+    void handle(const endpoint &from, const probe_reply &message);
+
+    void deliver(flow &item, const packet_header &header, byte_view payload);
+    void onEmptyMessage(flow &item, const coap::message &message, byte_view payload);
+    bool spill(const packet_header &header, byte_view payload);
+    void noteVersion(const endpoint &from, std::uint64_t version);
+    void sendHeartbeats();
+    void probeEntries();
+    void drainFlows();
+    void handOver(flow &item, const member &to);
+    void giveUpFlows();
+    void closeFlow(const flow_key &key);
+    void onWatchAnswer(flow &item, const coap::message &message, bool isAnswer);
+    void replayWatches();
+    void toCaller(const flow &item, byte_view payload);
+
+    target_context m_context;
+    metrics::registry &m_metrics;
+    flow_table m_flows;
+    claim_holder m_holder;
+    flow_router m_router;
+    request_runner m_requests;
+    instant m_lastHeartbeat{};
+    instant m_lastProbe{};
+    instant m_lastDrain{};
+    std::map<endpoint, instant> m_staleTold; ///< Senders told of a newer configuration.
+    std::uint16_t m_lastMessageId = 0;
+    bool m_wasOut = false;
+};
+
+} // namespace toucan
--- /dev/null
+++ b/src/include/toucan/udp_socket.h
@@ -0,0 +1,45 @@
+#pragma once
+
+/// UDP sockets: set up by POCO, read and written without allocation.
+
+#include <Poco/Net/DatagramSocket.h>
+#include <optional>
+#include <toucan/endpoint.h>
+#include <toucan/error.h>
+
+namespace toucan {
+
+/// Monotonic time now.
+instant monotonicNow();
+
+/// One UDP socket. Not thread-safe.
+class udp_socket
+{
+public:
+    /// Binds to an address; port 0 takes any. io when that fails.
+    static result<udp_socket> bind(const endpoint &local);
+    /// Connects an unbound socket to `remote` from the same IP; only its datagrams are received.
+    static result<udp_socket> connect(const endpoint &remote);
+
+    /// A received datagram; `payload` views the caller's buffer.
+    struct datagram
+    {
+        endpoint from;
+        byte_view payload;
+    };
+    /// Reads one datagram without waiting; nullopt when there is none.
+    std::optional<datagram> receive(std::span<std::uint8_t> buffer);
+    /// Sends without waiting. A datagram that cannot be sent is lost, as any datagram may be.
+    void send(const endpoint &to, byte_view head, byte_view payload = {});
+    /// Sends on a connected socket.
+    void send(byte_view payload);
+
+    const Poco::Net::DatagramSocket &handle() const { return m_socket; }
+    endpoint localAddress() const;
+
+private:
+    explicit udp_socket(Poco::Net::DatagramSocket socket);
+    Poco::Net::DatagramSocket m_socket;
+};
+
+} // namespace toucan
--- /dev/null
+++ b/src/libtoucanbase/settings.cpp
@@ -0,0 +1,300 @@
+#include <Poco/AutoPtr.h>
+#include <Poco/String.h>
+#include <Poco/StringTokenizer.h>
+#include <Poco/Util/IniFileConfiguration.h>
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <fstream>
+#include <map>
+#include <set>
+#include <sstream>
+#include <toucan/settings.h>
+
+namespace toucan::settings {
+namespace {
+
+using Poco::Util::IniFileConfiguration;
+
+struct duration_unit
+{
+    std::string_view suffix;
+    std::chrono::milliseconds length;
+};
+
+constexpr std::array units{
+    duration_unit{"ms", std::chrono::milliseconds(1)},
+    duration_unit{"min", std::chrono::minutes(1)},
+    duration_unit{"s", std::chrono::seconds(1)},
+};
+
+std::optional<std::uint64_t> parseNumber(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const auto [end, status] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (status != std::errc() || end != text.data() + text.size())
+        return std::nullopt;
+    return value;
+}
+
+// Each overload reads one value and returns what was expected when the text does not fit.
+std::optional<std::string> readValue(const std::string &text, std::string &out)
+{
+    out = text;
+    return std::nullopt;
+}
+
+std::optional<std::string> readValue(const std::string &text, std::uint64_t &out)
+{
+    const auto value = parseNumber(text);
+    if (!value)
+        return "expected a whole number";
+    out = *value;
+    return std::nullopt;
+}
+
+std::optional<std::string> readValue(const std::string &text, endpoint &out)
+{
+    const auto value = parseEndpoint(text);
+    if (!value)
+        return "expected IP:port, for example 127.0.0.1:7000";
+    out = *value;
+    return std::nullopt;
+}
+
+std::optional<std::string> readValue(const std::string &text, std::vector<endpoint> &out)
+{
+    out.clear();
+    const Poco::StringTokenizer words(
+        text, ", ", Poco::StringTokenizer::TOK_IGNORE_EMPTY | Poco::StringTokenizer::TOK_TRIM);
+    for (const auto &word : words) {
+        if (auto problem = readValue(word, out.emplace_back()))
+            return "expected a list of IP:port separated by commas";
+    }
+    return std::nullopt;
+}
+
+std::optional<std::string> readValue(const std::string &text, std::chrono::milliseconds &out)
+{
+    const auto value = parseDuration(text);
+    if (!value)
+        return "expected a time with its unit, for example 250ms, 3s or 2min";
+    out = *value;
+    return std::nullopt;
+}
+
+template <class C, class T>
+std::optional<std::string> checkConstraints(const field<C, T> &spec, const T &value)
+{
+    if constexpr (std::is_same_v<T, std::uint64_t>) {
+        if (value < spec.minimum || value > spec.maximum)
+            return "expected a number from " + std::to_string(spec.minimum) + " to "
+                + std::to_string(spec.maximum);
+    } else if constexpr (std::is_same_v<T, std::string>) {
+        if (!isChoice(spec.choices, value))
+            return "expected one of: " + std::string(spec.choices);
+        if (spec.required && value.empty())
+            return "must not be empty";
+    }
+    return std::nullopt;
+}
+
+struct key_line
+{
+    std::string key;
+    int line;
+};
+
+// POCO's reader keeps no line numbers; this finds them for messages, and lines that are no setting.
+std::vector<key_line> findKeys(std::string_view text, std::vector<int> &malformed)
+{
+    std::vector<key_line> keys;
+    std::istringstream lines{std::string(text)};
+    std::string line;
+    std::string section;
+    for (int number = 1; std::getline(lines, line); ++number) {
+        const auto trimmed = Poco::trim(line);
+        if (trimmed.empty() || trimmed[0] == ';' || trimmed[0] == '#')
+            continue;
+        if (trimmed[0] == '[' && trimmed.back() == ']') {
+            section = Poco::trim(trimmed.substr(1, trimmed.size() - 2));
+            continue;
+        }
+        const auto equals = trimmed.find('=');
+        if (equals == std::string::npos || equals == 0) {
+            malformed.push_back(number);
+            continue;
+        }
+        const auto key = Poco::trim(trimmed.substr(0, equals));
+        keys.push_back({section.empty() ? key : section + '.' + key, number});
+    }
+    return keys;
+}
+
+// Collects faults as "file:line: key: text".
+class fault_list
+{
+public:
+    fault_list(std::string_view fileName, const std::vector<key_line> &keys)
+        : m_fileName(fileName)
+        , m_keys(keys)
+    { }
+    void add(int line, std::string_view text)
+    {
+        m_text += (m_text.empty() ? "" : "\n") + m_fileName + ':' + std::to_string(line) + ": "
+            + std::string(text);
+    }
+    void addKey(std::string_view key, std::string_view text)
+    {
+        const auto found = std::ranges::find(m_keys, key, &key_line::key);
+        add(found == m_keys.end() ? 1 : found->line, std::string(key) + ": " + std::string(text));
+    }
+    const std::string &text() const { return m_text; }
+
+private:
+    std::string m_fileName;
+    const std::vector<key_line> &m_keys;
+    std::string m_text;
+};
+
+template <class T>
+void checkKeys(const std::vector<key_line> &keys, fault_list &faults)
+{
+    std::set<std::string_view> known;
+    forEachField<T>([&](const auto &spec) { known.insert(spec.name); });
+    std::set<std::string_view> seen;
+    for (const auto &[key, line] : keys) {
+        if (!known.contains(key))
+            faults.add(line, key + ": unknown key");
+        else if (!seen.insert(key).second)
+            faults.add(line, key + ": given twice");
+    }
+}
+
+std::string defaultText(const std::string &value)
+{
+    return value;
+}
+std::string defaultText(std::uint64_t value)
+{
+    return std::to_string(value);
+}
+std::string defaultText(std::chrono::milliseconds value)
+{
+    return std::to_string(value.count()) + "ms";
+}
+std::string defaultText(const std::vector<endpoint> &)
+{
+    return "";
+}
+std::string defaultText(const endpoint &value)
+{
+    return value ? toString(value) : std::string();
+}
+
+// A value that passes the checks, for required keys without a default.
+std::string sampleText(const std::string &)
+{
+    return "example";
+}
+std::string sampleText(const endpoint &)
+{
+    return "127.0.0.1:7000";
+}
+template <class T>
+std::string sampleText(const T &)
+{
+    return "1";
+}
+
+} // namespace
+
+std::optional<std::chrono::milliseconds> parseDuration(std::string_view text)
+{
+    const auto unit
+        = std::ranges::find_if(units, [&](const auto &row) { return text.ends_with(row.suffix); });
+    if (unit == units.end())
+        return std::nullopt;
+    const auto count = parseNumber(text.substr(0, text.size() - unit->suffix.size()));
+    constexpr std::uint64_t longest = 1'000'000'000;
+    if (!count || *count > longest)
+        return std::nullopt;
+    return unit->length * static_cast<std::int64_t>(*count);
+}
+
+template <class T>
+result<T> parse(std::string_view text, std::string_view fileName)
+{
+    std::vector<int> malformed;
+    const auto keys = findKeys(text, malformed);
+    fault_list faults(fileName, keys);
+    for (const int line : malformed)
+        faults.add(line, "expected [section] or key = value");
+    checkKeys<T>(keys, faults);
+    std::istringstream stream{std::string(text)};
+    const Poco::AutoPtr<IniFileConfiguration> file(new IniFileConfiguration(stream));
+    T out;
+    forEachField<T>([&](const auto &spec) {
+        const std::string key(spec.name);
+        if (!file->hasProperty(key)) {
+            if (spec.required)
+                faults.addKey(key, "missing; expected " + std::string(spec.doc));
+            return;
+        }
+        const auto value = file->getRawString(key);
+        auto problem = readValue(value, out.*spec.member);
+        if (!problem)
+            problem = checkConstraints(spec, out.*spec.member);
+        if (problem)
+            faults.addKey(key, *problem + ", found \"" + value + '"');
+    });
+    if (!faults.text().empty())
+        return error{error_kind::invalid_settings, faults.text()};
+    return out;
+}
+
+template <class T>
+result<T> load(const std::string &fileName)
+{
+    const std::ifstream stream(fileName);
+    if (!stream)
+        return error{error_kind::invalid_settings, fileName + ": the file cannot be read"};
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return parse<T>(text.str(), fileName);
+}
+
+template <class T>
+std::string example()
+{
+    std::string text;
+    std::string section;
+    const T defaults;
+    forEachField<T>([&](const auto &spec) {
+        const auto dot = spec.name.find('.');
+        const std::string fieldSection(spec.name.substr(0, dot));
+        if (fieldSection != section) {
+            section = fieldSection;
+            text += (text.empty() ? "[" : "\n[") + section + "]\n";
+        }
+        text += "; " + std::string(spec.doc) + (spec.required ? " (required)" : "") + '\n';
+        if (!spec.choices.empty())
+            text += "; one of: " + std::string(spec.choices) + '\n';
+        std::string value = defaultText(defaults.*spec.member);
+        if (spec.required && value.empty())
+            value = sampleText(defaults.*spec.member);
+        // Keys without a default are shown, but commented out.
+        text += (value.empty() ? "; " : "") + std::string(spec.name.substr(dot + 1)) + " = " + value
+            + '\n';
+    });
+    return text;
+}
+
+template result<bridge_settings> parse(std::string_view, std::string_view);
+template result<target_settings> parse(std::string_view, std::string_view);
+template result<bridge_settings> load(const std::string &);
+template result<target_settings> load(const std::string &);
+template std::string example<bridge_settings>();
+template std::string example<target_settings>();
+
+} // namespace toucan::settings
--- /dev/null
+++ b/src/libtoucanbase/settings_test.cpp
@@ -0,0 +1,47 @@
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <toucan/settings.h>
+
+using namespace toucan;
+
+TEST_CASE("settings: the annotated examples are valid")
+{
+    const auto bridge
+        = settings::parse<bridge_settings>(settings::example<bridge_settings>(), "example.ini");
+    INFO((errorOf(bridge) ? errorOf(bridge)->detail : ""));
+    CHECK(valueOf(bridge));
+    const auto target
+        = settings::parse<target_settings>(settings::example<target_settings>(), "example.ini");
+    INFO((errorOf(target) ? errorOf(target)->detail : ""));
+    CHECK(valueOf(target));
+}
+
+TEST_CASE("settings: all faults are reported at once with file and line")
+{
+    const auto outcome = settings::parse<bridge_settings>("[entry]\n"
+                                                          "name = e1\n"
+                                                          "colour = red\n"
+                                                          "data = here\n"
+                                                          "nonsense\n"
+                                                          "[platform]\n"
+                                                          "timeout = 5\n",
+        "entry.ini");
+    REQUIRE(errorOf(outcome));
+    const auto &text = errorOf(outcome)->detail;
+    CHECK(errorOf(outcome)->kind == error_kind::invalid_settings);
+    CHECK(text.find("entry.ini:3: entry.colour: unknown key") != std::string::npos);
+    CHECK(text.find("entry.ini:4: entry.data: expected IP:port") != std::string::npos);
+    CHECK(text.find("entry.ini:5: expected [section] or key = value") != std::string::npos);
+    CHECK(text.find("entry.ini:7: platform.timeout: expected a time with its unit")
+        != std::string::npos);
+    CHECK(text.find("entry.domain: missing") != std::string::npos);
+    CHECK(text.find("platform.address: missing") != std::string::npos);
+}
+
+TEST_CASE("settings: any text gives settings or an error, never a crash")
+{
+    rc::check("settings", [](const std::string &text) {
+        const auto outcome = settings::parse<target_settings>(text, "any.ini");
+        RC_ASSERT(errorOf(outcome) != nullptr);
+    });
+}
--- /dev/null
+++ b/src/libtoucancore/claim_holder.cpp
@@ -0,0 +1,193 @@
+#include <algorithm>
+#include <toucan/claim_holder.h>
+#include <toucan/ranking.h>
+
+namespace toucan {
+namespace {
+
+constexpr std::chrono::milliseconds pullInterval{200};
+// A source that is silent for this long counts as missing.
+constexpr std::chrono::milliseconds sourceTimeout{600};
+// Members that left the list are not sent anything after this long.
+constexpr std::chrono::seconds leaverTimeout{2};
+constexpr std::size_t claimsPerPart = 64;
+
+} // namespace
+
+claim_holder::claim_holder(target_context &context, const ledger_options &options)
+    : m_context(context)
+    , m_options(options)
+    , m_ledger(options)
+{ }
+
+claim_reply claim_holder::apply(const claim_request &request)
+{
+    claim_reply reply{.operation = request.operation,
+        .key = request.key,
+        .round = request.round,
+        .holder = m_context.self.name,
+        .version = m_context.version()};
+    const auto set
+        = [&](claim_verdict verdict) { reply.verdict = static_cast<std::uint64_t>(verdict); };
+    const bool settles = request.operation == static_cast<std::uint64_t>(claim_operation::settle);
+    const auto *self = m_context.selfMember();
+    if (!settles && (!self || !self->isListed() || !m_ready)) {
+        set(claim_verdict::abstained);
+        return reply;
+    }
+    if (!settles && request.listHash != m_listHash) {
+        set(request.version < m_context.version() ? claim_verdict::stale
+                                                  : claim_verdict::abstained);
+        return reply;
+    }
+    const auto verdict = m_ledger.apply(m_context.now, request);
+    set(verdict.kind);
+    reply.other = verdict.other;
+    reply.otherBoot = verdict.otherBoot;
+    reply.answer.assign(verdict.answer.begin(), verdict.answer.end());
+    return reply;
+}
+
+void claim_holder::restartSync()
+{
+    m_ready = false;
+    ++m_round;
+    m_roundStarted = m_context.now;
+    for (auto &[name, item] : m_sources) {
+        item.cursor = 0;
+        item.done = false;
+        item.intact = false;
+    }
+    m_lastPull = {};
+    onTick();
+}
+
+void claim_holder::onConfig()
+{
+    const auto *service = m_context.service();
+    if (!service || !m_context.selfMember())
+        return;
+    // Members that left the list are asked too, for as long as this list is being caught up with.
+    if (m_ready) {
+        std::erase_if(m_sources, [&](const auto &item) {
+            const auto *found = service->find(item.first);
+            return !found || (!found->isListed() && service->listHash == m_listHash);
+        });
+    }
+    for (const auto &item : service->members) {
+        const bool known = m_sources.contains(item.name);
+        if (item.name == m_context.self.name || (!item.isListed() && !known))
+            continue;
+        source &entry = m_sources[item.name];
+        entry.address = item.data;
+        entry.domain = item.domain;
+        entry.listed = item.isListed();
+    }
+    if (service->listHash == m_listHash && m_round != 0)
+        return;
+    m_listHash = service->listHash;
+    restartSync();
+}
+
+bool claim_holder::isIntact() const
+{
+    const auto *self = m_context.selfMember();
+    return m_restored || (self && self->firstBoot)
+        || m_context.now - m_context.started > m_options.retention;
+}
+
+void claim_holder::onPull(const endpoint &from, const ledger_pull &message)
+{
+    // Answering under an older list would let a claim under that list slip past the asker.
+    if (message.version > m_context.version())
+        return;
+    ledger_part part{.member = m_context.self.name,
+        .round = message.round,
+        .version = m_context.version(),
+        .complete = isIntact(),
+        .cursor = message.cursor};
+    part.claims = m_ledger.part(m_context.now, message.cursor, claimsPerPart, part.next);
+    m_context.send(from, part);
+}
+
+void claim_holder::onPart(const endpoint &from, const ledger_part &message)
+{
+    const auto found = m_sources.find(message.member);
+    if (found == m_sources.end() || message.round != m_round || found->second.done
+        || message.cursor != found->second.cursor || from != found->second.address)
+        return;
+    source &item = found->second;
+    if (!m_ledger.import(m_context.now, message.claims))
+        return;
+    item.cursor = message.next;
+    if (message.next != 0) {
+        pull(item);
+        return;
+    }
+    item.done = true;
+    item.intact = message.complete;
+    finishIfPossible();
+}
+
+bool claim_holder::lossesAreTolerable() const
+{
+    std::set<std::string_view> lostDomains;
+    std::size_t lost = 0;
+    std::set<std::string_view> domains{m_context.self.domain};
+    const auto lose = [&](std::string_view domain) {
+        lostDomains.insert(domain);
+        ++lost;
+    };
+    if (!isIntact())
+        lose(m_context.self.domain);
+    for (const auto &[name, item] : m_sources) {
+        domains.insert(item.domain);
+        if (!item.done || !item.intact)
+            lose(item.domain);
+    }
+    // With one holder there is no second copy of its claims.
+    const std::size_t tolerated = m_sources.empty() ? 0 : 1;
+    return domains.size() >= holderCount ? lostDomains.size() <= 1 : lost <= tolerated;
+}
+
+void claim_holder::finishIfPossible()
+{
+    const bool allDone = std::ranges::all_of(m_sources, [&](const auto &item) {
+        const bool knownDead
+            = m_context.peers.contains(item.first) && !m_context.isAlive(item.first);
+        return item.second.done || knownDead;
+    });
+    const bool waited = m_context.now - m_roundStarted > sourceTimeout;
+    const bool aged = m_context.now - m_roundStarted > m_options.retention;
+    if (m_ready || !((allDone || waited) && (lossesAreTolerable() || aged)))
+        return;
+    m_ready = true;
+    m_restored = true;
+}
+
+void claim_holder::pull(const source &from)
+{
+    m_context.send(from.address,
+        ledger_pull{.member = m_context.self.name,
+            .boot = m_context.self.boot,
+            .round = m_round,
+            .version = m_context.version(),
+            .cursor = from.cursor});
+}
+
+void claim_holder::onTick()
+{
+    m_ledger.expire(m_context.now);
+    if (m_round == 0 || m_ready)
+        return;
+    finishIfPossible();
+    if (m_ready || (m_lastPull != instant{} && m_context.now - m_lastPull < pullInterval))
+        return;
+    m_lastPull = m_context.now;
+    for (const auto &[name, item] : m_sources) {
+        if (!item.done && (item.listed || m_context.now - m_roundStarted < leaverTimeout))
+            pull(item);
+    }
+}
+
+} // namespace toucan
--- /dev/null
+++ b/src/libtoucancore/request_runner.cpp
@@ -0,0 +1,581 @@
+#include <algorithm>
+#include <numeric>
+#include <toucan/request_runner.h>
+
+namespace toucan {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Longest wait for room at the target.
+constexpr auto longestWait = 400ms;
+// Time in which two holders have to agree.
+constexpr auto claimTime = 700ms;
+// Time in which a request that is given up on has to be voided.
+constexpr auto voidTime = 150ms;
+constexpr auto pollInterval = 100ms;
+// Answers are kept for repeats on the same flow; longer than a caller retransmits.
+constexpr auto answerLifetime = 250s;
+// Requests waiting for room, for each slot of the limit.
+constexpr std::size_t waitingPerSlot = 1;
+// Requests passed on to other members: this fraction of all, with a small burst.
+constexpr double spillShare = 0.2;
+constexpr double spillBurst = 20;
+// Come-back times are spread over this range, seconds.
+constexpr std::uint64_t shortestRetry = 1;
+constexpr std::uint64_t longestRetry = 3;
+constexpr std::uint64_t longestDeadlineMs = 600'000;
+
+request_class classify(const coap::message &message)
+{
+    if (!coap::isIdempotent(message.messageCode))
+        return request_class::submission;
+    const auto observe = message.number(coap::option_number::observe);
+    return observe == 0U ? request_class::watch : request_class::pull;
+}
+
+byte_buffer keyOf(const flow_key &flow, const coap::message &message)
+{
+    if (const auto *tag = message.find(coap::option_number::request_tag);
+        tag && !tag->value.empty())
+        return tag->value;
+    byte_buffer key;
+    const auto append = [&](std::uint64_t value, int bytes) {
+        for (int i = bytes - 1; i >= 0; --i)
+            key.push_back(static_cast<std::uint8_t>(value >> (8U * static_cast<unsigned>(i))));
+    };
+    append(flow.caller.ip, 4);
+    append(flow.caller.port, 2);
+    append(flow.service.ip, 4);
+    append(flow.service.port, 2);
+    append(message.id, 2);
+    return key;
+}
+
+// Code, options and payload of an answer, for holders to keep.
+byte_buffer packAnswer(const coap::message &answer)
+{
+    coap::message plain = answer;
+    plain.messageType = coap::type::non_confirmable;
+    plain.token.clear();
+    plain.id = 0;
+    return coap::serialize(plain);
+}
+
+} // namespace
+
+request_runner::request_runner(
+    target_context &context, flow_table &flows, claim_holder &holder, metrics::registry &metrics)
+    : m_context(context)
+    , m_flows(flows)
+    , m_holder(holder)
+    , m_metrics(metrics)
+    , m_claimer(context, holder, [this](const claim_result &result) { onClaimResult(result); })
+    , m_admission({})
+    , m_spillBudget(spillBurst)
+{ }
+
+std::size_t request_runner::waiting() const
+{
+    return std::accumulate(m_waiting.begin(), m_waiting.end(), std::size_t{0},
+        [](std::size_t sum, const auto &queue) { return sum + queue.size(); });
+}
+
+std::chrono::milliseconds request_runner::remaining(const request &item) const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(item.deadline - m_context.now);
+}
+
+std::uint64_t request_runner::retryAfterSeconds()
+{
+    return std::uniform_int_distribution<std::uint64_t>(shortestRetry, longestRetry)(
+        m_context.random);
+}
+
+request_runner::request *request_runner::findSame(
+    const flow &item, const coap::message &message, const byte_buffer &key)
+{
+    if (!key.empty()) {
+        const auto found = m_byKey.find(key);
+        return found == m_byKey.end() ? nullptr : &m_requests.at(found->second);
+    }
+    for (const auto id : item.requests) {
+        request &known = m_requests.at(id);
+        if (std::ranges::equal(known.token, message.token) && !known.waiters.empty()
+            && known.waiters.front().id == message.id)
+            return &known;
+    }
+    return nullptr;
+}
+
+void request_runner::onRequest(
+    flow &item, const packet_header &header, const coap::message &message, byte_view datagram)
+{
+    const answer_address address{.flow = item.key,
+        .entry = header.entry,
+        .token = message.token,
+        .id = message.id,
+        .confirmable = message.messageType == coap::type::confirmable,
+        .trace = header.trace};
+    const auto upload = message.number(coap::option_number::block1);
+    if (m_context.policy == target_policy::hash) {
+        m_context.actions.emplace_back(
+            send_to_target{item.key, byte_buffer(datagram.begin(), datagram.end())});
+        return;
+    }
+    if (upload && coap::block::decode(*upload).more) {
+        item.lastUpload = m_context.now;
+        m_context.actions.emplace_back(
+            send_to_target{item.key, byte_buffer(datagram.begin(), datagram.end())});
+        return;
+    }
+    if (upload)
+        item.lastUpload = {};
+    const auto priority = classify(message);
+    const auto key
+        = priority == request_class::submission ? keyOf(item.key, message) : byte_buffer();
+    if (request *known = findSame(item, message, key)) {
+        joinExisting(*known, address, header, message);
+        return;
+    }
+    m_spillBudget = std::min(m_spillBudget + spillShare, spillBurst);
+    const auto *service = m_context.service();
+    const auto allowed
+        = message.number(coap::option_number::deadline).value_or(service->record.deadlineMs);
+    request &created = create(
+        item, message, datagram, std::chrono::milliseconds(std::min(allowed, longestDeadlineMs)));
+    created.priority = priority;
+    created.key = key;
+    created.attempt = message.number(coap::option_number::attempt).value_or(0);
+    created.waiters = {address};
+    if (!key.empty())
+        m_byKey[key] = created.id;
+    admit(created, &header);
+}
+
+request_runner::request &request_runner::create(
+    flow &item, const coap::message &message, byte_view datagram, std::chrono::milliseconds allowed)
+{
+    request &created = m_requests[++m_lastId];
+    created.id = m_lastId;
+    created.flow = item.key;
+    created.datagram.assign(datagram.begin(), datagram.end());
+    created.token = message.token;
+    created.arrived = m_context.now;
+    created.deadline = m_context.now + allowed;
+    item.requests.push_back(created.id);
+    m_active.insert(created.id);
+    return created;
+}
+
+void request_runner::replay(flow &item, byte_view datagram)
+{
+    const auto parsed = coap::parse(datagram);
+    const auto *registered = valueOf(parsed);
+    const auto *service = m_context.service();
+    if (!registered || !service)
+        return;
+    coap::message message = *registered;
+    message.id = ++m_lastMessageId;
+    request &created = create(item, message, coap::serialize(message),
+        std::chrono::milliseconds(service->record.deadlineMs));
+    created.priority = request_class::watch;
+    admit(created, nullptr);
+}
+
+void request_runner::joinExisting(request &known, const answer_address &address,
+    const packet_header &header, const coap::message &message)
+{
+    const auto attempt = message.number(coap::option_number::attempt).value_or(0);
+    if (known.at == step::finished && known.answer.messageCode != coap::code::empty) {
+        sendAnswer(address, known.answer);
+        return;
+    }
+    if (known.at == step::finished) {
+        // It was refused: the same attempt stays refused, a later one is a new request.
+        if (attempt <= known.attempt) {
+            sendError(address, known.refusal);
+            return;
+        }
+        restart(known, address, header, message);
+        return;
+    }
+    if (known.at == step::unknown && known.passed != instant{}) {
+        sendError(address, error_kind::outcome_unknown);
+        return;
+    }
+    if (known.at == step::unknown) {
+        // Another member had it; its answer may be known by now.
+        restart(known, address, header, message);
+        return;
+    }
+    // A later attempt must not share the answer of a void that does not cover it.
+    if (known.at == step::voiding && attempt > known.attempt)
+        return;
+    const auto same = std::ranges::find_if(known.waiters, [&](const answer_address &item) {
+        return item.flow == address.flow && item.id == address.id
+            && std::ranges::equal(item.token, address.token);
+    });
+    if (same == known.waiters.end()) {
+        known.waiters.push_back(address);
+        known.attempt = std::max(known.attempt, attempt);
+    } else {
+        same->entry = address.entry;
+    }
+}
+
+void request_runner::restart(request &known, const answer_address &address,
+    const packet_header &header, const coap::message &message)
+{
+    drop(known.id);
+    flow *item = m_flows.find(address.flow);
+    const byte_buffer datagram = coap::serialize(message);
+    onRequest(*item, header, message, datagram);
+}
+
+void request_runner::admit(request &item, const packet_header *header)
+{
+    if (m_admission.hasRoom(item.priority)) {
+        m_admission.acquire();
+        item.hasSlot = true;
+        if (item.key.empty())
+            pass(item);
+        else
+            beginClaim(item);
+        return;
+    }
+    const bool mayPass = header && header->kind != static_cast<std::uint64_t>(packet_kind::spilled)
+        && item.priority != request_class::watch;
+    if (mayPass && m_spillBudget >= 1 && m_spill && m_spill(*header, item.datagram)) {
+        m_spillBudget -= 1;
+        m_metrics.numberOf("toucan_requests_spilled_total").add();
+        drop(item.id);
+        return;
+    }
+    auto &queue = m_waiting[static_cast<std::size_t>(item.priority)];
+    if (queue.size() < waitingPerSlot * m_admission.limit()) {
+        item.at = step::waiting;
+        queue.push_back(item.id);
+        return;
+    }
+    refuse(item, item.key.empty() ? error_kind::overloaded : error_kind::not_run);
+}
+
+void request_runner::beginClaim(request &item)
+{
+    item.at = step::claiming;
+    const auto time = std::min<std::chrono::milliseconds>(claimTime, remaining(item));
+    m_claimer.begin(claim_operation::claim, item.key, item.attempt, time);
+}
+
+void request_runner::pass(request &item)
+{
+    item.at = step::running;
+    item.passed = m_context.now;
+    m_context.actions.emplace_back(send_to_target{item.flow, item.datagram});
+    if (!item.waiters.empty())
+        m_context.actions.emplace_back(
+            record_span{item.waiters.front().trace, "pass-to-target", m_context.self.name});
+}
+
+void request_runner::onClaimResult(const claim_result &result)
+{
+    const auto found = m_byKey.find(result.key);
+    if (found == m_byKey.end())
+        return;
+    request &item = m_requests.at(found->second);
+    switch (result.outcome) {
+    case claim_outcome::answered: {
+        const auto answer = coap::parse(result.answer);
+        if (const auto *message = valueOf(answer))
+            finish(item, coap::message(*message));
+        else
+            giveUp(item, error_kind::outcome_unknown);
+        return;
+    }
+    case claim_outcome::granted:
+        onGranted(item);
+        return;
+    case claim_outcome::voided:
+        giveUp(item, error_kind::not_run);
+        return;
+    case claim_outcome::held:
+        onHeldElsewhere(item, result);
+        return;
+    case claim_outcome::undecided:
+        if (item.at == step::voiding) {
+            giveUp(item, error_kind::outcome_unknown);
+            m_claimer.abandon(item.key, item.attempt);
+        } else {
+            refuse(item, error_kind::not_run);
+        }
+        return;
+    }
+}
+
+void request_runner::onGranted(request &item)
+{
+    if (item.at == step::voiding) {
+        giveUp(item, item.refusal);
+        return;
+    }
+    if (item.at == step::polling) {
+        if (!m_admission.hasRoom(item.priority)) {
+            refuse(item, error_kind::not_run);
+            return;
+        }
+        m_admission.acquire();
+        item.hasSlot = true;
+    }
+    pass(item);
+}
+
+void request_runner::onHeldElsewhere(request &item, const claim_result &result)
+{
+    releaseSlot(item);
+    const bool gone
+        = !m_context.isAlive(result.other) || m_context.bootOf(result.other) != result.otherBoot;
+    if (gone || remaining(item) <= pollInterval) {
+        giveUp(item, error_kind::outcome_unknown);
+        m_claimer.abandon(item.key, item.attempt);
+        return;
+    }
+    // When each of two claimers has one holder, the one with the larger name steps back.
+    if (m_context.self.name > result.other)
+        m_claimer.release(item.key);
+    item.at = step::polling;
+    item.nextPoll = m_context.now + pollInterval;
+}
+
+void request_runner::refuse(request &item, error_kind kind)
+{
+    releaseSlot(item);
+    if (item.key.empty()) {
+        giveUp(item, kind);
+        return;
+    }
+    // Only two holders that have the attempt void make "not run" true.
+    item.at = step::voiding;
+    item.refusal = kind;
+    m_claimer.begin(claim_operation::void_attempt, item.key, item.attempt, voidTime);
+}
+
+void request_runner::finish(request &item, coap::message &&answer)
+{
+    for (const auto &waiter : item.waiters)
+        sendAnswer(waiter, answer);
+    releaseSlot(item);
+    if (item.key.empty()) {
+        drop(item.id);
+        return;
+    }
+    item.answer = std::move(answer);
+    item.at = step::finished;
+    item.waiters.clear();
+    item.datagram.clear();
+    retire(item);
+    if (flow *owner = m_flows.find(item.flow))
+        std::erase(owner->requests, item.id);
+}
+
+void request_runner::giveUp(request &item, error_kind kind)
+{
+    m_metrics.numberOf("toucan_given_up_" + std::string(answerFor(kind).name) + "_total").add();
+    for (const auto &waiter : item.waiters)
+        sendError(waiter, kind);
+    item.waiters.clear();
+    releaseSlot(item);
+    flow *owner = m_flows.find(item.flow);
+    if (item.key.empty()) {
+        drop(item.id);
+        return;
+    }
+    item.at = kind == error_kind::outcome_unknown ? step::unknown : step::finished;
+    item.refusal = kind;
+    retire(item);
+    // The target may still answer one that was passed on.
+    if (owner && item.passed == instant{})
+        std::erase(owner->requests, item.id);
+}
+
+void request_runner::sendAnswer(const answer_address &to, const coap::message &answer)
+{
+    coap::message response = answer;
+    response.messageType
+        = to.confirmable ? coap::type::acknowledgement : coap::type::non_confirmable;
+    response.token = to.token;
+    response.id = to.confirmable ? to.id : ++m_lastMessageId;
+    const packet_header header{.kind = static_cast<std::uint64_t>(packet_kind::to_caller),
+        .caller = to.flow.caller,
+        .service = to.flow.service,
+        .entry = to.entry,
+        .version = m_context.version(),
+        .trace = to.trace};
+    const auto entry = m_context.returnEntry(to.entry);
+    m_context.sendPacket(entry, header, coap::serialize(response));
+    m_context.actions.emplace_back(
+        record_span{to.trace, "answer-from-target", m_context.self.name});
+}
+
+void request_runner::sendError(const answer_address &to, error_kind kind)
+{
+    const auto &row = answerFor(kind);
+    coap::message answer;
+    answer.messageCode = static_cast<coap::code>(row.coapCode);
+    answer.addNumber(coap::option_number::max_age, retryAfterSeconds());
+    answer.payload.assign(row.name.begin(), row.name.end());
+    sendAnswer(to, answer);
+}
+
+void request_runner::releaseSlot(request &item)
+{
+    if (!item.hasSlot)
+        return;
+    item.hasSlot = false;
+    m_admission.release();
+}
+
+void request_runner::drop(std::uint64_t id)
+{
+    const auto found = m_requests.find(id);
+    if (found == m_requests.end())
+        return;
+    releaseSlot(found->second);
+    const auto byKey = m_byKey.find(found->second.key);
+    if (byKey != m_byKey.end() && byKey->second == id)
+        m_byKey.erase(byKey);
+    m_active.erase(id);
+    if (flow *owner = m_flows.find(found->second.flow))
+        std::erase(owner->requests, id);
+    m_requests.erase(found);
+}
+
+bool request_runner::onResponse(flow &item, const coap::message &response)
+{
+    const auto found = std::ranges::find_if(item.requests, [&](std::uint64_t id) {
+        const request &known = m_requests.at(id);
+        const bool passedOn = known.at == step::running || known.at == step::unknown;
+        return passedOn && std::ranges::equal(known.token, response.token);
+    });
+    if (found == item.requests.end())
+        return false;
+    request &known = m_requests.at(*found);
+    const bool late = known.at == step::unknown;
+    const bool shed = response.messageCode == coap::code::service_unavailable;
+    const bool incomplete = response.messageCode == coap::code::incomplete;
+    if (shed)
+        m_admission.collapse(m_context.now);
+    else
+        m_admission.onAnswer(m_context.now, m_context.now - known.passed);
+    if (known.key.empty()) {
+        finish(known, coap::message(response));
+    } else if (shed || incomplete) {
+        // The target did not run it; its own word for it, made true for late copies as well.
+        known.passed = {};
+        if (late)
+            m_claimer.abandon(known.key, known.attempt);
+        else
+            refuse(known, error_kind::not_run);
+    } else {
+        m_claimer.begin(
+            claim_operation::settle, known.key, known.attempt, 0ms, packAnswer(response));
+        finish(known, coap::message(response));
+    }
+    admitWaiting();
+    return true;
+}
+
+void request_runner::admitWaiting()
+{
+    for (std::size_t i = 0; i < m_waiting.size(); ++i) {
+        auto &queue = m_waiting[i];
+        while (!queue.empty() && m_admission.hasRoom(static_cast<request_class>(i))) {
+            const auto id = queue.front();
+            queue.pop_front();
+            const auto found = m_requests.find(id);
+            if (found != m_requests.end() && found->second.at == step::waiting)
+                admit(found->second, nullptr);
+        }
+    }
+}
+
+void request_runner::tickRequest(request &item)
+{
+    const auto now = m_context.now;
+    switch (item.at) {
+    case step::waiting:
+        if (now >= item.arrived + longestWait || now >= item.deadline)
+            refuse(item, item.key.empty() ? error_kind::overloaded : error_kind::not_run);
+        return;
+    case step::claiming:
+    case step::voiding:
+        return;
+    case step::running:
+        m_admission.onPending(now, now - item.passed);
+        if (now >= item.deadline)
+            giveUp(item, error_kind::outcome_unknown);
+        return;
+    case step::polling:
+        if (now >= item.deadline) {
+            giveUp(item, error_kind::outcome_unknown);
+            m_claimer.abandon(item.key, item.attempt);
+        } else if (now >= item.nextPoll) {
+            item.nextPoll = item.deadline;
+            m_claimer.begin(claim_operation::claim, item.key, item.attempt, pollInterval);
+        }
+        return;
+    case step::finished:
+    case step::unknown:
+        return;
+    }
+}
+
+void request_runner::retire(request &item)
+{
+    m_active.erase(item.id);
+    m_retired.push_back({m_context.now + answerLifetime, item.id});
+}
+
+void request_runner::onTick()
+{
+    m_claimer.onTick();
+    for (const auto id : std::vector(m_active.begin(), m_active.end())) {
+        const auto found = m_requests.find(id);
+        if (found != m_requests.end())
+            tickRequest(found->second);
+    }
+    for (; !m_retired.empty() && m_retired.front().forgetAt <= m_context.now; m_retired.pop_front())
+        drop(m_retired.front().id);
+    admitWaiting();
+}
+
+void request_runner::onConfig()
+{
+    const auto *service = m_context.service();
+    if (!service)
+        return;
+    const auto *self = m_context.selfMember();
+    const auto slots = self ? self->slots : service->record.slots;
+    m_admission.setOptions(
+        {.slots = slots, .coldSlots = std::min(service->record.coldSlots, slots)});
+    m_claimer.onConfig();
+}
+
+void request_runner::giveUpAll()
+{
+    for (const auto id : std::vector(m_active.begin(), m_active.end())) {
+        const auto found = m_requests.find(id);
+        if (found == m_requests.end())
+            continue;
+        request &item = found->second;
+        const bool mayRun = item.at == step::running || item.at == step::polling;
+        if (item.key.empty())
+            giveUp(item, error_kind::domain_out);
+        else if (mayRun)
+            giveUp(item, error_kind::outcome_unknown);
+        else
+            refuse(item, error_kind::not_run);
+    }
+}
+
+} // namespace toucan
--- /dev/null
+++ b/src/libtoucancore/target_engine.cpp
@@ -0,0 +1,575 @@
+#include <algorithm>
+#include <toucan/ranking.h>
+#include <toucan/target_engine.h>
+
+namespace toucan {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto heartbeatInterval = 250ms;
+constexpr auto probeInterval = 500ms;
+// Entries that a target process keeps probing, for notifications that no packet preceded.
+constexpr std::size_t probedEntries = 3;
+// A gap between two events that means the process was paused.
+constexpr auto pauseLimit = 500ms;
+// Flows without watches and requests are closed after this long.
+constexpr auto idleTimeout = 120s;
+constexpr auto drainInterval = 100ms;
+// A watch that could not be registered again yet is tried again after this long.
+constexpr auto replayInterval = 500ms;
+constexpr auto handoverRetry = 300ms;
+// An upload is in progress for this long after its latest block.
+constexpr auto uploadTimeout = 5s;
+// A sender with an old configuration is told so at most this often.
+constexpr auto staleNoticeInterval = 100ms;
+
+} // namespace
+
+target_engine::target_engine(target_options options, metrics::registry &metrics, instant now)
+    : m_metrics(metrics)
+    , m_holder(m_context, options.ledger)
+    , m_router(m_context, m_flows)
+    , m_requests(m_context, m_flows, m_holder, metrics)
+{
+    m_context.self = std::move(options.identity);
+    m_context.policy = options.policy;
+    m_context.random.seed(options.seed);
+    m_context.now = now;
+    m_context.started = now;
+    m_requests.setSpillHandler(
+        [this](const packet_header &header, byte_view payload) { return spill(header, payload); });
+}
+
+std::vector<action> target_engine::takeActions()
+{
+    return std::exchange(m_context.actions, {});
+}
+
+void target_engine::advance(instant now)
+{
+    const auto gap = now - m_context.now;
+    m_context.now = now;
+    if (gap < pauseLimit)
+        return;
+    // Others may have moved on meanwhile: what was heard is old, and claims must be fetched anew.
+    m_metrics.numberOf("toucan_pauses_total").add();
+    m_holder.restartSync();
+}
+
+void target_engine::onDatagram(instant now, const endpoint &from, byte_view datagram)
+{
+    advance(now);
+    if (const auto packet = decodePacket(datagram)) {
+        onPacket(from, *packet);
+        return;
+    }
+    const auto message = decodeMessage(datagram);
+    if (const auto *value = valueOf(message))
+        onMessage(from, *value);
+    else
+        m_metrics.numberOf("toucan_malformed_datagrams_total").add();
+}
+
+void target_engine::noteVersion(const endpoint &from, std::uint64_t version)
+{
+    if (version > m_context.version()) {
+        m_context.send(
+            from, probe{.version = m_context.version(), .control = m_context.self.control});
+        return;
+    }
+    if (version == m_context.version())
+        return;
+    instant &told = m_staleTold[from];
+    if (told != instant{} && m_context.now - told < staleNoticeInterval)
+        return;
+    told = m_context.now;
+    m_context.send(
+        from, probe_reply{.version = m_context.version(), .control = m_context.self.control});
+}
+
+void target_engine::onPacket(const endpoint &from, const decoded_packet &packet)
+{
+    packet_header header = packet.header;
+    if (from == header.entry)
+        m_context.entriesHeard[from] = m_context.now;
+    if (header.version != m_context.version())
+        noteVersion(from, header.version);
+    const auto *service = m_context.service();
+    if (!service || service->record.address != header.service) {
+        m_metrics.numberOf("toucan_misrouted_packets_total").add();
+        return;
+    }
+    if (m_context.policy == target_policy::hash) {
+        const flow_key key{.caller = header.caller, .service = header.service};
+        flow *known = m_flows.find(key);
+        deliver(known ? *known : m_flows.open(key, m_context.now), header, packet.payload);
+        return;
+    }
+    const auto decision = m_router.route(header, from);
+    switch (decision.what) {
+    case routing_decision::kind::local:
+        deliver(*decision.local, header, packet.payload);
+        return;
+    case routing_decision::kind::forward:
+        ++header.hops;
+        header.version = m_context.version();
+        m_context.sendPacket(decision.to, header, packet.payload);
+        m_context.actions.emplace_back(record_span{header.trace, "forward", m_context.self.name});
+        return;
+    case routing_decision::kind::drop:
+        m_metrics.numberOf("toucan_unroutable_packets_total").add();
+        return;
+    }
+}
+
+void target_engine::deliver(flow &item, const packet_header &header, byte_view payload)
+{
+    item.entry = header.entry;
+    item.lastFromCaller = m_context.now;
+    m_flows.touch(item, m_context.now);
+    const auto *service = m_context.service();
+    if (service->record.protocol != "coap") {
+        m_context.actions.emplace_back(
+            send_to_target{item.key, byte_buffer(payload.begin(), payload.end())});
+        return;
+    }
+    const auto parsed = coap::parse(payload);
+    const auto *message = valueOf(parsed);
+    if (!message) {
+        m_metrics.numberOf("toucan_malformed_requests_total").add();
+        constexpr std::size_t coapHeader = 4;
+        if (payload.size() < coapHeader)
+            return;
+        coap::message reset{.messageType = coap::type::reset};
+        reset.id = static_cast<std::uint16_t>((payload[2] << 8U) | payload[3]);
+        toCaller(item, coap::serialize(reset));
+        return;
+    }
+    if (!message->isRequest()) {
+        onEmptyMessage(item, *message, payload);
+        return;
+    }
+    if (message->number(coap::option_number::observe) == 1U)
+        std::erase_if(item.watches,
+            [&](const watch &each) { return std::ranges::equal(each.token, message->token); });
+    const auto *self = m_context.selfMember();
+    const bool leaving
+        = self && self->stopping && header.kind != static_cast<std::uint64_t>(packet_kind::spilled);
+    const bool uploading = message->find(coap::option_number::block1) != nullptr;
+    const bool watching = message->number(coap::option_number::observe) == 0U;
+    if (leaving && !uploading && !watching && spill(header, payload))
+        return;
+    if (watching && !item.findWatch(message->token))
+        item.watches.push_back({.token = message->token,
+            .request = byte_buffer(payload.begin(), payload.end()),
+            .lastNotified = m_context.now});
+    m_requests.onRequest(item, header, *message, payload);
+}
+
+void target_engine::onEmptyMessage(flow &item, const coap::message &message, byte_view payload)
+{
+    if (message.messageType == coap::type::reset)
+        std::erase_if(item.watches, [&](const watch &each) { return each.lastId == message.id; });
+    m_context.actions.emplace_back(
+        send_to_target{item.key, byte_buffer(payload.begin(), payload.end())});
+}
+
+bool target_engine::spill(const packet_header &header, byte_view payload)
+{
+    const auto *service = m_context.service();
+    if (!service)
+        return false;
+    const auto roomOf = [&](const member *item) -> std::int64_t {
+        const auto &state = m_context.peers.find(item->name)->second;
+        return static_cast<std::int64_t>(state.last.limit)
+            - static_cast<std::int64_t>(state.last.inProgress + state.sentSince);
+    };
+    std::vector<const member *> others;
+    for (const auto &item : service->members) {
+        if (item.name != m_context.self.name && item.takesFlows() && m_context.isAlive(item.name)
+            && roomOf(&item) > 0)
+            others.push_back(&item);
+    }
+    if (others.empty())
+        return false;
+    std::uniform_int_distribution<std::size_t> pick(0, others.size() - 1);
+    const auto *first = others[pick(m_context.random)];
+    const auto *second = others[pick(m_context.random)];
+    const auto *best = roomOf(first) >= roomOf(second) ? first : second;
+    packet_header passed = header;
+    passed.kind = static_cast<std::uint64_t>(packet_kind::spilled);
+    passed.version = m_context.version();
+    ++passed.hops;
+    ++m_context.peers.find(best->name)->second.sentSince;
+    m_context.sendPacket(best->data, passed, payload);
+    m_context.actions.emplace_back(record_span{header.trace, "spill", m_context.self.name});
+    return true;
+}
+
+void target_engine::toCaller(const flow &item, byte_view payload)
+{
+    const auto entry = m_context.returnEntry(item.entry);
+    const packet_header header{.kind = static_cast<std::uint64_t>(packet_kind::to_caller),
+        .caller = item.key.caller,
+        .service = item.key.service,
+        .entry = entry,
+        .version = m_context.version()};
+    m_context.sendPacket(entry, header, payload);
+}
+
+void target_engine::onTargetDatagram(instant now, const flow_key &key, byte_view datagram)
+{
+    advance(now);
+    flow *item = m_flows.find(key);
+    if (!item)
+        return;
+    m_flows.touch(*item, now);
+    const auto *service = m_context.service();
+    if (!service || service->record.protocol != "coap" || m_context.policy == target_policy::hash) {
+        toCaller(*item, datagram);
+        return;
+    }
+    const auto parsed = coap::parse(datagram);
+    const auto *message = valueOf(parsed);
+    if (!message) {
+        m_metrics.numberOf("toucan_malformed_answers_total").add();
+        return;
+    }
+    if (!message->isResponse()) {
+        toCaller(*item, datagram);
+        return;
+    }
+    const bool isAnswer = m_requests.onResponse(*item, *message);
+    item = m_flows.find(key);
+    if (item && item->findWatch(message->token))
+        onWatchAnswer(*item, *message, isAnswer);
+    else if (item && !isAnswer && message->messageCode == coap::code::continue_upload)
+        toCaller(*item, datagram);
+}
+
+void target_engine::onWatchAnswer(flow &item, const coap::message &message, bool isAnswer)
+{
+    watch *known = item.findWatch(message.token);
+    if (!known)
+        return;
+    known->lastNotified = m_context.now;
+    const bool ends = !message.find(coap::option_number::observe);
+    if (known->replayed) {
+        // A target without room is asked again; the caller knows nothing of it.
+        if (message.messageCode == coap::code::service_unavailable)
+            return;
+        // The caller asked another target; for it, this is one more notification.
+        coap::message notification = message;
+        notification.messageType = coap::type::non_confirmable;
+        notification.id = ++m_lastMessageId;
+        known->replayed = false;
+        toCaller(item, coap::serialize(notification));
+    } else if (!isAnswer) {
+        known->lastId = message.id;
+        toCaller(item, coap::serialize(message));
+    }
+    if (ends)
+        std::erase_if(item.watches,
+            [&](const watch &each) { return std::ranges::equal(each.token, message.token); });
+}
+
+void target_engine::replayWatches()
+{
+    m_flows.forEach([&](flow &item) {
+        for (auto &each : item.watches) {
+            if (!each.replayed || m_context.now - each.lastNotified < replayInterval)
+                continue;
+            each.lastNotified = m_context.now;
+            m_requests.replay(item, each.request);
+        }
+    });
+}
+
+void target_engine::onMessage(const endpoint &from, const peer_message &message)
+{
+    std::visit([&](const auto &body) { handle(from, body); }, message);
+}
+
+void target_engine::handle(const endpoint &from, const heartbeat &message)
+{
+    const auto *service = m_context.service();
+    const auto *sender = service ? service->find(message.member) : nullptr;
+    if (message.version != m_context.version())
+        noteVersion(from, message.version);
+    if (!sender || sender->data != from)
+        return;
+    m_context.peers[message.member] = {.last = message, .heard = m_context.now};
+    std::uint64_t fastest = 0;
+    for (const auto &[name, state] : m_context.peers) {
+        const auto latency = state.last.latencyUs;
+        if (latency != 0 && m_context.isAlive(name) && (fastest == 0 || latency < fastest))
+            fastest = latency;
+    }
+    m_requests.load().setReference(instant(fastest));
+}
+
+void target_engine::handle(const endpoint &from, const claim_request &message)
+{
+    m_context.send(from, m_holder.apply(message));
+}
+
+void target_engine::handle(const endpoint &from, const claim_reply &message)
+{
+    if (message.version > m_context.version())
+        noteVersion(from, message.version);
+    m_requests.onClaimReply(from, message);
+}
+
+void target_engine::handle(const endpoint &from, const ledger_pull &message)
+{
+    if (message.version > m_context.version())
+        noteVersion(from, message.version);
+    m_holder.onPull(from, message);
+}
+
+void target_engine::handle(const endpoint &from, const ledger_part &message)
+{
+    m_holder.onPart(from, message);
+}
+
+void target_engine::handle(const endpoint &from, const flow_pointers &message)
+{
+    m_router.onPointers(from, message);
+}
+
+void target_engine::handle(const endpoint &from, const flow_handover &message)
+{
+    const flow_key key{.caller = message.caller, .service = message.service};
+    const auto *service = m_context.service();
+    const auto *self = m_context.selfMember();
+    if (!service || service->record.address != key.service)
+        return;
+    const bool accepted = self && self->takesFlows() && m_router.flowRoom() > 0;
+    m_context.send(from,
+        flow_accepted{.member = m_context.self.name,
+            .caller = key.caller,
+            .service = key.service,
+            .accepted = accepted});
+    if (!accepted)
+        return;
+    flow *item = m_flows.find(key);
+    if (!item)
+        item = &m_flows.open(key, m_context.now);
+    m_flows.adopt(*item);
+    item->closing = false;
+    item->entry = message.entry;
+    m_flows.erasePointer(key);
+    m_router.announceOwned(key);
+    for (const auto &state : message.watches) {
+        const auto parsed = coap::parse(state.request);
+        const auto *request = valueOf(parsed);
+        if (!request || item->findWatch(request->token))
+            continue;
+        item->watches.push_back(
+            {.token = request->token, .request = state.request, .replayed = true});
+    }
+}
+
+void target_engine::handle(const endpoint &, const flow_accepted &message)
+{
+    const flow_key key{.caller = message.caller, .service = message.service};
+    flow *item = m_flows.find(key);
+    if (!item || item->handoverSent == instant{} || !item->requests.empty())
+        return;
+    item->handoverSent = {};
+    if (!message.accepted)
+        return;
+    m_flows.setPointer(key, message.member, m_context.now);
+    closeFlow(key);
+    m_metrics.numberOf("toucan_flows_handed_over_total").add();
+}
+
+void target_engine::handle(const endpoint &from, const probe &message)
+{
+    m_context.send(
+        from, probe_reply{.version = m_context.version(), .control = m_context.self.control});
+    if (message.version > m_context.version())
+        m_context.actions.emplace_back(pull_config{message.control, message.version});
+}
+
+void target_engine::handle(const endpoint &from, const probe_reply &message)
+{
+    m_context.entriesHeard[from] = m_context.now;
+    if (message.version > m_context.version())
+        m_context.actions.emplace_back(pull_config{message.control, message.version});
+}
+
+void target_engine::closeFlow(const flow_key &key)
+{
+    m_context.actions.emplace_back(close_target_flow{key});
+    m_flows.close(key);
+}
+
+void target_engine::handOver(flow &item, const member &to)
+{
+    item.handoverSent = m_context.now;
+    flow_handover message{.from = m_context.self.name,
+        .caller = item.key.caller,
+        .service = item.key.service,
+        .entry = item.entry};
+    std::ranges::transform(item.watches, std::back_inserter(message.watches),
+        [](const watch &each) { return watch_state{each.request}; });
+    m_context.send(to.data, message);
+}
+
+void target_engine::drainFlows()
+{
+    const auto *self = m_context.selfMember();
+    std::vector<flow_key> leaving = m_router.takeConflicts();
+    if (self && self->stopping) {
+        m_flows.forEach([&](const flow &item) {
+            if (!item.guest)
+                leaving.push_back(item.key);
+        });
+    }
+    for (const auto &key : leaving) {
+        flow *item = m_flows.find(key);
+        if (!item || !item->requests.empty() || m_context.now - item->lastUpload < uploadTimeout)
+            continue;
+        if (item->handoverSent != instant{} && m_context.now - item->handoverSent < handoverRetry)
+            continue;
+        if (const auto *to = m_router.successor(key))
+            handOver(*item, *to);
+    }
+}
+
+void target_engine::giveUpFlows()
+{
+    m_requests.giveUpAll();
+    std::vector<flow_key> keys;
+    m_flows.forEach([&](const flow &item) {
+        keys.push_back(item.key);
+        for (const auto &each : item.watches) {
+            const auto &row = answerFor(error_kind::domain_out);
+            coap::message last{.messageType = coap::type::non_confirmable};
+            last.messageCode = static_cast<coap::code>(row.coapCode);
+            last.id = ++m_lastMessageId;
+            last.token = each.token;
+            last.addNumber(coap::option_number::max_age, 1);
+            last.payload.assign(row.name.begin(), row.name.end());
+            toCaller(item, coap::serialize(last));
+        }
+    });
+    std::ranges::for_each(keys, [&](const flow_key &key) { closeFlow(key); });
+}
+
+void target_engine::onConfig(instant now, const config_ptr &config)
+{
+    advance(now);
+    if (m_context.config && config->version <= m_context.config->version)
+        return;
+    m_context.config = config;
+    m_holder.onConfig();
+    m_requests.onConfig();
+    const auto *self = m_context.selfMember();
+    const bool out = config->isOut(m_context.self.domain);
+    if (out && !m_wasOut && self && m_context.policy != target_policy::hash)
+        giveUpFlows();
+    m_wasOut = out;
+}
+
+void target_engine::onHealth(instant now, bool healthy)
+{
+    advance(now);
+    m_requests.load().onHealth(now, healthy);
+}
+
+void target_engine::sendHeartbeats()
+{
+    const auto *service = m_context.service();
+    const auto *self = m_context.selfMember();
+    if (!service || !self)
+        return;
+    const heartbeat message{.member = m_context.self.name,
+        .boot = m_context.self.boot,
+        .version = m_context.version(),
+        .inProgress = m_requests.load().inProgress() + m_requests.waiting(),
+        .limit = m_requests.load().limit(),
+        .flows = m_flows.ownedCount(),
+        .flowRoom = m_router.flowRoom(),
+        .synced = m_router.isSynced(),
+        .latencyUs = static_cast<std::uint64_t>(m_requests.load().typicalLatency().count())};
+    for (const auto &item : service->members) {
+        if (item.name != m_context.self.name && (!item.out || self->out))
+            m_context.send(item.data, message);
+    }
+}
+
+void target_engine::probeEntries()
+{
+    if (!m_context.config)
+        return;
+    const auto &entries = m_context.config->entries;
+    const auto ownHash = hashText(m_context.self.name);
+    std::vector<const entry_view *> ranked;
+    std::ranges::transform(
+        entries, std::back_inserter(ranked), [](const auto &item) { return &item; });
+    std::ranges::sort(ranked, std::greater<>(),
+        [&](const auto *item) { return rankWeight(ownHash, item->nameHash); });
+    // The most preferred ones that answer, and one more each time in case one of them is gone.
+    std::size_t live = 0;
+    for (const auto *item : ranked) {
+        if (live >= probedEntries)
+            break;
+        const auto heard = m_context.entriesHeard.find(item->data);
+        if (heard != m_context.entriesHeard.end()
+            && m_context.now - heard->second < target_context::entryTimeout)
+            ++live;
+        m_context.send(
+            item->data, probe{.version = m_context.version(), .control = m_context.self.control});
+    }
+}
+
+void target_engine::onTick(instant now)
+{
+    advance(now);
+    if (m_context.policy != target_policy::hash) {
+        m_router.setOwnLimit(m_requests.load().limit());
+        m_holder.onTick();
+        m_requests.onTick();
+        m_router.onTick();
+    }
+    if (now - m_lastHeartbeat >= heartbeatInterval) {
+        m_lastHeartbeat = now;
+        sendHeartbeats();
+    }
+    if (now - m_lastProbe >= probeInterval) {
+        m_lastProbe = now;
+        probeEntries();
+    }
+    if (now - m_lastDrain >= drainInterval) {
+        m_lastDrain = now;
+        drainFlows();
+        replayWatches();
+        for (const auto &key : m_flows.idleSince(now - idleTimeout))
+            closeFlow(key);
+    }
+}
+
+target_status target_engine::status() const
+{
+    const auto *self = m_context.selfMember();
+    const auto stateOf = [&]() -> std::string {
+        if (!self)
+            return "starting";
+        if (self->out)
+            return "out";
+        if (self->stopping)
+            return m_flows.ownedCount() == 0 ? "drained" : "draining";
+        return m_holder.isReady() ? "serving" : "starting";
+    };
+    return {.version = m_context.version(),
+        .flows = m_flows.ownedCount(),
+        .inProgress = m_requests.load().inProgress(),
+        .limit = m_requests.load().limit(),
+        .claims = m_holder.size(),
+        .state = stateOf()};
+}
+
+} // namespace toucan
--- /dev/null
+++ b/src/libtoucanlab/platform_stand_in.cpp
@@ -0,0 +1,268 @@
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/StreamCopier.h>
+#include <Poco/URI.h>
+#include <charconv>
+#include <thread>
+#include <toucan/lab/platform_stand_in.h>
+
+namespace toucan::lab {
+namespace {
+
+using json = nlohmann::json;
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+
+// Changes kept for those who wait; older ones have to list again.
+constexpr std::size_t keptChanges = 10'000;
+constexpr int serverThreads = 200;
+
+std::uint64_t toNumber(std::string_view text)
+{
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+std::optional<std::uint64_t> expectedVersion(const HTTPRequest &request)
+{
+    if (request.get("If-None-Match", "") == "*")
+        return 0;
+    const auto tag = request.get("If-Match", "");
+    if (tag.size() > 2)
+        return toNumber(std::string_view(tag).substr(1, tag.size() - 2));
+    return std::nullopt;
+}
+
+class object_handler : public Poco::Net::HTTPRequestHandler
+{
+public:
+    explicit object_handler(platform_stand_in &platform)
+        : m_platform(platform)
+    { }
+
+    void handleRequest(
+        Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) override
+    {
+        const auto faults = m_platform.faults();
+        if (faults.delay.count() > 0)
+            std::this_thread::sleep_for(faults.delay);
+        if (faults.down || m_platform.faults().down) {
+            hangUp(request);
+            return;
+        }
+        const auto outcome = dispatch(request);
+        const bool wrote = request.getMethod() == HTTPRequest::HTTP_PUT
+            || request.getMethod() == HTTPRequest::HTTP_DELETE;
+        if ((wrote && faults.loseWriteAnswers) || m_platform.faults().down) {
+            hangUp(request);
+            return;
+        }
+        response.setStatus(static_cast<HTTPResponse::HTTPStatus>(outcome.status));
+        response.setContentType("application/json");
+        const auto text = outcome.body.dump();
+        response.setContentLength(static_cast<std::streamsize>(text.size()));
+        response.send() << text;
+    }
+
+private:
+    static void hangUp(Poco::Net::HTTPServerRequest &request)
+    {
+        static_cast<Poco::Net::HTTPServerRequestImpl &>(request).detachSocket().close();
+    }
+
+    platform_stand_in::outcome dispatch(Poco::Net::HTTPServerRequest &request)
+    {
+        const Poco::URI uri(request.getURI());
+        std::vector<std::string> segments;
+        uri.getPathSegments(segments);
+        if (segments.size() == 2 && segments[1] == "objects")
+            return m_platform.list();
+        if (segments.size() == 2 && segments[1] == "changes") {
+            std::map<std::string, std::string> query;
+            for (const auto &[name, value] : uri.getQueryParameters())
+                query[name] = value;
+            return m_platform.changesAfter(
+                toNumber(query["after"]), std::chrono::milliseconds(toNumber(query["wait_ms"])));
+        }
+        if (segments.size() != 4 || segments[1] != "objects")
+            return {.status = 404, .body = {}};
+        std::string body;
+        Poco::StreamCopier::copyToString(request.stream(), body);
+        if (request.getMethod() == HTTPRequest::HTTP_GET)
+            return m_platform.get(segments[2], segments[3]);
+        if (request.getMethod() == HTTPRequest::HTTP_DELETE)
+            return m_platform.remove(segments[2], segments[3], expectedVersion(request));
+        const auto parsed = json::parse(body, nullptr, false);
+        if (!parsed.is_object())
+            return {.status = 400, .body = "expected a JSON object"};
+        return m_platform.put(segments[2], segments[3], parsed, expectedVersion(request));
+    }
+
+    platform_stand_in &m_platform;
+};
+
+class handler_factory : public Poco::Net::HTTPRequestHandlerFactory
+{
+public:
+    explicit handler_factory(platform_stand_in &platform)
+        : m_platform(platform)
+    { }
+    Poco::Net::HTTPRequestHandler *createRequestHandler(
+        const Poco::Net::HTTPServerRequest &) override
+    {
+        return new object_handler(m_platform);
+    }
+
+private:
+    platform_stand_in &m_platform;
+};
+
+} // namespace
+
+platform_stand_in::platform_stand_in(const endpoint &address)
+{
+    Poco::Net::ServerSocket socket;
+    socket.bind(Poco::Net::SocketAddress(toString(address)), true);
+    socket.listen();
+    Poco::Net::HTTPServerParams::Ptr params(new Poco::Net::HTTPServerParams);
+    params->setMaxThreads(serverThreads);
+    params->setKeepAlive(false);
+    static Poco::ThreadPool threads(2, serverThreads);
+    m_server = std::make_unique<Poco::Net::HTTPServer>(
+        new handler_factory(*this), threads, socket, params);
+    m_server->start();
+}
+
+platform_stand_in::~platform_stand_in()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_changed.notify_all();
+    m_server->stopAll(true);
+}
+
+void platform_stand_in::setFaults(const platform_faults &faults)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_faults = faults;
+    }
+    m_changed.notify_all();
+}
+
+platform_faults platform_stand_in::faults() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_faults;
+}
+
+json platform_stand_in::counts() const
+{
+    const std::lock_guard lock(m_mutex);
+    return {{"reads", m_reads}, {"writes", m_writes}, {"waits", m_waits},
+        {"waitingNow", m_waitingNow}, {"version", m_version}};
+}
+
+json platform_stand_in::describe(const object_id &id) const
+{
+    const auto found = m_objects.find(id);
+    json value{{"kind", id.first}, {"name", id.second}, {"version", m_version}, {"body", nullptr}};
+    if (found != m_objects.end()) {
+        value["version"] = found->second.version;
+        value["body"] = found->second.body;
+    }
+    return value;
+}
+
+std::uint64_t platform_stand_in::record(const object_id &id)
+{
+    ++m_version;
+    m_changes.push_back({m_version, id});
+    if (m_changes.size() > keptChanges)
+        m_changes.pop_front();
+    m_changed.notify_all();
+    return m_version;
+}
+
+std::uint64_t platform_stand_in::versionOf(const object_id &id) const
+{
+    const auto found = m_objects.find(id);
+    return found == m_objects.end() ? 0 : found->second.version;
+}
+
+platform_stand_in::outcome platform_stand_in::list()
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_reads;
+    auto objects = json::array();
+    for (const auto &[id, object] : m_objects)
+        objects.push_back(describe(id));
+    return {.body = {{"version", m_version}, {"objects", std::move(objects)}}};
+}
+
+platform_stand_in::outcome platform_stand_in::get(const std::string &kind, const std::string &name)
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_reads;
+    const object_id id{kind, name};
+    if (!m_objects.contains(id))
+        return {.status = 404, .body = {}};
+    return {.body = describe(id)};
+}
+
+platform_stand_in::outcome platform_stand_in::put(const std::string &kind, const std::string &name,
+    const json &body, std::optional<std::uint64_t> expected)
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_writes;
+    const object_id id{kind, name};
+    if (expected && *expected != versionOf(id))
+        return {.status = 412, .body = {{"version", versionOf(id)}}};
+    const auto version = record(id);
+    m_objects[id] = {.kind = kind, .name = name, .version = version, .body = body};
+    return {.body = {{"version", version}}};
+}
+
+platform_stand_in::outcome platform_stand_in::remove(
+    const std::string &kind, const std::string &name, std::optional<std::uint64_t> expected)
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_writes;
+    const object_id id{kind, name};
+    if (!m_objects.contains(id))
+        return {.status = 404, .body = {}};
+    if (expected && *expected != versionOf(id))
+        return {.status = 412, .body = {{"version", versionOf(id)}}};
+    m_objects.erase(id);
+    return {.body = {{"version", record(id)}}};
+}
+
+platform_stand_in::outcome platform_stand_in::changesAfter(
+    std::uint64_t version, std::chrono::milliseconds wait)
+{
+    std::unique_lock lock(m_mutex);
+    ++m_waits;
+    ++m_waitingNow;
+    m_changed.wait_for(
+        lock, wait, [&] { return m_version > version || m_stopping || m_faults.down; });
+    --m_waitingNow;
+    if (m_version > version && (m_changes.empty() || m_changes.front().version > version + 1))
+        return {.status = 410, .body = {}};
+    std::map<object_id, json> changed;
+    for (const auto &item : m_changes) {
+        if (item.version > version)
+            changed[item.id] = describe(item.id);
+    }
+    auto objects = json::array();
+    for (auto &[id, value] : changed)
+        objects.push_back(std::move(value));
+    return {.body = {{"version", m_version}, {"objects", std::move(objects)}}};
+}
+
+} // namespace toucan::lab
--- /dev/null
+++ b/src/libtoucannet/config_agent.cpp
@@ -0,0 +1,247 @@
+#include <algorithm>
+#include <random>
+#include <toucan/config_agent.h>
+#include <toucan/control_link.h>
+#include <toucan/log.h>
+
+namespace toucan {
+namespace {
+
+using namespace std::chrono_literals;
+using json = nlohmann::json;
+
+constexpr auto retryInterval = 500ms;
+constexpr auto watchTime = 20s;
+// Processes that do not follow look for missed changes this often.
+constexpr auto pollInterval = 60s;
+constexpr auto pullTimeout = 1s;
+
+std::string ipOf(const endpoint &value)
+{
+    const auto text = toString(value);
+    return text.substr(0, text.rfind(':'));
+}
+
+using object_id = std::pair<std::string, std::string>;
+
+std::vector<stored_object> merge(
+    std::span<const stored_object> base, std::span<const stored_object> changes)
+{
+    std::map<object_id, stored_object> merged;
+    for (const auto &item : base)
+        merged[{item.kind, item.name}] = item;
+    for (const auto &item : changes) {
+        if (item.body.is_null())
+            merged.erase({item.kind, item.name});
+        else
+            merged[{item.kind, item.name}] = item;
+    }
+    std::vector<stored_object> objects;
+    std::ranges::transform(
+        merged, std::back_inserter(objects), [](auto &item) { return std::move(item.second); });
+    return objects;
+}
+
+} // namespace
+
+std::optional<json> askControlLink(
+    const endpoint &control, const json &request, std::chrono::milliseconds timeout)
+{
+    const auto answer
+        = callControlLink(ipOf(control), control.port, json::to_cbor(request), timeout);
+    if (!answer)
+        return std::nullopt;
+    auto value = json::from_cbor(*answer, true, false);
+    return value.is_discarded() ? std::nullopt : std::optional(std::move(value));
+}
+
+std::optional<config_ptr> pullConfig(
+    const endpoint &control, std::uint64_t have, std::chrono::milliseconds timeout)
+{
+    const auto answer = askControlLink(control, {{"op", "config"}, {"have", have}}, timeout);
+    if (!answer || answer->is_null())
+        return std::nullopt;
+    const auto config = configFromJson(*answer);
+    const auto *value = valueOf(config);
+    return value && (*value)->version > have ? std::optional(*value) : std::nullopt;
+}
+
+config_agent::config_agent(agent_options options, publish_handler handler)
+    : m_options(std::move(options))
+    , m_handler(std::move(handler))
+    , m_log(log::part("config"))
+    , m_platformThread([this](const std::stop_token &stop) { runPlatform(stop); })
+    , m_controlThread([this](const std::stop_token &stop) { runControl(stop); })
+{ }
+
+config_agent::~config_agent()
+{
+    m_platformThread.request_stop();
+    m_controlThread.request_stop();
+    m_wake.notify_all();
+}
+
+config_ptr config_agent::current() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_current;
+}
+
+std::uint64_t config_agent::version() const
+{
+    const auto config = current();
+    return config ? config->version : 0;
+}
+
+json config_agent::answerPull(std::uint64_t have) const
+{
+    const auto config = current();
+    return config && config->version > have ? configToJson(*config) : json();
+}
+
+void config_agent::post(event item)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_events.push_back(std::move(item));
+    }
+    m_wake.notify_all();
+}
+
+void config_agent::requestPull(const endpoint &control, std::uint64_t version)
+{
+    constexpr std::size_t longestQueue = 64;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_events.size() >= longestQueue)
+            return;
+    }
+    post(pull_event{control, version});
+}
+
+bool config_agent::pause(const std::stop_token &stop, std::chrono::milliseconds time)
+{
+    std::unique_lock lock(m_mutex);
+    m_wake.wait_for(lock, stop, time, [] { return false; });
+    return !stop.stop_requested();
+}
+
+void config_agent::runControl(const std::stop_token &stop)
+{
+    while (!stop.stop_requested()) {
+        event next;
+        {
+            std::unique_lock lock(m_mutex);
+            if (!m_wake.wait(lock, stop, [&] { return !m_events.empty(); }))
+                return;
+            next = std::move(m_events.front());
+            m_events.pop_front();
+        }
+        std::visit([&](const auto &item) { handle(item); }, next);
+    }
+}
+
+void config_agent::handle(const pull_event &item)
+{
+    const auto have = version();
+    if (item.version <= have || !item.control)
+        return;
+    if (const auto config = pullConfig(item.control, have, pullTimeout))
+        publish(*config);
+    else
+        m_log->debug("Pull failed. peer={} version={}", toString(item.control), item.version);
+}
+
+void config_agent::handle(const list_event &item)
+{
+    const auto config = current();
+    if (config && item.list.version <= config->version)
+        return;
+    if (item.complete)
+        publish(buildConfig(item.list.version, item.list.objects));
+    else if (config)
+        publish(buildConfig(item.list.version, merge(config->objects, item.list.objects)));
+}
+
+void config_agent::publish(const config_ptr &config)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_current && config->version <= m_current->version)
+            return;
+        m_current = config;
+    }
+    m_log->info("Configuration in force. version={} services={} entries={} domains_out={}",
+        config->version, config->services.size(), config->entries.size(),
+        config->domainsOut.size());
+    for (const auto &fault : config->faults)
+        m_log->warn("Record ignored. {}", fault);
+    m_handler(config);
+}
+
+bool config_agent::announce(platform_client &client)
+{
+    auto record = m_options.record;
+    const auto existing = client.get(m_options.kind, m_options.name);
+    const auto *object = valueOf(existing);
+    if (!object && errorOf(existing)->kind != error_kind::not_found)
+        return false;
+    if (object
+        && object->body.value("boot", std::uint64_t{0}) == record.at("boot").get<std::uint64_t>())
+        return true;
+    record["firstBoot"] = object == nullptr;
+    // A lost answer or a conflict is settled by the next try, which reads first.
+    return valueOf(client.put(m_options.kind, m_options.name, record, object ? object->version : 0))
+        != nullptr;
+}
+
+void config_agent::runPlatform(const std::stop_token &stop)
+{
+    platform_client client(m_options.platform, m_options.platformTimeout);
+    bool complained = false;
+    while (!stop.stop_requested()) {
+        if (!m_announced && announce(client)) {
+            m_announced = true;
+            m_log->info("Announced. kind={} name={}", m_options.kind, m_options.name);
+        }
+        if (m_announced)
+            follow(client, stop);
+        if (!complained && !m_announced) {
+            complained = true;
+            m_log->warn("Platform does not answer; not announced yet, asking peers for the "
+                        "configuration. platform={}",
+                toString(m_options.platform));
+        }
+        for (const auto &peer : m_options.peers)
+            requestPull(peer, version() + 1);
+        if (!pause(stop, retryInterval))
+            return;
+    }
+}
+
+void config_agent::follow(platform_client &client, const std::stop_token &stop)
+{
+    const auto all = client.list();
+    const auto *list = valueOf(all);
+    if (!list)
+        return;
+    post(list_event{*list, true});
+    std::uint64_t seen = list->version;
+    while (!stop.stop_requested()) {
+        const auto wait = m_options.follows ? std::chrono::milliseconds(watchTime) : 0ms;
+        const auto outcome = client.changesAfter(seen, wait);
+        const auto *changes = valueOf(outcome);
+        if (!changes)
+            return;
+        if (changes->version > seen) {
+            // Also right when a peer's configuration came in between: these are all the changes
+            // after `seen`, each in its latest state.
+            post(list_event{*changes, false});
+            seen = changes->version;
+        }
+        if (!m_options.follows && !pause(stop, pollInterval))
+            return;
+    }
+}
+
+} // namespace toucan
--- /dev/null
+++ b/src/libtoucannet/node.cpp
@@ -0,0 +1,101 @@
+#include <csignal>
+#include <random>
+#include <toucan/node.h>
+
+namespace toucan::node {
+namespace {
+
+volatile std::sig_atomic_t stopSignal = 0;
+
+void onStopSignal(int number)
+{
+    stopSignal = number;
+}
+
+using json = nlohmann::json;
+
+json answerRequest(const json &request, const config_agent &agent, const status_board &status)
+{
+    const auto operation = request.is_object() ? request.value("op", std::string()) : std::string();
+    if (operation == "config")
+        return agent.answerPull(request.value("have", std::uint64_t{0}));
+    if (operation == "status")
+        return status.read();
+    return {{"error", "expected op config or status"}};
+}
+
+} // namespace
+
+void handleStopSignals()
+{
+    struct sigaction action = {};
+    action.sa_handler = onStopSignal;
+    sigaction(SIGTERM, &action, nullptr);
+    sigaction(SIGINT, &action, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+bool stopRequested()
+{
+    return stopSignal != 0;
+}
+
+void config_mailbox::put(const config_ptr &config)
+{
+    const std::lock_guard lock(m_mutex);
+    m_next = config;
+    m_full = true;
+}
+
+config_ptr config_mailbox::take()
+{
+    if (!m_full.load(std::memory_order_acquire))
+        return nullptr;
+    const std::lock_guard lock(m_mutex);
+    m_full = false;
+    return std::exchange(m_next, nullptr);
+}
+
+void status_board::put(json status)
+{
+    const std::lock_guard lock(m_mutex);
+    m_status = std::move(status);
+}
+
+json status_board::read() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_status;
+}
+
+std::unique_ptr<control_server> serveControlLink(const endpoint &address, const config_agent &agent,
+    const status_board &status, const metrics::registry &metrics)
+{
+    const auto text = toString(address);
+    const auto onRequest = [&](const std::vector<std::uint8_t> &bytes) {
+        try {
+            return json::to_cbor(answerRequest(json::from_cbor(bytes), agent, status));
+        } catch (const json::exception &failure) {
+            return json::to_cbor(json{{"error", failure.what()}});
+        }
+    };
+    const auto onPage = [&](const std::string &path) -> std::optional<std::string> {
+        if (path == "/metrics")
+            return metrics.text();
+        if (path == "/status")
+            return status.read().dump(2) + '\n';
+        return std::nullopt;
+    };
+    return std::make_unique<control_server>(
+        text.substr(0, text.rfind(':')), address.port, onRequest, onPage);
+}
+
+std::uint64_t randomNumber()
+{
+    std::random_device device;
+    // Fits the positive range of every JSON reader.
+    constexpr unsigned usableBits = 52;
+    return ((std::uint64_t{device()} << 32U) | device()) >> (64U - usableBits);
+}
+
+} // namespace toucan::node
--- /dev/null
+++ b/src/libtoucanwire/peer_message.cpp
@@ -0,0 +1,158 @@
+#include <array>
+#include <cbor.h>
+#include <toucan/message_cbor.h>
+#include <toucan/peer_message.h>
+
+namespace toucan {
+namespace {
+
+using json = nlohmann::json;
+
+// The first element of the array tells packets (a packet_kind) from messages (at least this).
+constexpr std::uint64_t firstMessageType = 16;
+constexpr std::uint8_t cborArrayBase = 0x80;
+constexpr std::size_t headerFields = std::tuple_size_v<decltype(fields_of<packet_header>::table)>;
+
+std::uint64_t packEndpoint(const endpoint &value)
+{
+    return (std::uint64_t{value.ip} << 16U) | value.port;
+}
+
+endpoint unpackEndpoint(std::uint64_t value)
+{
+    return {
+        .ip = static_cast<std::uint32_t>(value >> 16U), .port = static_cast<std::uint16_t>(value)};
+}
+
+struct header_reader
+{
+    std::array<std::uint64_t, headerFields> values{};
+    std::size_t count = 0;
+    bool valid = true;
+
+    void add(std::uint64_t value)
+    {
+        if (count == values.size()) {
+            valid = false;
+            return;
+        }
+        values[count++] = value;
+    }
+};
+
+header_reader &readerOf(void *context)
+{
+    return *static_cast<header_reader *>(context);
+}
+
+cbor_callbacks headerCallbacks()
+{
+    cbor_callbacks callbacks = cbor_empty_callbacks;
+    callbacks.uint8 = [](void *context, std::uint8_t value) { readerOf(context).add(value); };
+    callbacks.uint16 = [](void *context, std::uint16_t value) { readerOf(context).add(value); };
+    callbacks.uint32 = [](void *context, std::uint32_t value) { readerOf(context).add(value); };
+    callbacks.uint64 = [](void *context, std::uint64_t value) { readerOf(context).add(value); };
+    return callbacks;
+}
+
+template <std::size_t I = 0>
+peer_message readAlternative(std::size_t type, const json &body)
+{
+    if constexpr (I < std::variant_size_v<peer_message>) {
+        if (type != I)
+            return readAlternative<I + 1>(type, body);
+        std::variant_alternative_t<I, peer_message> message;
+        message_cbor::fromElement(body, message);
+        return message;
+    } else {
+        throw std::invalid_argument("unknown message type");
+    }
+}
+
+} // namespace
+
+bool isPacket(byte_view datagram)
+{
+    return datagram.size() > 1 && datagram[0] == cborArrayBase + headerFields
+        && datagram[1] < firstMessageType;
+}
+
+std::size_t encodeHeader(const packet_header &header, std::span<std::uint8_t> out)
+{
+    std::size_t size = cbor_encode_array_start(headerFields, out.data(), out.size());
+    const auto append = [&](std::uint64_t value) {
+        size += cbor_encode_uint(value, out.data() + size, out.size() - size);
+    };
+    forEachField<packet_header>([&](const auto &spec) {
+        const auto &value = header.*spec.member;
+        if constexpr (std::is_same_v<std::decay_t<decltype(value)>, endpoint>)
+            append(packEndpoint(value));
+        else
+            append(value);
+    });
+    return size;
+}
+
+std::optional<decoded_packet> decodePacket(byte_view datagram)
+{
+    static const cbor_callbacks callbacks = headerCallbacks();
+    if (!isPacket(datagram))
+        return std::nullopt;
+    header_reader reader;
+    std::size_t offset = 1;
+    while (reader.count < headerFields) {
+        const auto before = reader.count;
+        const auto step = cbor_stream_decode(
+            datagram.data() + offset, datagram.size() - offset, &callbacks, &reader);
+        if (step.status != CBOR_DECODER_FINISHED || reader.count == before)
+            return std::nullopt;
+        offset += step.read;
+    }
+    decoded_packet packet;
+    std::size_t index = 0;
+    forEachField<packet_header>([&](const auto &spec) {
+        auto &value = packet.header.*spec.member;
+        if constexpr (std::is_same_v<std::decay_t<decltype(value)>, endpoint>)
+            value = unpackEndpoint(reader.values[index]);
+        else
+            value = reader.values[index];
+        ++index;
+    });
+    packet.payload = datagram.subspan(offset);
+    return packet;
+}
+
+byte_buffer encodePacket(const packet_header &header, byte_view payload)
+{
+    byte_buffer datagram(maximumHeaderSize + payload.size());
+    const auto size = encodeHeader(header, datagram);
+    std::ranges::copy(payload, datagram.begin() + static_cast<std::ptrdiff_t>(size));
+    datagram.resize(size + payload.size());
+    return datagram;
+}
+
+byte_buffer encodeMessage(const peer_message &message)
+{
+    json envelope = json::array({firstMessageType + message.index()});
+    std::visit(
+        [&](const auto &body) { envelope.push_back(message_cbor::toElement(body)); }, message);
+    return json::to_cbor(envelope);
+}
+
+result<peer_message> decodeMessage(byte_view datagram)
+{
+    try {
+        const auto envelope = json::from_cbor(datagram.begin(), datagram.end());
+        if (!envelope.is_array() || envelope.size() != 2)
+            return error{error_kind::bad_request, "a peer message is an array of two"};
+        std::uint64_t type = 0;
+        message_cbor::fromElement(envelope[0], type);
+        if (type < firstMessageType)
+            return error{error_kind::bad_request, "unknown message type"};
+        return readAlternative(type - firstMessageType, envelope[1]);
+    } catch (const std::exception &failure) {
+        return error{error_kind::bad_request, failure.what()};
+    }
+}
+
+} // namespace toucan
--- /dev/null
+++ b/src/toucanbridge/bridge_server.cpp
@@ -0,0 +1,239 @@
+#include "bridge_server.h"
+
+#include <algorithm>
+#include <toucan/coap.h>
+#include <toucan/log.h>
+#include <toucan/record_json.h>
+
+namespace toucan {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto tickInterval = 20ms;
+constexpr auto statusInterval = 200ms;
+constexpr long pollMicroseconds = 10'000;
+// Datagrams read from one socket before the others get their turn.
+constexpr int readBatch = 64;
+
+} // namespace
+
+bridge_server::bridge_server(const bridge_settings &settings)
+    : m_settings(settings)
+    , m_fromCallers(m_metrics.numberOf("toucan_packets_from_callers_total"))
+    , m_toCallers(m_metrics.numberOf("toucan_packets_to_callers_total"))
+    , m_tracer(settings.traceFile, settings.name)
+    , m_engine({.data = settings.advertise ? settings.advertise : settings.data,
+                   .control = settings.control,
+                   .traceEvery = m_tracer.enabled() ? settings.traceEvery : 0,
+                   .seed = node::randomNumber()},
+          m_metrics)
+{ }
+
+int bridge_server::run()
+{
+    const auto log = log::part("entry");
+    auto data = udp_socket::bind(m_settings.data);
+    if (const auto *failure = errorOf(data)) {
+        log->error("Data socket cannot be bound. {}", failure->detail);
+        return answerFor(failure->kind).exitCode;
+    }
+    m_data.emplace(std::get<udp_socket>(std::move(data)));
+    m_poll.add(m_data->handle(), Poco::Net::PollSet::POLL_READ);
+    const entry_record record{.domain = m_settings.domain,
+        .data = m_settings.advertise ? m_settings.advertise : m_settings.data,
+        .control = m_settings.control,
+        .boot = node::randomNumber()};
+    m_agent = std::make_unique<config_agent>(agent_options{.platform = m_settings.platform,
+                                                 .platformTimeout = m_settings.platformTimeout,
+                                                 .peers = m_settings.peers,
+                                                 .kind = object_kind::entry,
+                                                 .name = m_settings.name,
+                                                 .record = record_json::write(record),
+                                                 .follows = true},
+        [this](const config_ptr &config) { m_mailbox.put(config); });
+    const auto control = node::serveControlLink(m_settings.control, *m_agent, m_status, m_metrics);
+    log->info("Serving. name={} data={} fabric={}", m_settings.name, toString(m_settings.data),
+        m_settings.fabric);
+    loop();
+    log->info("Stopped. name={}", m_settings.name);
+    return 0;
+}
+
+void bridge_server::loop()
+{
+    bool stopping = false;
+    while (true) {
+        // One more round after the signal, so that packets already taken by the sockets are passed
+        // on.
+        const bool last = stopping;
+        stopping = node::stopRequested();
+        const auto ready = m_poll.poll(Poco::Timespan(stopping ? 0 : pollMicroseconds));
+        if (const auto config = m_mailbox.take())
+            applyConfig(config);
+        for (const auto &[socket, mode] : ready) {
+            if (socket == m_data->handle()) {
+                readDataSocket();
+            } else if (const auto found = m_serviceBySocket.find(socket);
+                       found != m_serviceBySocket.end()) {
+                readServiceSocket(found->second, m_services.at(found->second));
+            }
+        }
+        const auto now = monotonicNow();
+        if (now - m_lastTick >= tickInterval) {
+            m_lastTick = now;
+            m_engine.onTick(now);
+            carryOut();
+        }
+        if (now - m_lastStatus >= statusInterval) {
+            m_lastStatus = now;
+            publishStatus();
+        }
+        if (last && ready.empty())
+            return;
+    }
+}
+
+void bridge_server::applyConfig(const config_ptr &config)
+{
+    m_engine.onConfig(monotonicNow(), config);
+    if (m_settings.fabric != "direct")
+        return;
+    std::erase_if(m_services, [&](const auto &item) {
+        if (config->serviceAt(item.first))
+            return false;
+        m_poll.remove(item.second.handle());
+        m_serviceBySocket.erase(item.second.handle());
+        return true;
+    });
+    for (const auto &service : config->services) {
+        const auto address = service.record.address;
+        if (m_services.contains(address))
+            continue;
+        auto bound = udp_socket::bind(address);
+        if (const auto *failure = errorOf(bound)) {
+            log::part("entry")->error(
+                "Service address cannot be bound. service={} {}", service.name, failure->detail);
+            continue;
+        }
+        const auto placed
+            = m_services.emplace(address, std::get<udp_socket>(std::move(bound))).first;
+        m_serviceBySocket.emplace(placed->second.handle(), address);
+        m_poll.add(placed->second.handle(), Poco::Net::PollSet::POLL_READ);
+    }
+}
+
+void bridge_server::readServiceSocket(const endpoint &service, udp_socket &socket)
+{
+    for (int i = 0; i < readBatch; ++i) {
+        const auto datagram = socket.receive(m_buffer);
+        if (!datagram)
+            return;
+        passToMember(datagram->from, service, datagram->payload);
+    }
+}
+
+void bridge_server::readDataSocket()
+{
+    for (int i = 0; i < readBatch; ++i) {
+        const auto datagram = m_data->receive(m_buffer);
+        if (!datagram)
+            break;
+        if (const auto packet = decodePacket(datagram->payload)) {
+            if (packet->header.kind == static_cast<std::uint64_t>(packet_kind::from_fabric)) {
+                m_fabric = datagram->from;
+                passToMember(packet->header.caller, packet->header.service, packet->payload);
+            } else {
+                passToCaller(datagram->from, *packet);
+            }
+            continue;
+        }
+        const auto message = decodeMessage(datagram->payload);
+        if (const auto *value = valueOf(message))
+            m_engine.onMessage(monotonicNow(), datagram->from, *value);
+        else
+            m_metrics.numberOf("toucan_malformed_datagrams_total").add();
+    }
+    carryOut();
+}
+
+void bridge_server::passToMember(const endpoint &caller, const endpoint &service, byte_view payload)
+{
+    m_fromCallers.add();
+    const auto decision = m_engine.onCallerPacket(monotonicNow(), caller, service);
+    if (!decision.to) {
+        answerUndeliverable(caller, service, payload);
+        return;
+    }
+    std::array<std::uint8_t, maximumHeaderSize> head{};
+    const auto size = encodeHeader(decision.header, head);
+    m_data->send(decision.to, byte_view(head).first(size), payload);
+    m_tracer.span(decision.header.trace, "entry", m_settings.name);
+}
+
+void bridge_server::passToCaller(const endpoint &from, const decoded_packet &packet)
+{
+    if (!m_engine.onReturnPacket(monotonicNow(), from, packet.header))
+        return;
+    m_toCallers.add();
+    sendToCaller(packet.header, packet.payload);
+    m_tracer.span(packet.header.trace, "return", m_settings.name);
+}
+
+void bridge_server::sendToCaller(const packet_header &header, byte_view payload)
+{
+    if (m_settings.fabric == "direct") {
+        if (const auto found = m_services.find(header.service); found != m_services.end())
+            found->second.send(header.caller, payload);
+        return;
+    }
+    if (!m_fabric)
+        return;
+    std::array<std::uint8_t, maximumHeaderSize> head{};
+    const auto size = encodeHeader(header, head);
+    m_data->send(m_fabric, byte_view(head).first(size), payload);
+}
+
+void bridge_server::answerUndeliverable(
+    const endpoint &caller, const endpoint &service, byte_view payload)
+{
+    // Before the first configuration nothing is known; the caller's next copy may meet another
+    // entry.
+    if (m_engine.version() == 0)
+        return;
+    const auto parsed = coap::parse(payload);
+    const auto *request = valueOf(parsed);
+    if (!request || !request->isRequest() || request->messageType != coap::type::confirmable)
+        return;
+    const auto kind = m_engine.undeliverableKind(service, *request);
+    const auto &row = answerFor(kind);
+    auto answer = coap::responseTo(*request, static_cast<coap::code>(row.coapCode), request->id);
+    answer.addNumber(coap::option_number::max_age, 1);
+    answer.payload.assign(row.name.begin(), row.name.end());
+    const packet_header header{.kind = static_cast<std::uint64_t>(packet_kind::to_caller),
+        .caller = caller,
+        .service = service};
+    sendToCaller(header, coap::serialize(answer));
+}
+
+void bridge_server::carryOut()
+{
+    for (const auto &item : m_engine.takeActions()) {
+        if (const auto *datagram = std::get_if<send_datagram>(&item))
+            m_data->send(datagram->to, datagram->bytes);
+        else if (const auto *pull = std::get_if<pull_config>(&item))
+            m_agent->requestPull(pull->control, pull->version);
+    }
+}
+
+void bridge_server::publishStatus()
+{
+    m_status.put({{"name", m_settings.name}, {"role", "entry"}, {"domain", m_settings.domain},
+        {"version", m_engine.version()},
+        {"state", m_engine.version() == 0 ? "starting" : "serving"},
+        {"suspected", m_engine.suspectedCount()}, {"announced", m_agent->isAnnounced()}});
+    m_metrics.numberOf("toucan_config_version").set(m_engine.version());
+    m_metrics.numberOf("toucan_members_suspected").set(m_engine.suspectedCount());
+}
+
+} // namespace toucan
--- /dev/null
+++ b/src/toucanbridge/bridge_server.h
@@ -0,0 +1,55 @@
+#pragma once
+
+/// The shell round the entry engine: sockets, timers, threads.
+
+#include <Poco/Net/PollSet.h>
+#include <array>
+#include <toucan/entry_engine.h>
+#include <toucan/generated/settings.h>
+#include <toucan/node.h>
+#include <toucan/trace.h>
+#include <toucan/udp_socket.h>
+
+namespace toucan {
+
+/// One entry.
+class bridge_server
+{
+public:
+    explicit bridge_server(const bridge_settings &settings);
+
+    /// Serves until a stop signal; returns the exit status.
+    int run();
+
+private:
+    void loop();
+    void readDataSocket();
+    void readServiceSocket(const endpoint &service, udp_socket &socket);
+    void passToMember(const endpoint &caller, const endpoint &service, byte_view payload);
+    void passToCaller(const endpoint &from, const decoded_packet &packet);
+    void answerUndeliverable(const endpoint &caller, const endpoint &service, byte_view payload);
+    void sendToCaller(const packet_header &header, byte_view payload);
+    void carryOut();
+    void applyConfig(const config_ptr &config);
+    void publishStatus();
+
+    bridge_settings m_settings;
+    metrics::registry m_metrics;
+    metrics::number &m_fromCallers;
+    metrics::number &m_toCallers;
+    node::status_board m_status;
+    node::config_mailbox m_mailbox;
+    tracer m_tracer;
+    std::unique_ptr<config_agent> m_agent;
+    entry_engine m_engine;
+    std::optional<udp_socket> m_data;
+    std::map<endpoint, udp_socket> m_services; ///< Bound service addresses, with a direct fabric.
+    std::map<Poco::Net::Socket, endpoint> m_serviceBySocket;
+    endpoint m_fabric; ///< Where a fabric that encapsulates takes packets for callers.
+    Poco::Net::PollSet m_poll;
+    std::array<std::uint8_t, maximumDatagram> m_buffer{};
+    instant m_lastTick{};
+    instant m_lastStatus{};
+};
+
+} // namespace toucan
--- /dev/null
+++ b/src/toucanlab/lab_commands.h
@@ -0,0 +1,15 @@
+#pragma once
+
+/// Commands of the emulator: each stand-in as a process, and whole experiments.
+
+#include <cxxopts.hpp>
+
+namespace toucan::lab {
+
+/// Runs the stand-in called `name` until a stop signal; nullopt when there is none of that name.
+std::optional<int> runStandIn(const std::string &name, const cxxopts::ParseResult &given);
+
+/// Runs the experiment of a scenario file and prints a summary; returns the exit status.
+int runScenario(const std::string &fileName, const std::string &programs, bool asJson);
+
+} // namespace toucan::lab
--- /dev/null
+++ b/src/toucanlab/main.cpp
@@ -0,0 +1,48 @@
+#include "lab_commands.h"
+
+#include <iostream>
+#include <toucan/error.h>
+
+int main(int argc, char **argv)
+{
+    cxxopts::Options parser("toucanlab",
+        "Stand-ins for the systems round the load balancer, and experiments with them.");
+    parser.positional_help("platform|fabric|switch|target|relay|run");
+    parser.add_options()(
+        "command", "what to run", cxxopts::value<std::string>()->default_value(""))("scenario",
+        "with run: scenario file", cxxopts::value<std::string>()->default_value(""))("programs",
+        "with run: folder of the programs", cxxopts::value<std::string>()->default_value("."))(
+        "json", "with run: machine-readable summary")(
+        "listen", "address to listen on", cxxopts::value<std::string>()->default_value(""))(
+        "admin", "address of the admin link", cxxopts::value<std::string>()->default_value(""))(
+        "inner", "fabric: address for entries", cxxopts::value<std::string>()->default_value(""))(
+        "service", "fabric: service address", cxxopts::value<std::vector<std::string>>())(
+        "entry", "fabric: entry", cxxopts::value<std::vector<std::string>>())(
+        "port", "switch: NAME=PUBLIC=REAL", cxxopts::value<std::vector<std::string>>())(
+        "target", "relay: address to relay to", cxxopts::value<std::string>()->default_value(""))(
+        "name", "target: name", cxxopts::value<std::string>()->default_value("target"))("slots",
+        "target: requests at once when warm", cxxopts::value<std::size_t>()->default_value("10"))(
+        "cold-slots", "target: requests at once when cold",
+        cxxopts::value<std::size_t>()->default_value("2"))("cold-ms", "target: time until warm, ms",
+        cxxopts::value<std::int64_t>()->default_value("3000"))("service-ms",
+        "target: mean time for a request, ms", cxxopts::value<std::int64_t>()->default_value("20"))(
+        "health-lies", "target: the health endpoint always says ready")("log",
+        "target: log of requests run",
+        cxxopts::value<std::string>()->default_value(""))("seed", "seed of all random choices",
+        cxxopts::value<std::uint64_t>()->default_value("1"))("help", "print this help");
+    parser.parse_positional({"command"});
+    try {
+        const auto given = parser.parse(argc, argv);
+        const auto command = given["command"].as<std::string>();
+        if (command == "run")
+            return toucan::lab::runScenario(given["scenario"].as<std::string>(),
+                given["programs"].as<std::string>(), given.count("json") != 0);
+        if (const auto status = toucan::lab::runStandIn(command, given))
+            return *status;
+        std::cout << parser.help();
+        return given.count("help") != 0 ? 0 : toucan::answerFor(toucan::error_kind::usage).exitCode;
+    } catch (const std::exception &failure) {
+        std::cerr << "toucanlab: " << failure.what() << '\n';
+        return toucan::answerFor(toucan::error_kind::usage).exitCode;
+    }
+}
--- /dev/null
+++ b/testsuite/test_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tools/run-tests.sh
@@ -0,0 +1,14 @@
+#!/bin/sh
+# Runs all tests. Cases listed in KNOWN-RED.txt are left out and printed; ctest's summary comes last.
+build=${1:-build}
+set --
+if [ -f KNOWN-RED.txt ]; then
+    names=$(grep '^test: ' KNOWN-RED.txt | sed 's/^test: //')
+    if [ -n "$names" ]; then
+        echo "known red, not run:"
+        echo "$names" | sed 's/^/  /'
+        pattern=$(echo "$names" | sed 's/[][().*^$+?{}|\\]/\\&/g; s/^/^/; s/$/$/' | paste -sd '|')
+        set -- -E "$pattern"
+    fi
+fi
+exec ctest --test-dir "$build" --output-on-failure "$@"
