--- /dev/null
+++ b/src/libtoucanlab/promise_test.cpp
@@ -0,0 +1,209 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <rapidcheck.h>
+#include <set>
+#include <toucan/lab/engine_driver.h>
+
+using namespace toucan;
+using namespace toucan::lab;
+using namespace std::chrono_literals;
+
+namespace {
+
+byte_buffer keyOf(std::uint64_t number)
+{
+    byte_buffer key(8);
+    for (std::size_t i = 0; i < key.size(); ++i)
+        key[i] = static_cast<std::uint8_t>(number >> (8 * i));
+    return key;
+}
+
+// Violations of "at most once" and "a refusal is true", in words.
+std::vector<std::string> violations(const engine_driver &driver)
+{
+    std::vector<std::string> found;
+    std::map<byte_buffer, std::vector<driven_run>> runs;
+    for (const auto &run : driver.runs())
+        runs[run.key].push_back(run);
+    for (const auto &[key, list] : runs) {
+        if (list.size() > 1)
+            found.push_back("key " + std::to_string(key[0] + 256 * key[1]) + " ran at " + list[0].member + " and " + list[1].member);
+    }
+    for (const auto &answer : driver.answers()) {
+        if (answer.text != "not-run")
+            continue;
+        for (const auto &run : runs[answer.key]) {
+            if (run.attempt <= answer.attempt)
+                found.push_back("key " + std::to_string(answer.key[0] + 256 * answer.key[1]) + " was refused and ran at " + run.member);
+        }
+    }
+    for (const auto &answer : driver.answers()) {
+        if (answer.code == coap::code::changed && answer.text != std::string(answer.key.begin(), answer.key.end()))
+            found.emplace_back("an answer reached another request");
+    }
+    return found;
+}
+
+struct disturbance
+{
+    const char *name;
+    void (*act)(engine_driver &driver, std::mt19937_64 &random);
+};
+
+std::size_t anyMember(engine_driver &driver, std::mt19937_64 &random)
+{
+    return std::uniform_int_distribution<std::size_t>(0, driver.memberCount() - 1)(random);
+}
+
+const std::vector<disturbance> disturbances{
+    {"kill and restart",
+        [](engine_driver &driver, std::mt19937_64 &random) {
+            const auto member = anyMember(driver, random);
+            driver.kill(member);
+            driver.run(300ms);
+            driver.restart(member);
+            driver.publish(500ms);
+            driver.run(2s);
+        }},
+    {"freeze longer than every timeout",
+        [](engine_driver &driver, std::mt19937_64 &random) {
+            const auto member = anyMember(driver, random);
+            driver.freeze(member);
+            driver.run(6s);
+            driver.thaw(member);
+        }},
+    {"join",
+        [](engine_driver &driver, std::mt19937_64 &) {
+            if (driver.memberCount() < 12)
+                driver.join();
+            driver.publish(800ms);
+        }},
+    {"domain out and back",
+        [](engine_driver &driver, std::mt19937_64 &random) {
+            const auto domain = random() % 3;
+            driver.setDomainOut(domain, true);
+            driver.publish(800ms);
+            driver.run(2s);
+            driver.setDomainOut(domain, false);
+            driver.publish(800ms);
+        }},
+    {"parted domains",
+        [](engine_driver &driver, std::mt19937_64 &random) {
+            const auto domain = random() % 3;
+            driver.cutDomains(domain, (domain + 1) % 3);
+            driver.cutDomains(domain, (domain + 2) % 3);
+            driver.run(3s);
+            driver.heal();
+        }},
+    {"planned stop",
+        [](engine_driver &driver, std::mt19937_64 &random) {
+            const auto member = anyMember(driver, random);
+            driver.setStopping(member, true);
+            driver.publish(800ms);
+            driver.run(2s);
+            driver.setStopping(member, false);
+            driver.publish(800ms);
+        }},
+};
+
+// What a run is made of besides its disturbances.
+struct run_shape
+{
+    std::size_t rounds = 4;
+    target_policy policy = target_policy::claims;
+    std::size_t slots = 10;
+    instant serviceTime{20'000};
+    std::int64_t longestGap = 20'000; // Microseconds between submissions.
+};
+
+// Submits while one disturbance after the other happens; every submission is tried several times on
+// new flows, whatever its caller was told.
+std::unique_ptr<engine_driver> disturbedRun(std::uint64_t seed, const run_shape &shape)
+{
+    auto owned = std::make_unique<engine_driver>(
+        driver_options{.seed = seed, .slots = shape.slots, .serviceTime = shape.serviceTime, .policy = shape.policy});
+    engine_driver &driver = *owned;
+    std::mt19937_64 random(seed);
+    std::uint64_t number = 0;
+    std::uint16_t port = 1000;
+    for (std::size_t i = 0; i < shape.rounds; ++i) {
+        const auto first = number;
+        for (int k = 0; k < 30; ++k) {
+            driver.submit(port++, keyOf(number++), 1);
+            driver.run(instant(static_cast<std::int64_t>(random() % 1'000'000) % shape.longestGap));
+        }
+        const auto &chosen = disturbances[random() % disturbances.size()];
+        chosen.act(driver, random);
+        for (auto attempt = 2; attempt <= 4; ++attempt) {
+            for (auto key = first; key < number; ++key) {
+                driver.submit(port++, keyOf(key), static_cast<std::uint64_t>(attempt));
+                driver.run(instant(static_cast<std::int64_t>(random() % 5'000)));
+            }
+            driver.run(700ms);
+        }
+    }
+    driver.run(5s);
+    return owned;
+}
+
+} // namespace
+
+TEST_CASE("promise 7: a submission runs at most once, whatever happens to members and network")
+{
+    rc::check("at most once, refusals true", [] {
+        const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+        const auto driver = disturbedRun(seed, {});
+        const auto found = violations(*driver);
+        RC_LOG() << "seed " << seed << (found.empty() ? "" : ": " + found.front());
+        RC_ASSERT(found.empty());
+        RC_ASSERT(!driver->runs().empty());
+    });
+}
+
+TEST_CASE("promise 6: a refusal is true, also of targets with too much to do and for late copies")
+{
+    std::size_t refusals = 0;
+    rc::check("refusals true", [&] {
+        const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+        const auto driver = disturbedRun(
+            seed, {.rounds = 3, .slots = 1, .serviceTime = instant(150'000), .longestGap = 12'000});
+        const auto found = violations(*driver);
+        RC_LOG() << "seed " << seed << (found.empty() ? "" : ": " + found.front());
+        RC_ASSERT(found.empty());
+        refusals += static_cast<std::size_t>(std::ranges::count(driver->answers(), "not-run", &driven_answer::text));
+    });
+    INFO("refusals " << refusals);
+    CHECK(refusals > 100);
+}
+
+TEST_CASE("promise 7: the same events without claims run submissions twice")
+{
+    CHECK_FALSE(violations(*disturbedRun(1, {.policy = target_policy::hash})).empty());
+}
+
+TEST_CASE("promise 7: under disturbance most submissions still get their answer")
+{
+    std::size_t submitted = 0;
+    std::set<byte_buffer> answered;
+    std::map<std::string, int> told;
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        const auto driver = disturbedRun(seed, {});
+        submitted += 4 * 30;
+        std::set<byte_buffer> keys;
+        for (const auto &answer : driver->answers()) {
+            ++told[answer.code == coap::code::changed ? "delivered" : answer.text];
+            if (answer.code == coap::code::changed)
+                keys.insert(answer.key);
+        }
+        for (auto key : keys) {
+            key.push_back(static_cast<std::uint8_t>(seed));
+            answered.insert(key);
+        }
+    }
+    std::string text;
+    for (const auto &[word, count] : told)
+        text += word + '=' + std::to_string(count) + ' ';
+    INFO(text << "submitted=" << submitted << " answered=" << answered.size());
+    CHECK(answered.size() * 100 >= submitted * 95);
+}
