--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,12 @@
 
 clean:
 	rm -rf $(BUILD)
+
+# The users' measures, the system beside the plain baseline.
+measure: build
+	$(PROGRAMS)/toucanlab run --scenario testsuite/scenarios/measure.json --programs $(PROGRAMS)
+	$(PROGRAMS)/toucanlab relay-benchmark --programs $(PROGRAMS)
+
+# How cost grows with size; docs/CAPACITY.md is worked out from it.
+measure-slopes: build
+	$(PROGRAMS)/toucanlab slopes
--- a/src/include/toucan/admission.h
+++ b/src/include/toucan/admission.h
@@ -2,9 +2,11 @@
 
 /// How many requests a target is trusted with at once.
 ///
-/// The limit starts at what a cold target bears, grows by one for each full round of answers in
-/// good time, and falls back at the first sign of trouble. What the target says of itself can lower
-/// the limit but never raise it.
+/// A target counts as cold from its start and from the first sign of trouble. While it is cold the
+/// limit is what a cold target bears. It counts as warm once its latency is that of warm members,
+/// or has fallen to half of what it was, or, when nothing else tells, after the warm-up time. Then
+/// the limit grows by one for each full round of answers in good time. What the target says of
+/// itself can lower the limit but never raise it.
 
 #include <cstdint>
 #include <string_view>
@@ -26,13 +28,14 @@
 {
     std::uint64_t slots = 10; ///< Requests at once when warm.
     std::uint64_t coldSlots = 1; ///< Requests at once when cold.
+    std::chrono::milliseconds warmUp{10'000}; ///< Time until warm when latency tells nothing.
 };
 
 /// The limit of one target. Not thread-safe.
 class admission
 {
 public:
-    explicit admission(const admission_options &options);
+    admission(const admission_options &options, instant now);
 
     /// Applies changed options; the limit never grows by this.
     void setOptions(const admission_options &options);
@@ -58,21 +61,28 @@
 
     std::uint64_t limit() const { return m_limit; }
     std::uint64_t inProgress() const { return m_inProgress; }
-    /// Typical latency seen here while all was well; 0 when unknown.
+    /// True once the target counts as warm.
+    bool isWarm() const { return m_warm; }
+    /// Mean latency while warm; 0 when unknown.
     instant typicalLatency() const { return m_typical; }
 
 private:
     instant reference() const;
+    bool looksWarm(instant now) const;
+    void learnWhileWarm(instant now, instant latency);
 
     admission_options m_options;
     std::uint64_t m_limit;
     std::uint64_t m_inProgress = 0;
     std::uint64_t m_goodAnswers = 0;
-    instant m_lastChange{};
-    instant m_lastCollapse{};
-    instant m_recent{}; ///< Smoothed latency.
+    std::uint64_t m_answersSinceCold = 0;
+    instant m_lastGrowth{};
+    instant m_coldSince{};
+    instant m_recent{}; ///< Smoothed latency since the target turned cold or warm.
+    instant m_coldPeak{}; ///< Largest smoothed latency since it turned cold.
     instant m_typical{};
     instant m_peerReference{};
+    bool m_warm = false;
     bool m_healthy = true;
 };
 
--- a/src/include/toucan/claim_ledger.h
+++ b/src/include/toucan/claim_ledger.h
@@ -2,7 +2,8 @@
 
 /// A holder's memory of claims on non-idempotent requests.
 ///
-/// Each key has at most one claim. A claim is never taken over; it ends by being voided by its own
+/// Each key has at most one claim. Datagrams may be late: one of a claimer's earlier round never
+/// ends the claim of a later one. A claim is never taken over; it ends by being voided by its own
 /// claimer, by an answer, or by the end of the retention.
 
 #include <deque>
@@ -67,6 +68,7 @@
     {
         std::string claimer; ///< Empty when nobody holds it.
         std::uint64_t boot = 0;
+        std::uint64_t round = 0; ///< Latest round of the claimer that claimed it.
         std::uint64_t voidedAttempts = 0; ///< Attempts below this number must not run.
         byte_buffer answer;
         bool imported = false;
--- a/src/include/toucan/claimer.h
+++ b/src/include/toucan/claimer.h
@@ -22,6 +22,7 @@
 struct claim_result
 {
     byte_buffer key;
+    std::uint64_t attempt = 0; ///< Attempt that the round was for.
     claim_outcome outcome{};
     std::string other; ///< The other claimer, when held.
     std::uint64_t otherBoot = 0; ///< Its boot number.
--- a/src/include/toucan/entry_engine.h
+++ b/src/include/toucan/entry_engine.h
@@ -70,7 +70,6 @@
     void probePeers(instant now);
 
     entry_options m_options;
-    metrics::registry &m_metrics;
     metrics::number &m_unknownService;
     config_ptr m_config;
     std::unordered_map<endpoint, member_health> m_waiting; ///< Members that owe a sign of life.
--- a/src/include/toucan/lab/cluster.h
+++ b/src/include/toucan/lab/cluster.h
@@ -101,7 +101,7 @@
     void turnCold(const std::string &target);
     /// Counters of a stand-in target; null when it does not answer.
     nlohmann::json targetCounts(const std::string &target);
-    /// Status of one of the system's processes; null when it does not answer.
+    /// Status of one of the system's processes; an empty object when it does not answer.
     nlohmann::json status(const std::string &name);
 
     /// Runs an operator's command; returns its exit status and adds its output to `output`.
--- a/src/include/toucan/lab/engine_driver.h
+++ b/src/include/toucan/lab/engine_driver.h
@@ -113,17 +113,22 @@
         instant at;
         std::uint64_t order;
         std::function<void()> act;
-        bool operator>(const event &other) const { return std::tie(at, order) > std::tie(other.at, other.order); }
+        bool operator>(const event &other) const
+        {
+            return std::tie(at, order) > std::tie(other.at, other.order);
+        }
     };
 
     void at(instant when, std::function<void()> act);
-    void transmit(const std::string &from, const endpoint &to, const endpoint &source, const byte_buffer &bytes);
+    void transmit(const std::string &from, const endpoint &to, const endpoint &source,
+        const byte_buffer &bytes);
     void deliver(const endpoint &from, const endpoint &to, const byte_buffer &bytes);
     void toMember(std::size_t member, std::function<void()> act);
     void carryOut(std::size_t member);
     void carryOutEntry(std::size_t entry);
     void targetReceives(std::size_t member, const flow_key &flow, const byte_buffer &bytes);
-    void targetAnswers(std::size_t member, std::uint64_t boot, const flow_key &flow, const coap::message &request);
+    void targetAnswers(
+        std::size_t member, std::uint64_t boot, const flow_key &flow, const coap::message &request);
     void callerReceives(const flow_key &flow, byte_view payload);
     void boot(std::size_t member);
     void tick();
@@ -143,7 +148,8 @@
     std::map<std::string, bool> m_domainsOut;
     std::map<std::string, bool> m_stops;
     std::vector<std::pair<std::string, std::string>> m_cuts;
-    std::map<std::pair<std::uint16_t, byte_buffer>, std::pair<byte_buffer, std::uint64_t>> m_asked; ///< By port and token.
+    std::map<std::pair<std::uint16_t, byte_buffer>, std::pair<byte_buffer, std::uint64_t>>
+        m_asked; ///< By port and token.
     std::map<std::uint16_t, std::size_t> m_notifications;
     std::vector<driven_answer> m_answers;
     std::vector<driven_run> m_runs;
--- a/src/include/toucan/lab/target_stand_in.h
+++ b/src/include/toucan/lab/target_stand_in.h
@@ -63,7 +63,7 @@
             = 0; ///< Sum over requests of their time in a slot.
         std::atomic<std::uint64_t> watches = 0;
         std::atomic<std::uint64_t> cancelled = 0;
-        std::atomic<std::uint64_t> packets = 0;
+        std::atomic<std::uint64_t> requests = 0; ///< Received, health questions left out.
     };
     const counts &counters() const { return m_counts; }
 
--- a/src/include/toucan/request_runner.h
+++ b/src/include/toucan/request_runner.h
@@ -102,10 +102,13 @@
         std::chrono::milliseconds allowed);
     void joinExisting(request &known, const answer_address &address, const packet_header &header,
         const coap::message &message);
+    void replaceAttempt(request &known, const answer_address &address, const coap::message &message,
+        std::uint64_t attempt);
     void restart(request &known, const answer_address &address, const packet_header &header,
         const coap::message &message);
     void admit(request &item, const packet_header *header);
     void beginClaim(request &item);
+    void retryClaim(request &item);
     void pass(request &item);
     void onClaimResult(const claim_result &result);
     void onGranted(request &item);
@@ -125,7 +128,6 @@
 
     target_context &m_context;
     flow_table &m_flows;
-    claim_holder &m_holder;
     metrics::registry &m_metrics;
     claimer m_claimer;
     admission m_admission;
--- a/src/include/toucan/target_engine.h
+++ b/src/include/toucan/target_engine.h
@@ -25,6 +25,7 @@
     std::uint64_t inProgress = 0;
     std::uint64_t limit = 0;
     std::uint64_t claims = 0;
+    std::uint64_t packets = 0; ///< Callers' packets received, for whatever service.
     std::string state; ///< starting, serving, draining, drained or out.
 };
 
@@ -32,7 +33,7 @@
 class target_engine
 {
 public:
-    target_engine(target_options options, metrics::registry &metrics, instant now);
+    target_engine(const target_options &options, metrics::registry &metrics, instant now);
 
     /// A datagram arrived on the data socket.
     void onDatagram(instant now, const endpoint &from, byte_view datagram);
@@ -91,6 +92,7 @@
     instant m_lastDrain{};
     std::map<endpoint, instant> m_staleTold; ///< Senders told of a newer configuration.
     std::uint16_t m_lastMessageId = 0;
+    std::uint64_t m_packets = 0;
     bool m_wasOut = false;
 };
 
--- a/src/include/toucan/udp_socket.h
+++ b/src/include/toucan/udp_socket.h
@@ -38,7 +38,7 @@
     endpoint localAddress() const;
 
 private:
-    explicit udp_socket(Poco::Net::DatagramSocket socket);
+    explicit udp_socket(const Poco::Net::DatagramSocket &socket);
     Poco::Net::DatagramSocket m_socket;
 };
 
--- a/src/libtoucanbase/settings.cpp
+++ b/src/libtoucanbase/settings.cpp
@@ -125,8 +125,9 @@
             malformed.push_back(number);
             continue;
         }
-        const auto key = Poco::trim(trimmed.substr(0, equals));
-        keys.push_back({section.empty() ? key : section + '.' + key, number});
+        std::string key = section.empty() ? "" : section + '.';
+        key += Poco::trim(trimmed.substr(0, equals));
+        keys.push_back({std::move(key), number});
     }
     return keys;
 }
--- a/src/libtoucanbase/settings_test.cpp
+++ b/src/libtoucanbase/settings_test.cpp
@@ -40,8 +40,8 @@
 
 TEST_CASE("settings: any text gives settings or an error, never a crash")
 {
-    rc::check("settings", [](const std::string &text) {
+    CHECK(rc::check("settings", [](const std::string &text) {
         const auto outcome = settings::parse<target_settings>(text, "any.ini");
         RC_ASSERT(errorOf(outcome) != nullptr);
-    });
+    }));
 }
--- a/src/libtoucancore/admission.cpp
+++ b/src/libtoucancore/admission.cpp
@@ -7,14 +7,19 @@
 
 // Shortest time between two steps of growth.
 constexpr std::chrono::milliseconds growthInterval{250};
-// Answers slower than this many times the reference are a sign of a cold target.
+// Smoothed latency above this many times the reference is a sign of a cold target.
 constexpr int slowFactor = 2;
 // A request pending for this many times the reference is as good as lost.
-constexpr int pendingFactor = 4;
+constexpr int pendingFactor = 6;
 // Latencies below this are not judged: scheduling noise is larger.
 constexpr std::chrono::milliseconds noiseFloor{10};
-// The reference follows a lasting change upwards by this fraction an answer.
-constexpr int driftDivisor = 256;
+// Answers needed before latency is judged.
+constexpr std::uint64_t fewestAnswers = 4;
+// A cold target's latency is within this many halves of the reference once it is warm.
+constexpr int warmHalves = 3;
+// Weights of smoothing, as divisors.
+constexpr int recentDivisor = 4;
+constexpr int typicalDivisor = 32;
 // One slot in this many is kept for submissions.
 constexpr std::uint64_t reserveDivisor = 5;
 constexpr std::uint64_t smallestWithReserve = 3;
@@ -28,15 +33,17 @@
     return names[static_cast<std::size_t>(value)];
 }
 
-admission::admission(const admission_options &options)
+admission::admission(const admission_options &options, instant now)
     : m_options(options)
     , m_limit(options.coldSlots)
+    , m_coldSince(now)
 { }
 
 void admission::setOptions(const admission_options &options)
 {
     m_options = options;
-    m_limit = std::clamp<std::uint64_t>(m_limit, 1, std::max(options.slots, options.coldSlots));
+    const auto most = m_warm ? std::max(options.slots, options.coldSlots) : options.coldSlots;
+    m_limit = std::clamp<std::uint64_t>(m_limit, 1, std::max<std::uint64_t>(most, 1));
 }
 
 bool admission::hasRoom(request_class value) const
@@ -65,47 +72,77 @@
     return m_typical == instant{} ? m_peerReference : std::min(m_typical, m_peerReference);
 }
 
+bool admission::looksWarm(instant now) const
+{
+    if (!m_healthy)
+        return false;
+    if (now - m_coldSince >= m_options.warmUp)
+        return true;
+    if (m_answersSinceCold < fewestAnswers)
+        return false;
+    if (reference() != instant{})
+        return m_recent <= std::max<instant>(reference() * warmHalves / 2, noiseFloor);
+    return m_recent * 2 <= m_coldPeak;
+}
+
 void admission::onAnswer(instant now, instant latency)
 {
-    m_recent = m_recent == instant{} ? latency : (m_recent + latency) / 2;
+    m_recent = m_recent == instant{} ? latency : m_recent + (latency - m_recent) / recentDivisor;
+    ++m_answersSinceCold;
+    if (!m_warm) {
+        if (m_answersSinceCold >= fewestAnswers)
+            m_coldPeak = std::max(m_coldPeak, m_recent);
+        if (!looksWarm(now))
+            return;
+        m_warm = true;
+        m_goodAnswers = 0;
+    }
+    learnWhileWarm(now, latency);
+}
+
+void admission::learnWhileWarm(instant now, instant latency)
+{
     const bool slow
         = reference() != instant{} && m_recent > reference() * slowFactor && m_recent > noiseFloor;
-    if (m_typical == instant{} || latency < m_typical)
-        m_typical = latency;
-    else
-        m_typical += (latency - m_typical) / driftDivisor;
     if (slow) {
         collapse(now);
         return;
     }
+    m_typical
+        = m_typical == instant{} ? m_recent : m_typical + (latency - m_typical) / typicalDivisor;
     ++m_goodAnswers;
-    if (!m_healthy || m_limit >= m_options.slots || m_goodAnswers < m_limit
-        || now - m_lastChange < growthInterval)
+    if (m_limit >= m_options.slots || m_goodAnswers < m_limit
+        || now - m_lastGrowth < growthInterval)
         return;
     ++m_limit;
     m_goodAnswers = 0;
-    m_lastChange = now;
+    m_lastGrowth = now;
 }
 
 void admission::collapse(instant now)
 {
     m_limit = std::min(m_limit, std::max<std::uint64_t>(1, m_options.coldSlots));
+    m_warm = false;
+    m_coldSince = now;
+    m_answersSinceCold = 0;
+    m_recent = {};
+    m_coldPeak = {};
     m_goodAnswers = 0;
-    m_lastChange = now;
-    m_lastCollapse = now;
 }
 
 void admission::onPending(instant now, instant age)
 {
-    if (reference() != instant{} && age > reference() * pendingFactor
-        && age > noiseFloor * pendingFactor)
+    const bool lost = reference() != instant{} && age > reference() * pendingFactor
+        && age > noiseFloor * pendingFactor;
+    if (lost && m_warm)
         collapse(now);
 }
 
 void admission::onHealth(instant now, bool healthy)
 {
+    const bool turned = m_healthy && !healthy;
     m_healthy = healthy;
-    if (!healthy)
+    if (turned && m_warm)
         collapse(now);
 }
 
--- a/src/libtoucancore/claim_holder.cpp
+++ b/src/libtoucancore/claim_holder.cpp
@@ -5,7 +5,7 @@
 namespace toucan {
 namespace {
 
-constexpr std::chrono::milliseconds pullInterval{200};
+constexpr std::chrono::milliseconds pullInterval{50};
 // A source that is silent for this long counts as missing.
 constexpr std::chrono::milliseconds sourceTimeout{600};
 // Members that left the list are not sent anything after this long.
--- a/src/libtoucancore/claim_ledger.cpp
+++ b/src/libtoucancore/claim_ledger.cpp
@@ -73,6 +73,7 @@
         return {.kind = claim_verdict::voided};
     entry.claimer = request.claimer;
     entry.boot = request.boot;
+    entry.round = std::max(own ? entry.round : 0, request.round);
     return {.kind = claim_verdict::granted};
 }
 
@@ -83,6 +84,9 @@
     const bool own = entry.claimer == request.claimer && entry.boot == request.boot;
     if (!entry.claimer.empty() && !own)
         return {.kind = claim_verdict::held, .other = entry.claimer, .otherBoot = entry.boot};
+    // A late datagram of an earlier round: the claimer has claimed again since.
+    if (!entry.claimer.empty() && request.round < entry.round)
+        return {.kind = claim_verdict::stale};
     entry.claimer.clear();
     entry.boot = 0;
     entry.imported = false;
@@ -103,7 +107,7 @@
 claim_ledger::verdict claim_ledger::applyRelease(claim &entry, const claim_request &request)
 {
     if (entry.claimer == request.claimer && entry.boot == request.boot && !entry.imported
-        && entry.answer.empty())
+        && entry.answer.empty() && request.round >= entry.round)
         entry.claimer.clear();
     return {.kind = claim_verdict::granted};
 }
@@ -115,11 +119,14 @@
     if (entry.claimer.empty()) {
         entry.claimer = source.claimer;
         entry.boot = source.boot;
+        entry.round = source.round;
         entry.imported = true;
         return;
     }
-    if (entry.claimer == source.claimer && entry.boot == source.boot)
+    if (entry.claimer == source.claimer && entry.boot == source.boot) {
+        entry.round = std::max(entry.round, source.round);
         return;
+    }
     // Two claimers: neither can be told from here to have the majority, so nobody is granted it.
     entry.claimer = contestedClaimer;
     entry.boot = 0;
@@ -164,7 +171,8 @@
             .boot = entry.boot,
             .voidedAttempts = entry.voidedAttempts,
             .answer = entry.answer,
-            .ageMs = static_cast<std::uint64_t>(std::max<std::int64_t>(age.count(), 0))});
+            .ageMs = static_cast<std::uint64_t>(std::max<std::int64_t>(age.count(), 0)),
+            .round = entry.round});
     }
     next = position < end ? position : 0;
     return claims;
--- a/src/libtoucancore/claim_ledger_test.cpp
+++ b/src/libtoucancore/claim_ledger_test.cpp
@@ -103,3 +103,24 @@
     ledger.expire(19s);
     CHECK(ledger.size() == 0);
 }
+
+TEST_CASE("ledger: a late void of an earlier round does not end the claim of a later one")
+{
+    claim_ledger ledger({});
+    auto claim = ask(claim_operation::claim, "a", 2);
+    claim.round = 5;
+    CHECK(ledger.apply(0s, claim).kind == claim_verdict::granted);
+    for (const auto operation : {claim_operation::void_attempt, claim_operation::release}) {
+        auto late = ask(operation, "a", 1);
+        late.round = 4;
+        ledger.apply(0s, late);
+        CHECK(ledger.apply(0s, ask(claim_operation::claim, "b", 3)).kind == claim_verdict::held);
+    }
+    claim_ledger copy({});
+    std::uint64_t next = 0;
+    copy.import(0s, ledger.part(0s, 0, 10, next));
+    auto late = ask(claim_operation::void_attempt, "a", 1);
+    late.round = 4;
+    copy.apply(0s, late);
+    CHECK(copy.apply(0s, ask(claim_operation::claim, "b", 3)).kind == claim_verdict::held);
+}
--- a/src/libtoucancore/claimer.cpp
+++ b/src/libtoucancore/claimer.cpp
@@ -63,6 +63,7 @@
         .key = key,
         .claimer = m_context.self.name,
         .boot = m_context.self.boot,
+        .round = ++m_lastRound,
         .version = m_context.version(),
         .listHash = service->listHash};
     for (const auto *holder : claimHolders(key, service->members)) {
@@ -158,6 +159,7 @@
     if (ended.silent)
         return;
     m_handler({.key = ended.request.key,
+        .attempt = ended.request.attempt,
         .outcome = *outcome,
         .other = ended.other,
         .otherBoot = ended.otherBoot,
--- a/src/libtoucancore/config_test.cpp
+++ b/src/libtoucancore/config_test.cpp
@@ -73,14 +73,14 @@
 TEST_CASE("ranking: holders come from different failure domains")
 {
     const auto config = buildConfig(1, sampleObjects());
-    rc::check("domains", [&](const byte_buffer &key) {
+    CHECK(rc::check("domains", [&](const byte_buffer &key) {
         const auto holders = claimHolders(key, config->services[0].members);
         RC_ASSERT(holders.size() == holderCount);
         std::set<std::string> domains;
         for (const auto *holder : holders)
             domains.insert(holder->domain);
         RC_ASSERT(domains.size() == holderCount);
-    });
+    }));
 }
 
 TEST_CASE("ranking: a leaving member moves only its own flows")
@@ -90,10 +90,10 @@
     objects.push_back({.kind = "stop", .name = "m3", .version = 2, .body = {{"schema", 1}}});
     const auto after = buildConfig(2, objects);
     const auto listed = [](const member &item) { return item.isListed(); };
-    rc::check("minimal moves", [&](std::uint64_t hash) {
+    CHECK(rc::check("minimal moves", [&](std::uint64_t hash) {
         const auto *old = firstMember(hash, before->services[0].members, listed);
         const auto *now = firstMember(hash, after->services[0].members, listed);
         RC_ASSERT(old->name == "m3" || old->name == now->name);
         RC_ASSERT(now->name != "m3");
-    });
+    }));
 }
--- a/src/libtoucancore/entry_engine.cpp
+++ b/src/libtoucancore/entry_engine.cpp
@@ -21,7 +21,6 @@
 
 entry_engine::entry_engine(const entry_options &options, metrics::registry &metrics)
     : m_options(options)
-    , m_metrics(metrics)
     , m_unknownService(metrics.numberOf("toucan_unknown_service_packets_total"))
     , m_random(options.seed)
 { }
--- a/src/libtoucancore/request_runner.cpp
+++ b/src/libtoucancore/request_runner.cpp
@@ -10,9 +10,9 @@
 // Longest wait for room at the target.
 constexpr auto longestWait = 400ms;
 // Time in which two holders have to agree.
-constexpr auto claimTime = 700ms;
+constexpr auto claimTime = 1500ms;
 // Time in which a request that is given up on has to be voided.
-constexpr auto voidTime = 150ms;
+constexpr auto voidTime = 400ms;
 constexpr auto pollInterval = 100ms;
 // Answers are kept for repeats on the same flow; longer than a caller retransmits.
 constexpr auto answerLifetime = 250s;
@@ -68,10 +68,9 @@
     target_context &context, flow_table &flows, claim_holder &holder, metrics::registry &metrics)
     : m_context(context)
     , m_flows(flows)
-    , m_holder(holder)
     , m_metrics(metrics)
     , m_claimer(context, holder, [this](const claim_result &result) { onClaimResult(result); })
-    , m_admission({})
+    , m_admission({}, context.now)
     , m_spillBudget(spillBurst)
 { }
 
@@ -179,7 +178,8 @@
     message.id = ++m_lastMessageId;
     request &created = create(item, message, coap::serialize(message),
         std::chrono::milliseconds(service->record.deadlineMs));
-    created.priority = request_class::watch;
+    // The watch is established already; a new request must not keep it out.
+    created.priority = request_class::submission;
     admit(created, nullptr);
 }
 
@@ -218,12 +218,30 @@
     });
     if (same == known.waiters.end()) {
         known.waiters.push_back(address);
-        known.attempt = std::max(known.attempt, attempt);
+        if (attempt > known.attempt)
+            replaceAttempt(known, address, message, attempt);
     } else {
         same->entry = address.entry;
     }
 }
 
+void request_runner::replaceAttempt(request &known, const answer_address &address,
+    const coap::message &message, std::uint64_t attempt)
+{
+    known.attempt = attempt;
+    if (known.at == step::running)
+        return;
+    // An earlier attempt may have been refused elsewhere: what runs has to be the later one.
+    if (flow *previous = m_flows.find(known.flow))
+        std::erase(previous->requests, known.id);
+    known.flow = address.flow;
+    known.datagram = coap::serialize(message);
+    known.token = message.token;
+    m_flows.find(address.flow)->requests.push_back(known.id);
+    if (known.at == step::claiming)
+        beginClaim(known);
+}
+
 void request_runner::restart(request &known, const answer_address &address,
     const packet_header &header, const coap::message &message)
 {
@@ -264,10 +282,18 @@
 void request_runner::beginClaim(request &item)
 {
     item.at = step::claiming;
-    const auto time = std::min<std::chrono::milliseconds>(claimTime, remaining(item));
+    const auto time = std::min<std::chrono::milliseconds>(claimTime, remaining(item) - voidTime);
     m_claimer.begin(claim_operation::claim, item.key, item.attempt, time);
 }
 
+void request_runner::retryClaim(request &item)
+{
+    if (item.at == step::polling)
+        item.nextPoll = m_context.now;
+    else
+        beginClaim(item);
+}
+
 void request_runner::pass(request &item)
 {
     item.at = step::running;
@@ -297,7 +323,11 @@
         onGranted(item);
         return;
     case claim_outcome::voided:
-        giveUp(item, error_kind::not_run);
+        // A later attempt that joined meanwhile is not covered by this void.
+        if (result.attempt < item.attempt)
+            retryClaim(item);
+        else
+            giveUp(item, error_kind::not_run);
         return;
     case claim_outcome::held:
         onHeldElsewhere(item, result);
--- a/src/libtoucancore/target_engine.cpp
+++ b/src/libtoucancore/target_engine.cpp
@@ -24,19 +24,26 @@
 // A sender with an old configuration is told so at most this often.
 constexpr auto staleNoticeInterval = 100ms;
 
+target_context makeContext(const target_options &options, instant now)
+{
+    target_context context;
+    context.self = options.identity;
+    context.policy = options.policy;
+    context.random.seed(options.seed);
+    context.now = now;
+    context.started = now;
+    return context;
+}
+
 } // namespace
 
-target_engine::target_engine(target_options options, metrics::registry &metrics, instant now)
-    : m_metrics(metrics)
+target_engine::target_engine(const target_options &options, metrics::registry &metrics, instant now)
+    : m_context(makeContext(options, now))
+    , m_metrics(metrics)
     , m_holder(m_context, options.ledger)
     , m_router(m_context, m_flows)
     , m_requests(m_context, m_flows, m_holder, metrics)
 {
-    m_context.self = std::move(options.identity);
-    m_context.policy = options.policy;
-    m_context.random.seed(options.seed);
-    m_context.now = now;
-    m_context.started = now;
     m_requests.setSpillHandler(
         [this](const packet_header &header, byte_view payload) { return spill(header, payload); });
 }
@@ -91,6 +98,7 @@
 void target_engine::onPacket(const endpoint &from, const decoded_packet &packet)
 {
     packet_header header = packet.header;
+    ++m_packets;
     if (from == header.entry)
         m_context.entriesHeard[from] = m_context.now;
     if (header.version != m_context.version())
@@ -465,6 +473,8 @@
     if (m_context.config && config->version <= m_context.config->version)
         return;
     m_context.config = config;
+    // The next heartbeat tells the other members at once.
+    m_lastHeartbeat = {};
     m_holder.onConfig();
     m_requests.onConfig();
     const auto *self = m_context.selfMember();
@@ -569,6 +579,7 @@
         .inProgress = m_requests.load().inProgress(),
         .limit = m_requests.load().limit(),
         .claims = m_holder.size(),
+        .packets = m_packets,
         .state = stateOf()};
 }
 
--- a/src/libtoucanlab/cluster.cpp
+++ b/src/libtoucanlab/cluster.cpp
@@ -26,6 +26,8 @@
 constexpr std::uint16_t platformPort = 8001;
 constexpr std::uint16_t servicePort = 5683;
 constexpr std::uint32_t firstServiceHost = 200;
+// Operators state a warm-up time on the safe side.
+constexpr int warmUpMargin = 2;
 constexpr auto askTimeout = 1000ms;
 // Processes that may be added while a cluster runs; the switch knows them from its start.
 constexpr std::size_t spareTargets = 4;
@@ -52,15 +54,15 @@
 
 } // namespace
 
-// A child process whose error output goes to a file.
+// A child process whose output goes to a file.
 class cluster::process
 {
 public:
     process(const std::string &program, const std::vector<std::string> &arguments,
         const std::string &logFile)
-        : m_handle(Poco::Process::launch(program, arguments, nullptr, nullptr, &m_errors))
+        : m_handle(Poco::Process::launch(program, arguments, nullptr, &m_output, &m_output))
         , m_reader([this, logFile] {
-            Poco::PipeInputStream input(m_errors);
+            Poco::PipeInputStream input(m_output);
             std::ofstream log(logFile, std::ios::app);
             Poco::StreamCopier::copyStream(input, log, 1);
         })
@@ -86,7 +88,7 @@
     }
 
 private:
-    Poco::Pipe m_errors;
+    Poco::Pipe m_output;
     Poco::ProcessHandle m_handle;
     bool m_ended = false;
     std::thread m_reader;
@@ -271,7 +273,8 @@
         const auto status = operate({"record", "put", "service", service.name,
             "address=" + toString(m_serviceAddresses[service.name]),
             "slots=" + std::to_string(service.slots),
-            "coldSlots=" + std::to_string(service.coldSlots)});
+            "coldSlots=" + std::to_string(service.coldSlots),
+            "warmUpMs=" + std::to_string(service.coldTime.count() * warmUpMargin)});
         if (status != 0)
             return false;
     }
@@ -344,7 +347,7 @@
 
 std::string cluster::addEntry()
 {
-    const auto name = fmt::format("entry-{}", m_entries.size() + 1);
+    auto name = fmt::format("entry-{}", m_entries.size() + 1);
     m_entries.push_back(name);
     planEntry(name);
     startProcess("relay:" + name);
@@ -444,8 +447,9 @@
 
 json cluster::status(const std::string &name)
 {
-    return askControlLink(controlOf(name), json::object({{"op", "status"}}), askTimeout)
-        .value_or(json());
+    const auto answer
+        = askControlLink(controlOf(name), json::object({{"op", "status"}}), askTimeout);
+    return answer && answer->is_object() ? *answer : json::object();
 }
 
 int cluster::operate(const std::vector<std::string> &words, std::string *output)
--- a/src/libtoucanlab/engine_driver.cpp
+++ b/src/libtoucanlab/engine_driver.cpp
@@ -24,8 +24,10 @@
     , m_random(options.seed)
 {
     for (std::size_t i = 0; i < options.entries; ++i) {
-        const endpoint data{.ip = entryNetwork | static_cast<std::uint32_t>(i + 1), .port = dataPort};
-        m_entries.push_back(std::make_unique<entry_engine>(entry_options{.data = data, .control = data, .seed = m_random()}, m_metrics));
+        const endpoint data{
+            .ip = entryNetwork | static_cast<std::uint32_t>(i + 1), .port = dataPort};
+        m_entries.push_back(std::make_unique<entry_engine>(
+            entry_options{.data = data, .control = data, .seed = m_random()}, m_metrics));
     }
     m_members.reserve(64);
     for (std::size_t i = 0; i < options.members; ++i)
@@ -150,23 +152,36 @@
 
 std::vector<stored_object> engine_driver::objects() const
 {
-    std::vector<stored_object> all{
-        {.kind = "service", .name = "s", .version = 1, .body = {{"schema", 2}, {"address", toString(serviceAddress)}, {"slots", m_options.slots}, {"coldSlots", m_options.slots}}}};
+    std::vector<stored_object> all{{.kind = "service",
+        .name = "s",
+        .version = 1,
+        .body = {{"schema", 2}, {"address", toString(serviceAddress)}, {"slots", m_options.slots},
+            {"coldSlots", m_options.slots}}}};
     for (const auto &item : m_members) {
-        all.push_back({.kind = "member", .name = item.name, .version = 1,
-            .body = {{"schema", 2}, {"service", "s"}, {"domain", item.domain}, {"data", toString(item.data)},
-                {"control", toString(item.data)}, {"boot", item.boot}, {"firstBoot", item.firstBoot}}});
+        all.push_back({.kind = "member",
+            .name = item.name,
+            .version = 1,
+            .body = {{"schema", 2}, {"service", "s"}, {"domain", item.domain},
+                {"data", toString(item.data)}, {"control", toString(item.data)},
+                {"boot", item.boot}, {"firstBoot", item.firstBoot}}});
     }
     for (const auto &[domain, out] : m_domainsOut)
-        all.push_back({.kind = "domain", .name = domain, .version = 1, .body = {{"schema", 2}, {"state", out ? "out" : "in"}}});
+        all.push_back({.kind = "domain",
+            .name = domain,
+            .version = 1,
+            .body = {{"schema", 2}, {"state", out ? "out" : "in"}}});
     for (const auto &[name, stopping] : m_stops) {
         if (stopping)
             all.push_back({.kind = "stop", .name = name, .version = 1, .body = {{"schema", 2}}});
     }
     for (std::size_t i = 0; i < m_entries.size(); ++i) {
-        const endpoint data{.ip = entryNetwork | static_cast<std::uint32_t>(i + 1), .port = dataPort};
-        all.push_back({.kind = "entry", .name = fmt::format("e{}", i), .version = 1,
-            .body = {{"schema", 2}, {"domain", "d0"}, {"data", toString(data)}, {"control", toString(data)}, {"boot", 1}}});
+        const endpoint data{
+            .ip = entryNetwork | static_cast<std::uint32_t>(i + 1), .port = dataPort};
+        all.push_back({.kind = "entry",
+            .name = fmt::format("e{}", i),
+            .version = 1,
+            .body = {{"schema", 2}, {"domain", "d0"}, {"data", toString(data)},
+                {"control", toString(data)}, {"boot", 1}}});
     }
     return all;
 }
@@ -175,7 +190,8 @@
 {
     m_config = buildConfig(++m_version, objects());
     const auto after = [&] {
-        return m_now + instant(std::uniform_int_distribution<std::int64_t>(0, spread.count())(m_random));
+        return m_now
+            + instant(std::uniform_int_distribution<std::int64_t>(0, spread.count())(m_random));
     };
     for (std::size_t i = 0; i < m_members.size(); ++i) {
         at(after(), [this, i, config = m_config] {
@@ -218,7 +234,8 @@
 bool engine_driver::isCut(const std::string &left, const std::string &right) const
 {
     return std::ranges::any_of(m_cuts, [&](const auto &cut) {
-        return (cut.first == left && cut.second == right) || (cut.first == right && cut.second == left);
+        return (cut.first == left && cut.second == right)
+            || (cut.first == right && cut.second == left);
     });
 }
 
@@ -236,7 +253,8 @@
         std::uniform_int_distribution<std::int64_t> jitter(0, m_options.jitter.count());
         auto delay = m_options.delay + instant(jitter(m_random));
         if (std::uniform_int_distribution<int>(1, lateOneIn)(m_random) == 1)
-            delay += instant(std::uniform_int_distribution<std::int64_t>(0, m_options.late.count())(m_random));
+            delay += instant(
+                std::uniform_int_distribution<std::int64_t>(0, m_options.late.count())(m_random));
         at(m_now + delay, [this, source, to, bytes] { deliver(source, to, bytes); });
     }
 }
@@ -246,7 +264,9 @@
     const auto member = std::ranges::find(m_members, to, &driven_member::data);
     if (member != m_members.end()) {
         const auto index = static_cast<std::size_t>(member - m_members.begin());
-        toMember(index, [this, index, from, bytes] { m_members[index].engine->onDatagram(m_now, from, bytes); });
+        toMember(index, [this, index, from, bytes] {
+            m_members[index].engine->onDatagram(m_now, from, bytes);
+        });
         return;
     }
     const auto index = static_cast<std::size_t>((to.ip & 0xffU) - 1);
@@ -263,12 +283,14 @@
 
 void engine_driver::carryOutEntry(std::size_t entry)
 {
-    const endpoint self{.ip = entryNetwork | static_cast<std::uint32_t>(entry + 1), .port = dataPort};
+    const endpoint self{
+        .ip = entryNetwork | static_cast<std::uint32_t>(entry + 1), .port = dataPort};
     for (const auto &item : m_entries[entry]->takeActions()) {
         if (const auto *datagram = std::get_if<send_datagram>(&item))
             transmit({}, datagram->to, self, datagram->bytes);
         else if (std::holds_alternative<pull_config>(item))
-            at(m_now + 2ms, [this, entry, config = m_config] { m_entries[entry]->onConfig(m_now, config); });
+            at(m_now + 2ms,
+                [this, entry, config = m_config] { m_entries[entry]->onConfig(m_now, config); });
     }
 }
 
@@ -282,7 +304,8 @@
             targetReceives(member, passed->flow, passed->bytes);
         else if (std::holds_alternative<pull_config>(each))
             at(m_now + 2ms, [this, member, config = m_config] {
-                toMember(member, [this, member, config] { m_members[member].engine->onConfig(m_now, config); });
+                toMember(member,
+                    [this, member, config] { m_members[member].engine->onConfig(m_now, config); });
             });
     }
 }
@@ -307,16 +330,19 @@
     std::uniform_real_distribution<double> chance(0, 1);
     const int copies = chance(m_random) < m_options.duplicate ? 2 : 1;
     for (int i = 0; i < copies; ++i) {
-        const auto entry = std::uniform_int_distribution<std::size_t>(0, m_entries.size() - 1)(m_random);
+        const auto entry
+            = std::uniform_int_distribution<std::size_t>(0, m_entries.size() - 1)(m_random);
         const auto decision = m_entries[entry]->onCallerPacket(m_now, caller, serviceAddress);
         if (!decision.to)
             continue;
-        const endpoint self{.ip = entryNetwork | static_cast<std::uint32_t>(entry + 1), .port = dataPort};
+        const endpoint self{
+            .ip = entryNetwork | static_cast<std::uint32_t>(entry + 1), .port = dataPort};
         transmit({}, decision.to, self, encodePacket(decision.header, bytes));
     }
 }
 
-void engine_driver::targetReceives(std::size_t member, const flow_key &flow, const byte_buffer &bytes)
+void engine_driver::targetReceives(
+    std::size_t member, const flow_key &flow, const byte_buffer &bytes)
 {
     auto &item = m_members[member];
     ++item.passed;
@@ -340,12 +366,15 @@
     auto response = coap::responseTo(request, coap::code::changed, 0);
     if (request.number(coap::option_number::observe) == 0U) {
         response.messageCode = coap::code::content;
-        response.addNumber(coap::option_number::observe, static_cast<std::uint64_t>(m_now.count() / 1000) & 0xffffffU);
+        response.addNumber(coap::option_number::observe,
+            static_cast<std::uint64_t>(m_now.count() / 1000) & 0xffffffU);
     }
     const auto *tag = request.find(coap::option_number::request_tag);
     response.payload = tag ? tag->value : byte_buffer{1};
     const auto bytes = coap::serialize(response);
-    toMember(member, [this, member, flow, bytes] { m_members[member].engine->onTargetDatagram(m_now, flow, bytes); });
+    toMember(member, [this, member, flow, bytes] {
+        m_members[member].engine->onTargetDatagram(m_now, flow, bytes);
+    });
 }
 
 void engine_driver::callerReceives(const flow_key &flow, byte_view payload)
--- a/src/libtoucanlab/promise_test.cpp
+++ b/src/libtoucanlab/promise_test.cpp
@@ -28,18 +28,21 @@
         runs[run.key].push_back(run);
     for (const auto &[key, list] : runs) {
         if (list.size() > 1)
-            found.push_back("key " + std::to_string(key[0] + 256 * key[1]) + " ran at " + list[0].member + " and " + list[1].member);
+            found.push_back("key " + std::to_string(key[0] + 256 * key[1]) + " ran at "
+                + list[0].member + " and " + list[1].member);
     }
     for (const auto &answer : driver.answers()) {
         if (answer.text != "not-run")
             continue;
         for (const auto &run : runs[answer.key]) {
             if (run.attempt <= answer.attempt)
-                found.push_back("key " + std::to_string(answer.key[0] + 256 * answer.key[1]) + " was refused and ran at " + run.member);
+                found.push_back("key " + std::to_string(answer.key[0] + 256 * answer.key[1])
+                    + " was refused and ran at " + run.member);
         }
     }
     for (const auto &answer : driver.answers()) {
-        if (answer.code == coap::code::changed && answer.text != std::string(answer.key.begin(), answer.key.end()))
+        if (answer.code == coap::code::changed
+            && answer.text != std::string(answer.key.begin(), answer.key.end()))
             found.emplace_back("an answer reached another request");
     }
     return found;
@@ -121,8 +124,10 @@
 // new flows, whatever its caller was told.
 std::unique_ptr<engine_driver> disturbedRun(std::uint64_t seed, const run_shape &shape)
 {
-    auto owned = std::make_unique<engine_driver>(
-        driver_options{.seed = seed, .slots = shape.slots, .serviceTime = shape.serviceTime, .policy = shape.policy});
+    auto owned = std::make_unique<engine_driver>(driver_options{.seed = seed,
+        .slots = shape.slots,
+        .serviceTime = shape.serviceTime,
+        .policy = shape.policy});
     engine_driver &driver = *owned;
     std::mt19937_64 random(seed);
     std::uint64_t number = 0;
@@ -151,32 +156,45 @@
 
 TEST_CASE("promise 7: a submission runs at most once, whatever happens to members and network")
 {
-    rc::check("at most once, refusals true", [] {
+    CHECK(rc::check("at most once, refusals true", [] {
         const auto seed = *rc::gen::arbitrary<std::uint64_t>();
         const auto driver = disturbedRun(seed, {});
         const auto found = violations(*driver);
         RC_LOG() << "seed " << seed << (found.empty() ? "" : ": " + found.front());
         RC_ASSERT(found.empty());
         RC_ASSERT(!driver->runs().empty());
-    });
+    }));
 }
 
 TEST_CASE("promise 6: a refusal is true, also of targets with too much to do and for late copies")
 {
     std::size_t refusals = 0;
-    rc::check("refusals true", [&] {
+    CHECK(rc::check("refusals true", [&] {
         const auto seed = *rc::gen::arbitrary<std::uint64_t>();
         const auto driver = disturbedRun(
             seed, {.rounds = 3, .slots = 1, .serviceTime = instant(150'000), .longestGap = 12'000});
         const auto found = violations(*driver);
         RC_LOG() << "seed " << seed << (found.empty() ? "" : ": " + found.front());
         RC_ASSERT(found.empty());
-        refusals += static_cast<std::size_t>(std::ranges::count(driver->answers(), "not-run", &driven_answer::text));
-    });
+        refusals += static_cast<std::size_t>(
+            std::ranges::count(driver->answers(), "not-run", &driven_answer::text));
+    }));
     INFO("refusals " << refusals);
     CHECK(refusals > 100);
 }
 
+TEST_CASE("promise 6: seeds that once found a refused attempt running")
+{
+    // A late copy of a refused attempt was passed on in place of the attempt that followed it.
+    for (const std::uint64_t seed : {600, 561, 58713237}) {
+        INFO("seed " << seed);
+        CHECK(violations(
+            *disturbedRun(seed,
+                {.rounds = 3, .slots = 1, .serviceTime = instant(150'000), .longestGap = 12'000}))
+                  .empty());
+    }
+}
+
 TEST_CASE("promise 7: the same events without claims run submissions twice")
 {
     CHECK_FALSE(violations(*disturbedRun(1, {.policy = target_policy::hash})).empty());
--- a/src/libtoucanlab/target_stand_in.cpp
+++ b/src/libtoucanlab/target_stand_in.cpp
@@ -99,7 +99,6 @@
         if (m_coldRequested.exchange(false))
             becomeCold(now);
         while (const auto datagram = m_socket.receive(m_buffer)) {
-            ++m_counts.packets;
             if (now >= m_deadUntil)
                 onDatagram(now, datagram->from, datagram->payload);
         }
@@ -161,6 +160,7 @@
         answer(now, from, request, std::move(response));
         return;
     }
+    ++m_counts.requests;
     if (request.number(option_number::observe) == 1U)
         m_observers.erase({from, request.token});
     byte_buffer body;
--- a/src/libtoucannet/udp_socket.cpp
+++ b/src/libtoucannet/udp_socket.cpp
@@ -44,8 +44,8 @@
     return std::chrono::duration_cast<instant>(std::chrono::steady_clock::now().time_since_epoch());
 }
 
-udp_socket::udp_socket(Poco::Net::DatagramSocket socket)
-    : m_socket(std::move(socket))
+udp_socket::udp_socket(const Poco::Net::DatagramSocket &socket)
+    : m_socket(socket)
 { }
 
 result<udp_socket> udp_socket::bind(const endpoint &local)
--- a/src/libtoucanwire/wire_test.cpp
+++ b/src/libtoucanwire/wire_test.cpp
@@ -28,7 +28,7 @@
 
 TEST_CASE("wire: a packet keeps its header and payload")
 {
-    rc::check("round trip", [](const byte_buffer &payload) {
+    CHECK(rc::check("round trip", [](const byte_buffer &payload) {
         const auto header = anyHeader();
         const auto datagram = encodePacket(header, payload);
         RC_ASSERT(datagram.size() <= payload.size() + maximumHeaderSize);
@@ -36,12 +36,12 @@
         RC_ASSERT(decoded.has_value());
         RC_ASSERT(decoded->header == header);
         RC_ASSERT(std::ranges::equal(decoded->payload, payload));
-    });
+    }));
 }
 
 TEST_CASE("wire: a peer message keeps its fields and is no packet")
 {
-    rc::check(
+    CHECK(rc::check(
         "round trip", [](const byte_buffer &key, const std::string &name, std::uint64_t number) {
             const claim_request request{
                 .operation = 1, .key = key, .attempt = number, .claimer = name, .answer = key};
@@ -50,17 +50,17 @@
             const auto decoded = decodeMessage(datagram);
             RC_ASSERT(valueOf(decoded) != nullptr);
             RC_ASSERT(std::get<claim_request>(*valueOf(decoded)) == request);
-        });
+        }));
 }
 
 TEST_CASE("wire: hostile datagrams are refused or read, never a crash")
 {
-    rc::check("random bytes", [](const byte_buffer &bytes) {
+    CHECK(rc::check("random bytes", [](const byte_buffer &bytes) {
         static_cast<void>(decodePacket(bytes));
         static_cast<void>(decodeMessage(bytes));
         static_cast<void>(coap::parse(bytes));
-    });
-    rc::check("damaged messages", [](const byte_buffer &key) {
+    }));
+    CHECK(rc::check("damaged messages", [](const byte_buffer &key) {
         auto datagram = encodeMessage(flow_handover{.from = "a", .watches = {{key}, {key}}});
         const auto at = *rc::gen::inRange<std::size_t>(0, datagram.size());
         datagram[at] = *rc::gen::arbitrary<std::uint8_t>();
@@ -70,12 +70,12 @@
         auto packet = encodePacket(anyHeader(), key);
         packet.resize(std::min(packet.size(), at));
         static_cast<void>(decodePacket(packet));
-    });
+    }));
 }
 
 TEST_CASE("wire: a CoAP message keeps its parts")
 {
-    rc::check("round trip", [](const byte_buffer &payload, std::uint16_t id) {
+    CHECK(rc::check("round trip", [](const byte_buffer &payload, std::uint16_t id) {
         coap::message message{
             .messageType = coap::type::non_confirmable, .messageCode = coap::code::post, .id = id};
         message.token = *rc::gen::container<byte_buffer>(
@@ -94,12 +94,12 @@
         RC_ASSERT(read.number(coap::option_number::deadline) == std::uint64_t{1500});
         RC_ASSERT(read.number(coap::option_number::block1) == std::uint64_t{0x18});
         RC_ASSERT(read.payload == payload);
-    });
+    }));
 }
 
 TEST_CASE("wire: damaged CoAP messages are refused or read, never a crash")
 {
-    rc::check("damage", [](const byte_buffer &payload) {
+    CHECK(rc::check("damage", [](const byte_buffer &payload) {
         coap::message message{
             .messageCode = coap::code::get, .token = {1, 2, 3, 4}, .payload = payload};
         message.addText(coap::option_number::uri_path, "status");
@@ -110,5 +110,5 @@
         static_cast<void>(coap::parse(bytes));
         bytes.resize(at);
         static_cast<void>(coap::parse(bytes));
-    });
+    }));
 }
--- a/src/toucanlab/lab_commands.h
+++ b/src/toucanlab/lab_commands.h
@@ -12,4 +12,10 @@
 /// Runs the experiment of a scenario file and prints a summary; returns the exit status.
 int runScenario(const std::string &fileName, const std::string &programs, bool asJson);
 
+/// Measures how cost grows with size, for each role.
+int runSlopes();
+
+/// Measures an entry beside a bare relay in one run.
+int runRelayBenchmark(const std::string &programs);
+
 } // namespace toucan::lab
--- a/src/toucanlab/main.cpp
+++ b/src/toucanlab/main.cpp
@@ -7,7 +7,7 @@
 {
     cxxopts::Options parser("toucanlab",
         "Stand-ins for the systems round the load balancer, and experiments with them.");
-    parser.positional_help("platform|fabric|switch|target|relay|run");
+    parser.positional_help("platform|fabric|switch|target|relay|run|slopes|relay-benchmark");
     parser.add_options()(
         "command", "what to run", cxxopts::value<std::string>()->default_value(""))("scenario",
         "with run: scenario file", cxxopts::value<std::string>()->default_value(""))("programs",
@@ -37,6 +37,10 @@
         if (command == "run")
             return toucan::lab::runScenario(given["scenario"].as<std::string>(),
                 given["programs"].as<std::string>(), given.count("json") != 0);
+        if (command == "slopes")
+            return toucan::lab::runSlopes();
+        if (command == "relay-benchmark")
+            return toucan::lab::runRelayBenchmark(given["programs"].as<std::string>());
         if (const auto status = toucan::lab::runStandIn(command, given))
             return *status;
         std::cout << parser.help();
--- a/src/toucanlab/stand_in_commands.cpp
+++ b/src/toucanlab/stand_in_commands.cpp
@@ -7,6 +7,7 @@
 #include <toucan/lab/platform_stand_in.h>
 #include <toucan/lab/target_stand_in.h>
 #include <toucan/node.h>
+#include <unistd.h>
 
 namespace toucan::lab {
 namespace {
@@ -56,9 +57,11 @@
         [](const std::string &) { return std::nullopt; });
 }
 
+// Also true when the experiment that started the stand-in is gone.
 bool stopped()
 {
-    return node::stopRequested();
+    static const auto parent = ::getppid();
+    return node::stopRequested() || ::getppid() != parent;
 }
 
 int runPlatform(const cxxopts::ParseResult &given)
@@ -148,7 +151,7 @@
             {"inProgress", counts.inProgress.load()},
             {"busyMicroseconds", counts.busyMicroseconds.load()},
             {"watches", counts.watches.load()}, {"cancelled", counts.cancelled.load()},
-            {"packets", counts.packets.load()}};
+            {"requests", counts.requests.load()}};
     });
     target.run(stopped);
     return 0;
--- a/src/toucantarget/target_server.cpp
+++ b/src/toucantarget/target_server.cpp
@@ -205,11 +205,13 @@
     m_status.put({{"name", m_settings.name}, {"role", "target"}, {"service", m_settings.service},
         {"domain", m_settings.domain}, {"version", status.version}, {"state", status.state},
         {"flows", status.flows}, {"inProgress", status.inProgress}, {"limit", status.limit},
-        {"claims", status.claims}, {"announced", m_agent->isAnnounced()}});
+        {"claims", status.claims}, {"packets", status.packets},
+        {"announced", m_agent->isAnnounced()}});
     m_metrics.numberOf("toucan_config_version").set(status.version);
     m_metrics.numberOf("toucan_flows").set(status.flows);
     m_metrics.numberOf("toucan_requests_in_progress").set(status.inProgress);
     m_metrics.numberOf("toucan_request_limit").set(status.limit);
+    m_metrics.numberOf("toucan_packets_received_total").set(status.packets);
     m_metrics.numberOf("toucan_claims_held").set(status.claims);
 }
 
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -8,5 +8,5 @@
 clang-format --dry-run --Werror $sources
 units=$(git ls-files 'src/*.cpp' | grep -v control_link)
 # shellcheck disable=SC2086
-echo "$units" | xargs -P "$(nproc)" -n 2 clang-tidy --quiet -p "$build" 2>/dev/null
+echo "$units" | xargs -P "$(nproc)" -n 2 clang-tidy --quiet --extra-arg=-Wno-unknown-warning-option -p "$build" 2>/dev/null
 echo "checks passed"
