--- a/src/include/toucan/admission.h
+++ b/src/include/toucan/admission.h
@@ -37,7 +37,7 @@
 public:
     admission(const admission_options &options, instant now);
 
-    /// Applies changed options; the limit never grows by this.
+    /// Applies changed options; the limit of a warm target never grows by this.
     void setOptions(const admission_options &options);
 
     /// True when a request of the class may be passed on now. The last fifth of the slots is kept
--- a/src/include/toucan/config_agent.h
+++ b/src/include/toucan/config_agent.h
@@ -42,6 +42,8 @@
 
     /// A peer has at least this version; fetches it. Any thread.
     void requestPull(const endpoint &control, std::uint64_t version);
+    /// Deletes an object of the platform on the condition of its version. Any thread.
+    void requestRemoval(const std::string &kind, const std::string &name, std::uint64_t version);
     /// The configuration in force, or null. Any thread.
     config_ptr current() const;
     /// True once the own record is in the platform. Any thread.
@@ -61,7 +63,13 @@
         object_list list;
         bool complete; ///< Everything, rather than what changed.
     };
-    using event = std::variant<pull_event, list_event>;
+    struct removal_event
+    {
+        std::string kind;
+        std::string name;
+        std::uint64_t version;
+    };
+    using event = std::variant<pull_event, list_event, removal_event>;
 
     void post(event item);
     void runControl(const std::stop_token &stop);
@@ -70,6 +78,8 @@
     void follow(platform_client &client, const std::stop_token &stop);
     void handle(const pull_event &item);
     void handle(const list_event &item);
+    void handle(const removal_event &item);
+    void checkAnnouncement(const config_snapshot &config);
     void publish(const config_ptr &config);
     bool pause(const std::stop_token &stop, std::chrono::milliseconds time);
     std::uint64_t version() const;
@@ -82,6 +92,8 @@
     std::deque<event> m_events;
     config_ptr m_current;
     std::atomic<bool> m_announced = false;
+    std::atomic<std::uint64_t> m_announcedVersion
+        = 0; ///< Configurations from here on have the own record.
     std::jthread m_platformThread;
     std::jthread m_controlThread;
 };
--- a/src/include/toucan/flow_table.h
+++ b/src/include/toucan/flow_table.h
@@ -18,6 +18,7 @@
     byte_buffer request; ///< The registering datagram, to register again elsewhere.
     std::uint16_t lastId = 0; ///< Message id of the latest notification, to match a reset.
     instant lastNotified{};
+    std::chrono::seconds maxAge{60}; ///< Time for which the latest notification is fresh.
     bool replayed = false; ///< Registered by this process on the caller's behalf; not yet answered.
 };
 
@@ -33,7 +34,7 @@
     instant lastActive{};
     instant lastUpload{}; ///< Latest block of an unfinished upload; zero when there is none.
     instant handoverSent{};
-    instant pointersSent{};
+    instant reopened{}; ///< When its local socket was last found silent.
     std::vector<watch> watches;
     std::vector<std::uint64_t> requests; ///< Requests in progress.
 
--- a/src/include/toucan/lab/engine_driver.h
+++ b/src/include/toucan/lab/engine_driver.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <queue>
+#include <set>
 #include <toucan/entry_engine.h>
 #include <toucan/lab/fault_rules.h>
 #include <toucan/target_engine.h>
@@ -63,7 +64,7 @@
 
     /// Sends a submission from a caller's flow through a random entry, as one or more copies.
     void submit(std::uint16_t callerPort, const byte_buffer &key, std::uint64_t attempt);
-    /// Sends any request from a caller's flow.
+    /// Sends any request from a caller's flow. Its answer is kept under an empty key.
     void request(std::uint16_t callerPort, const coap::message &message);
 
     void kill(std::size_t member);
@@ -74,6 +75,8 @@
     /// Cuts the members of two failure domains off each other, or heals all cuts.
     void cutDomains(std::size_t left, std::size_t right);
     void heal();
+    /// Lets everything on a caller's current local sockets to targets vanish; new sockets work.
+    void silence(std::uint16_t callerPort) { m_silenced.insert(callerPort); }
     /// Adds a member that was never announced before.
     void join();
     void setDomainOut(std::size_t domain, bool out);
@@ -90,6 +93,8 @@
     std::size_t notifications(std::uint16_t callerPort) const;
     /// Status of a member that runs.
     target_status status(std::size_t member) const;
+    /// Records of members that members have deleted, in order.
+    const std::vector<std::string> &removals() const { return m_removals; }
     /// Packets that a member passed to its target since the start.
     std::uint64_t passedTo(std::size_t member) const { return m_members[member].passed; }
 
@@ -150,9 +155,11 @@
     std::vector<std::pair<std::string, std::string>> m_cuts;
     std::map<std::pair<std::uint16_t, byte_buffer>, std::pair<byte_buffer, std::uint64_t>>
         m_asked; ///< By port and token.
+    std::set<std::uint16_t> m_silenced;
     std::map<std::uint16_t, std::size_t> m_notifications;
     std::vector<driven_answer> m_answers;
     std::vector<driven_run> m_runs;
+    std::vector<std::string> m_removals;
     config_ptr m_config;
 };
 
--- a/src/include/toucan/request_runner.h
+++ b/src/include/toucan/request_runner.h
@@ -41,6 +41,11 @@
         flow &item, const packet_header &header, const coap::message &request, byte_view datagram);
     /// Registers a watch again on the caller's behalf; nobody waits for the answer.
     void replay(flow &item, byte_view datagram);
+    /// True when a request on the flow has been at the target for much longer than is usual, while
+    /// the target answers on other flows.
+    bool isSilent(const flow &item) const;
+    /// Passes the idempotent requests in progress on a flow to the target again.
+    void resend(const flow &item);
     /// A datagram of the target on a flow. True when it was taken as the answer to a request.
     bool onResponse(flow &item, const coap::message &response);
     /// Holders answered the claimer.
@@ -139,6 +144,7 @@
     std::array<std::deque<std::uint64_t>, requestClassCount> m_waiting;
     std::uint64_t m_lastId = 0;
     std::uint16_t m_lastMessageId = 0;
+    instant m_lastAnswer{}; ///< When the target last answered on any flow.
     double m_spillBudget;
 };
 
--- a/src/include/toucan/target_context.h
+++ b/src/include/toucan/target_context.h
@@ -48,9 +48,16 @@
     std::string detail;
 };
 
+/// Delete the record of a member that is gone, on the condition of its version.
+struct remove_member
+{
+    std::string name;
+    std::uint64_t version = 0;
+};
+
 /// Everything that decisions can ask the program to do.
-using action
-    = std::variant<send_datagram, send_to_target, close_target_flow, pull_config, record_span>;
+using action = std::variant<send_datagram, send_to_target, close_target_flow, pull_config,
+    remove_member, record_span>;
 
 /// How a target process handles packets: all mechanisms, or the plain baseline.
 enum class target_policy : std::uint8_t {
--- a/src/include/toucan/target_engine.h
+++ b/src/include/toucan/target_engine.h
@@ -4,6 +4,7 @@
 /// actions go out. Used by one thread.
 
 #include <toucan/flow_router.h>
+#include <toucan/member_removal.h>
 #include <toucan/request_runner.h>
 
 namespace toucan {
@@ -79,6 +80,7 @@
     void closeFlow(const flow_key &key);
     void onWatchAnswer(flow &item, const coap::message &message, bool isAnswer);
     void replayWatches();
+    void reopenSilentFlows();
     void toCaller(const flow &item, byte_view payload);
 
     target_context m_context;
@@ -87,6 +89,8 @@
     claim_holder m_holder;
     flow_router m_router;
     request_runner m_requests;
+    member_removal m_removal;
+    instant m_lastRemoval{};
     instant m_lastHeartbeat{};
     instant m_lastProbe{};
     instant m_lastDrain{};
--- a/src/libtoucancore/admission.cpp
+++ b/src/libtoucancore/admission.cpp
@@ -42,8 +42,8 @@
 void admission::setOptions(const admission_options &options)
 {
     m_options = options;
-    const auto most = m_warm ? std::max(options.slots, options.coldSlots) : options.coldSlots;
-    m_limit = std::clamp<std::uint64_t>(m_limit, 1, std::max<std::uint64_t>(most, 1));
+    const auto cold = std::max<std::uint64_t>(options.coldSlots, 1);
+    m_limit = m_warm ? std::clamp<std::uint64_t>(m_limit, 1, std::max(options.slots, cold)) : cold;
 }
 
 bool admission::hasRoom(request_class value) const
--- a/src/libtoucancore/flow_router.cpp
+++ b/src/libtoucancore/flow_router.cpp
@@ -280,10 +280,12 @@
             continue;
         }
         // Two members opened the flow; the one that comes first in its order keeps it.
-        if (ranksBefore(key, m_context.self.name, message.owner))
+        if (ranksBefore(key, m_context.self.name, message.owner)) {
             queuePointer(*owner, key);
-        else
+        } else {
+            m_flows.setPointer(key, message.owner, m_context.now);
             m_conflicts.push_back(key);
+        }
     }
 }
 
--- a/src/libtoucancore/request_runner.cpp
+++ b/src/libtoucancore/request_runner.cpp
@@ -24,6 +24,9 @@
 // Come-back times are spread over this range, seconds.
 constexpr std::uint64_t shortestRetry = 1;
 constexpr std::uint64_t longestRetry = 3;
+// A request that takes this many times the typical latency has met a silent flow.
+constexpr int silentFactor = 5;
+constexpr std::chrono::milliseconds shortestSilence = 300ms;
 constexpr std::uint64_t longestDeadlineMs = 600'000;
 
 request_class classify(const coap::message &message)
@@ -183,6 +186,26 @@
     admit(created, nullptr);
 }
 
+bool request_runner::isSilent(const flow &item) const
+{
+    const auto patience
+        = std::max<instant>(m_admission.typicalLatency() * silentFactor, shortestSilence);
+    return std::ranges::any_of(item.requests, [&](std::uint64_t id) {
+        const request &known = m_requests.at(id);
+        return known.at == step::running && m_context.now - known.passed > patience
+            && m_lastAnswer > known.passed + patience / 2;
+    });
+}
+
+void request_runner::resend(const flow &item)
+{
+    for (const auto id : item.requests) {
+        request &known = m_requests.at(id);
+        if (known.at == step::running && known.key.empty())
+            pass(known);
+    }
+}
+
 void request_runner::joinExisting(request &known, const answer_address &address,
     const packet_header &header, const coap::message &message)
 {
@@ -489,6 +512,7 @@
     });
     if (found == item.requests.end())
         return false;
+    m_lastAnswer = m_context.now;
     request &known = m_requests.at(*found);
     const bool late = known.at == step::unknown;
     const bool shed = response.messageCode == coap::code::service_unavailable;
--- a/src/libtoucancore/target_engine.cpp
+++ b/src/libtoucancore/target_engine.cpp
@@ -16,8 +16,14 @@
 // Flows without watches and requests are closed after this long.
 constexpr auto idleTimeout = 120s;
 constexpr auto drainInterval = 100ms;
+constexpr auto removalInterval = 1s;
 // A watch that could not be registered again yet is tried again after this long.
 constexpr auto replayInterval = 500ms;
+constexpr std::uint64_t longestMaxAge = 86'400;
+// A watch is stale this long after its latest notification has ceased to be fresh.
+constexpr auto watchGrace = 1s;
+// A flow's local socket is replaced at most this often.
+constexpr auto reopenInterval = 1s;
 constexpr auto handoverRetry = 300ms;
 // An upload is in progress for this long after its latest block.
 constexpr auto uploadTimeout = 5s;
@@ -43,6 +49,7 @@
     , m_holder(m_context, options.ledger)
     , m_router(m_context, m_flows)
     , m_requests(m_context, m_flows, m_holder, metrics)
+    , m_removal(m_context)
 {
     m_requests.setSpillHandler(
         [this](const packet_header &header, byte_view payload) { return spill(header, payload); });
@@ -262,6 +269,8 @@
     if (!known)
         return;
     known->lastNotified = m_context.now;
+    if (const auto age = message.number(coap::option_number::max_age))
+        known->maxAge = std::chrono::seconds(std::min<std::uint64_t>(*age, longestMaxAge));
     const bool ends = !message.find(coap::option_number::observe);
     if (known->replayed) {
         // A target without room is asked again; the caller knows nothing of it.
@@ -282,6 +291,27 @@
             [&](const watch &each) { return std::ranges::equal(each.token, message.token); });
 }
 
+void target_engine::reopenSilentFlows()
+{
+    const auto isStale = [&](const watch &each) {
+        return !each.replayed && m_context.now - each.lastNotified > each.maxAge + watchGrace;
+    };
+    m_flows.forEach([&](flow &item) {
+        const bool lately
+            = item.reopened != instant{} && m_context.now - item.reopened < reopenInterval;
+        const bool silent = m_requests.isSilent(item) || std::ranges::any_of(item.watches, isStale);
+        if (lately || !silent)
+            return;
+        // Something between here and the target may have lost track of the socket; a new one works.
+        m_metrics.numberOf("toucan_flows_reopened_total").add();
+        item.reopened = m_context.now;
+        m_context.actions.emplace_back(close_target_flow{item.key});
+        m_requests.resend(item);
+        for (auto &each : item.watches)
+            each.replayed = true;
+    });
+}
+
 void target_engine::replayWatches()
 {
     m_flows.forEach([&](flow &item) {
@@ -553,9 +583,14 @@
         m_lastProbe = now;
         probeEntries();
     }
+    if (now - m_lastRemoval >= removalInterval) {
+        m_lastRemoval = now;
+        m_removal.onTick();
+    }
     if (now - m_lastDrain >= drainInterval) {
         m_lastDrain = now;
         drainFlows();
+        reopenSilentFlows();
         replayWatches();
         for (const auto &key : m_flows.idleSince(now - idleTimeout))
             closeFlow(key);
--- a/src/libtoucanlab/engine_driver.cpp
+++ b/src/libtoucanlab/engine_driver.cpp
@@ -302,6 +302,10 @@
             transmit(item.domain, datagram->to, item.data, datagram->bytes);
         else if (const auto *passed = std::get_if<send_to_target>(&each))
             targetReceives(member, passed->flow, passed->bytes);
+        else if (const auto *closed = std::get_if<close_target_flow>(&each))
+            m_silenced.erase(closed->flow.caller.port);
+        else if (const auto *removal = std::get_if<remove_member>(&each))
+            m_removals.push_back(removal->name);
         else if (std::holds_alternative<pull_config>(each))
             at(m_now + 2ms, [this, member, config = m_config] {
                 toMember(member,
@@ -326,6 +330,7 @@
 void engine_driver::request(std::uint16_t callerPort, const coap::message &message)
 {
     const endpoint caller{.ip = callerIp, .port = callerPort};
+    m_asked.try_emplace({callerPort, message.token});
     const auto bytes = coap::serialize(message);
     std::uniform_real_distribution<double> chance(0, 1);
     const int copies = chance(m_random) < m_options.duplicate ? 2 : 1;
@@ -345,6 +350,8 @@
     std::size_t member, const flow_key &flow, const byte_buffer &bytes)
 {
     auto &item = m_members[member];
+    if (m_silenced.contains(flow.caller.port))
+        return;
     ++item.passed;
     const auto parsed = coap::parse(bytes);
     const auto *message = valueOf(parsed);
--- a/src/libtoucanlab/promise_test.cpp
+++ b/src/libtoucanlab/promise_test.cpp
@@ -225,3 +225,83 @@
     INFO(text << "submitted=" << submitted << " answered=" << answered.size());
     CHECK(answered.size() * 100 >= submitted * 95);
 }
+
+TEST_CASE("silence: a flow whose local socket has gone silent is reopened before the deadline")
+{
+    engine_driver driver({.seed = 3, .drop = 0, .duplicate = 0, .late = instant(0)});
+    const auto get = [](std::uint16_t id) {
+        coap::message message{
+            .messageCode = coap::code::get, .id = id, .token = {9, static_cast<std::uint8_t>(id)}};
+        message.addText(coap::option_number::uri_path, "item");
+        return message;
+    };
+    driver.request(700, get(1));
+    driver.run(500ms);
+    REQUIRE(driver.answers().size() == 1);
+    driver.silence(700);
+    driver.request(700, get(2));
+    // Other flows go on, which tells a silent flow from a silent target.
+    for (std::uint16_t port = 800; port < 1000; ++port) {
+        driver.request(port, get(static_cast<std::uint16_t>(port - 700)));
+        driver.run(8ms);
+    }
+    driver.run(300ms);
+    const auto answered = std::ranges::count_if(driver.answers(),
+        [](const driven_answer &answer) { return answer.code == coap::code::changed; });
+    CHECK(answered == 202);
+}
+
+TEST_CASE("promise 2: a packet for another service never reaches the target")
+{
+    CHECK(rc::check("other services", [] {
+        const auto objects = std::vector<stored_object>{
+            {.kind = "service",
+                .name = "s",
+                .version = 1,
+                .body = {{"schema", 2}, {"address", "127.0.0.9:5683"}}},
+            {.kind = "service",
+                .name = "t",
+                .version = 1,
+                .body = {{"schema", 2}, {"address", "127.0.0.8:5683"}}},
+            {.kind = "member",
+                .name = "m",
+                .version = 1,
+                .body
+                = {{"schema", 2}, {"service", "s"}, {"domain", "d"}, {"data", "127.0.1.1:7000"},
+                    {"control", "127.0.1.1:7001"}, {"boot", 1}, {"firstBoot", true}}}};
+        metrics::registry metrics;
+        target_engine engine({.identity = {.name = "m",
+                                  .service = "s",
+                                  .domain = "d",
+                                  .data = *parseEndpoint("127.0.1.1:7000"),
+                                  .boot = 1}},
+            metrics, 1s);
+        engine.onConfig(1s, buildConfig(2, objects));
+        const packet_header header{.kind = *rc::gen::inRange<std::uint64_t>(0, 6),
+            .caller = {.ip = 1, .port = 2},
+            .service = {.ip = *rc::gen::element(0x7f000009U, 0x7f000008U, 7U),
+                .port = *rc::gen::element<std::uint16_t>(5683, 5684)},
+            .entry = {.ip = 3, .port = 4},
+            .hops = *rc::gen::inRange<std::uint64_t>(0, 6),
+            .version = *rc::gen::inRange<std::uint64_t>(0, 5)};
+        coap::message get{.messageCode = coap::code::get, .token = {1}};
+        get.addText(coap::option_number::uri_path, "x");
+        for (int i = 0; i < 3; ++i)
+            engine.onDatagram(5s, {.ip = 3, .port = 4}, encodePacket(header, coap::serialize(get)));
+        bool passed = false;
+        for (const auto &item : engine.takeActions())
+            passed = passed || std::holds_alternative<send_to_target>(item);
+        const bool own = header.service == *parseEndpoint("127.0.0.9:5683");
+        RC_ASSERT(own || !passed);
+    }));
+}
+
+TEST_CASE("membership: the record of a member that is gone is deleted once, by one member")
+{
+    engine_driver driver({.seed = 4});
+    driver.kill(2);
+    driver.run(9min);
+    CHECK(driver.removals().empty());
+    driver.run(2min);
+    CHECK(driver.removals() == std::vector<std::string>{"m2"});
+}
--- a/src/libtoucanlab/target_stand_in.cpp
+++ b/src/libtoucanlab/target_stand_in.cpp
@@ -13,6 +13,7 @@
 
 constexpr long pollMicroseconds = 2000;
 constexpr auto notifyInterval = 1s;
+constexpr std::uint64_t notificationMaxAge = 2; // seconds
 // A target that sheds this often within the window falls over.
 constexpr std::size_t shedsBeforeTopple = 6;
 constexpr auto shedWindow = 200ms;
@@ -283,6 +284,7 @@
             m_observers[{item.caller, item.request.token}]
                 = {.caller = item.caller, .token = item.request.token};
             response.addNumber(option_number::observe, observeSequence(now));
+            response.addNumber(option_number::max_age, notificationMaxAge);
             m_counts.watches = m_observers.size();
         }
     } else {
@@ -309,6 +311,7 @@
         notification.id = item.lastId = m_nextId++;
         notification.token = item.token;
         notification.addNumber(option_number::observe, observeSequence(now));
+        notification.addNumber(option_number::max_age, notificationMaxAge);
         constexpr std::string_view text = "status";
         notification.payload.assign(text.begin(), text.end());
         m_socket.send(item.caller, coap::serialize(notification));
--- a/src/libtoucannet/config_agent.cpp
+++ b/src/libtoucannet/config_agent.cpp
@@ -15,6 +15,7 @@
 // Processes that do not follow look for missed changes this often.
 constexpr auto pollInterval = 60s;
 constexpr auto pullTimeout = 1s;
+constexpr std::size_t longestQueue = 64;
 
 std::string ipOf(const endpoint &value)
 {
@@ -110,15 +111,25 @@
 
 void config_agent::requestPull(const endpoint &control, std::uint64_t version)
 {
-    constexpr std::size_t longestQueue = 64;
     {
         const std::lock_guard lock(m_mutex);
-        if (m_events.size() >= longestQueue)
+        // A peer that does not answer must not hold up pulls from others for longer than once.
+        const bool queued = std::ranges::any_of(m_events, [&](const event &item) {
+            const auto *pull = std::get_if<pull_event>(&item);
+            return pull && pull->control == control;
+        });
+        if (queued || m_events.size() >= longestQueue)
             return;
     }
     post(pull_event{control, version});
 }
 
+void config_agent::requestRemoval(
+    const std::string &kind, const std::string &name, std::uint64_t version)
+{
+    post(removal_event{kind, name, version});
+}
+
 bool config_agent::pause(const std::stop_token &stop, std::chrono::milliseconds time)
 {
     std::unique_lock lock(m_mutex);
@@ -163,6 +174,30 @@
         publish(buildConfig(item.list.version, merge(config->objects, item.list.objects)));
 }
 
+void config_agent::handle(const removal_event &item)
+{
+    platform_client client(m_options.platform, m_options.platformTimeout);
+    const auto outcome = client.remove(item.kind, item.name, item.version);
+    if (valueOf(outcome))
+        m_log->info(
+            "Record of a member that is gone removed. kind={} name={}", item.kind, item.name);
+}
+
+// Peers remove the record of a process that was silent for long; it announces itself again.
+void config_agent::checkAnnouncement(const config_snapshot &config)
+{
+    if (!m_announced || config.version < m_announcedVersion)
+        return;
+    const bool present = std::ranges::any_of(config.objects, [&](const stored_object &item) {
+        return item.kind == m_options.kind && item.name == m_options.name;
+    });
+    if (present)
+        return;
+    m_log->warn("Own record is gone; announcing again. name={}", m_options.name);
+    m_announced = false;
+    m_wake.notify_all();
+}
+
 void config_agent::publish(const config_ptr &config)
 {
     {
@@ -177,6 +212,7 @@
     for (const auto &fault : config->faults)
         m_log->warn("Record ignored. {}", fault);
     m_handler(config);
+    checkAnnouncement(*config);
 }
 
 bool config_agent::announce(platform_client &client)
@@ -187,12 +223,17 @@
     if (!object && errorOf(existing)->kind != error_kind::not_found)
         return false;
     if (object
-        && object->body.value("boot", std::uint64_t{0}) == record.at("boot").get<std::uint64_t>())
+        && object->body.value("boot", std::uint64_t{0}) == record.at("boot").get<std::uint64_t>()) {
+        m_announcedVersion = object->version;
         return true;
+    }
     record["firstBoot"] = object == nullptr;
     // A lost answer or a conflict is settled by the next try, which reads first.
-    return valueOf(client.put(m_options.kind, m_options.name, record, object ? object->version : 0))
-        != nullptr;
+    const auto written
+        = client.put(m_options.kind, m_options.name, record, object ? object->version : 0);
+    if (const auto *version = valueOf(written))
+        m_announcedVersion = *version;
+    return valueOf(written) != nullptr;
 }
 
 void config_agent::runPlatform(const std::stop_token &stop)
@@ -227,7 +268,7 @@
         return;
     post(list_event{*list, true});
     std::uint64_t seen = list->version;
-    while (!stop.stop_requested()) {
+    while (!stop.stop_requested() && m_announced) {
         const auto wait = m_options.follows ? std::chrono::milliseconds(watchTime) : 0ms;
         const auto outcome = client.changesAfter(seen, wait);
         const auto *changes = valueOf(outcome);
--- a/src/toucantarget/target_server.cpp
+++ b/src/toucantarget/target_server.cpp
@@ -167,6 +167,11 @@
     m_agent->requestPull(item.control, item.version);
 }
 
+void target_server::carryOut(const remove_member &item)
+{
+    m_agent->requestRemoval(std::string(object_kind::member), item.name, item.version);
+}
+
 void target_server::carryOut(const record_span &item)
 {
     m_tracer.span(item.trace, item.hop, item.detail);
--- a/src/toucantarget/target_server.h
+++ b/src/toucantarget/target_server.h
@@ -36,6 +36,7 @@
     void carryOut(const send_to_target &item);
     void carryOut(const close_target_flow &item);
     void carryOut(const pull_config &item);
+    void carryOut(const remove_member &item);
     void carryOut(const record_span &item);
     void checkHealth();
     void publishStatus();
--- a/testsuite/process_promise_test.cpp
+++ b/testsuite/process_promise_test.cpp
@@ -42,6 +42,16 @@
     return load.counts().toJson().dump();
 }
 
+// Counters of all stand-in targets and states of their target processes, for messages.
+std::string targetSummary(cluster &deployment)
+{
+    std::string text;
+    for (const auto &target : deployment.targets())
+        text += '\n' + target.name + ' ' + deployment.targetCounts(target.name).dump()
+            + deployment.status(target.name).dump();
+    return text;
+}
+
 std::uint64_t counter(cluster &deployment, const std::string &target, const char *name)
 {
     const auto counts = deployment.targetCounts(target);
@@ -75,7 +85,7 @@
     CHECK(deployment.operate({"record", "put", "service", "s", "slots=9"}) == 0);
     std::this_thread::sleep_for(6s);
     load.stop();
-    INFO(summary(load));
+    INFO(summary(load) << targetSummary(deployment));
     const auto counts = load.counts();
     CHECK(counts.watchesBroken == 0);
     CHECK(counts.watchesEnded == 0);
@@ -102,7 +112,7 @@
     const auto joined = deployment.addTarget("s", "b");
     std::this_thread::sleep_for(6s);
     load.stop();
-    INFO(summary(load));
+    INFO(summary(load) << targetSummary(deployment));
     for (const auto &target : deployment.targets()) {
         INFO(target.name << ' ' << deployment.targetCounts(target.name).dump());
         CHECK(counter(deployment, target.name, "toppled") == 0);
@@ -141,7 +151,7 @@
     std::this_thread::sleep_for(4s);
     CHECK(packetsInB() > before);
     load.stop();
-    INFO(summary(load));
+    INFO(summary(load) << targetSummary(deployment));
     CHECK(load.counts().wrongAnswers == 0);
     CHECK(judged(deployment, load).falseRefusals == 0);
 }
@@ -160,7 +170,7 @@
     caller_load load(callers);
     std::this_thread::sleep_for(12s);
     load.stop();
-    INFO(summary(load));
+    INFO(summary(load) << targetSummary(deployment));
     const auto counts = load.counts();
     CHECK(counts.wrongAnswers == 0);
     CHECK(counts.delivered > 100);
@@ -202,7 +212,7 @@
     deployment.healLinks();
     std::this_thread::sleep_for(3s);
     load.stop();
-    INFO(summary(load));
+    INFO(summary(load) << targetSummary(deployment));
     const auto outcome = judged(deployment, load);
     CHECK(outcome.doubles == 0);
     CHECK(outcome.falseRefusals == 0);
@@ -224,7 +234,7 @@
     std::this_thread::sleep_for(3s);
     CHECK(counter(deployment, "s-3", "requests") == before);
     load.stop();
-    INFO(summary(load));
+    INFO(summary(load) << targetSummary(deployment));
     CHECK(load.counts().watchesBroken == 0);
 }
 
@@ -360,3 +370,46 @@
     CHECK(load.counts().watchesBroken == 0);
     CHECK(load.counts().abandoned == 0);
 }
+
+TEST_CASE("overload: goodput stays at 90% of what the targets bear when twice as much is asked for")
+{
+    auto options = oneService(4);
+    options.services[0].serviceTime = 200ms;
+    cluster deployment(options, programs);
+    REQUIRE(deployment.start());
+    auto callers = steadyLoad(deployment);
+    // 240 callers with a pause of 300 ms ask for about 480 submissions a second when none is
+    // refused; four targets with 10 slots and 200 ms a request bear 200.
+    callers.submitters = 240;
+    callers.submitPause = 300ms;
+    callers.watchers = 0;
+    callers.pullers = 0;
+    callers.uploadEvery = 0;
+    caller_load load(callers);
+    std::this_thread::sleep_for(20s);
+    const auto seconds = load.seconds();
+    load.stop();
+    std::uint64_t delivered = 0;
+    constexpr std::size_t measured = 8;
+    for (std::size_t i = seconds.size() - 1 - measured; i + 1 < seconds.size(); ++i)
+        delivered += seconds[i].delivered;
+    INFO(summary(load) << " delivered a second " << delivered / measured);
+    CHECK(delivered >= measured * 200 * 9 / 10);
+    for (const auto &target : deployment.targets())
+        CHECK(counter(deployment, target.name, "toppled") == 0);
+}
+
+TEST_CASE("silence: a cut between one entry and one target process is routed around")
+{
+    cluster deployment(oneService(4), programs);
+    REQUIRE(deployment.start());
+    caller_load load(steadyLoad(deployment));
+    std::this_thread::sleep_for(3s);
+    deployment.setLink("entry-1", "s-1", {.cut = true});
+    std::this_thread::sleep_for(5s);
+    load.stop();
+    INFO(summary(load) << targetSummary(deployment));
+    CHECK(load.counts().watchesBroken == 0);
+    CHECK(load.counts().abandoned == 0);
+    CHECK(judged(deployment, load).doubles == 0);
+}
