--- a/src/libtoucanlab/promise_test.cpp
+++ b/src/libtoucanlab/promise_test.cpp
@@ -204,6 +204,9 @@
 {
     for (std::uint64_t seed = 1; seed <= 10; ++seed) {
         engine_driver driver({.seed = seed});
+        // The third failure domain hears of no claim, so two holders alone have them.
+        driver.cutDomains(0, 2);
+        driver.cutDomains(1, 2);
         for (std::uint64_t key = 0; key < 40; ++key) {
             driver.submit(static_cast<std::uint16_t>(1000 + key), keyOf(key), 1);
             driver.run(5ms);
@@ -213,6 +216,7 @@
         driver.kill(0);
         driver.kill(1);
         driver.run(300ms);
+        driver.heal();
         driver.restart(0);
         driver.restart(1);
         driver.publish(100ms);
