Grant an imported claim to its own claimer

Safe, because a holder is ready only after it has fetched from all members but those of one failure domain: a majority of another claimer would have met it and blocked the key.

--- a/src/include/toucan/claim_ledger.h
+++ b/src/include/toucan/claim_ledger.h
@@ -49,8 +49,9 @@
     /// Applies a claim, void or settle operation. Idempotent.
     verdict apply(instant now, const claim_request &request);
 
-    /// Takes in claims that another holder recorded. They block other claimers and are never
-    /// granted again, not even to their own claimer. Returns false when the memory is full.
+    /// Takes in claims that another holder recorded. They block all claimers but
+    /// their own; claims of two claimers on one key block everybody. Returns false when the memory
+    /// is full.
     bool import(instant now, std::span<const ledger_claim> claims);
 
     /// Tells whether a key is wanted in a transfer.
--- a/src/libtoucancore/claim_ledger.cpp
+++ b/src/libtoucancore/claim_ledger.cpp
@@ -67,12 +67,13 @@
         return {.kind = claim_verdict::answered, .answer = entry.answer};
     // A held claim goes first: it may be running, which a voided attempt must not deny.
     const bool own = entry.claimer == request.claimer && entry.boot == request.boot;
-    if (!entry.claimer.empty() && (!own || entry.imported))
+    if (!entry.claimer.empty() && !own)
         return {.kind = claim_verdict::held, .other = entry.claimer, .otherBoot = entry.boot};
     if (request.attempt < entry.voidedAttempts)
         return {.kind = claim_verdict::voided};
     entry.claimer = request.claimer;
     entry.boot = request.boot;
+    entry.imported = false;
     entry.round = std::max(own ? entry.round : 0, request.round);
     return {.kind = claim_verdict::granted};
 }
--- a/src/libtoucanlab/promise_test.cpp
+++ b/src/libtoucanlab/promise_test.cpp
@@ -336,3 +336,26 @@
     driver.run(2min);
     CHECK(driver.removals() == std::vector<std::string>{"m2"});
 }
+
+TEST_CASE("promise 9: a planned stop leaves no submission without its answer")
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        engine_driver driver(
+            {.seed = seed, .members = 7, .drop = 0, .duplicate = 0, .late = instant(0)});
+        constexpr std::uint64_t submissions = 600;
+        for (std::uint64_t key = 0; key < submissions; ++key) {
+            if (key == submissions / 3) {
+                driver.setStopping(0, true);
+                driver.publish(100ms);
+            }
+            driver.submit(static_cast<std::uint16_t>(1000 + key % 40), keyOf(key), 1);
+            driver.run(4ms);
+        }
+        driver.run(3s);
+        const auto delivered
+            = std::ranges::count(driver.answers(), coap::code::changed, &driven_answer::code);
+        INFO("seed " << seed);
+        CHECK(delivered == submissions);
+        CHECK(violations(driver).empty());
+    }
+}
