--- a/src/include/toucan/lab/engine_driver.h
+++ b/src/include/toucan/lab/engine_driver.h
@@ -136,7 +136,7 @@
     void transmit(const std::string &from, const endpoint &to, const endpoint &source,
         const byte_buffer &bytes);
     void deliver(const endpoint &from, const endpoint &to, const byte_buffer &bytes);
-    void toMember(std::size_t member, std::function<void()> act);
+    void toMember(std::size_t member, const std::function<void()> &act);
     void carryOut(std::size_t member);
     void carryOutEntry(std::size_t entry);
     void targetReceives(std::size_t member, const flow_key &flow, const byte_buffer &bytes);
--- a/src/libtoucanlab/engine_driver.cpp
+++ b/src/libtoucanlab/engine_driver.cpp
@@ -219,7 +219,7 @@
     at(m_now + tickInterval, [this] { tick(); });
 }
 
-void engine_driver::toMember(std::size_t member, std::function<void()> act)
+void engine_driver::toMember(std::size_t member, const std::function<void()> &act)
 {
     auto &item = m_members[member];
     if (!item.running)
--- a/src/libtoucanlab/promise_test.cpp
+++ b/src/libtoucanlab/promise_test.cpp
@@ -238,7 +238,7 @@
     std::map<std::string, int> told;
     for (std::uint64_t seed = 1; seed <= 5; ++seed) {
         const auto driver = disturbedRun(seed, {});
-        submitted += 4 * 30;
+        submitted += std::size_t{4} * 30;
         std::set<byte_buffer> keys;
         for (const auto &answer : driver->answers()) {
             ++told[answer.code == coap::code::changed ? "delivered" : answer.text];
--- a/src/toucanlab/stand_in_commands.cpp
+++ b/src/toucanlab/stand_in_commands.cpp
@@ -44,7 +44,7 @@
 
 // Serves the admin link with a handler of JSON requests.
 std::unique_ptr<control_server> serveAdmin(
-    const cxxopts::ParseResult &given, std::function<json(const json &)> handler)
+    const cxxopts::ParseResult &given, const std::function<json(const json &)> &handler)
 {
     const auto address = endpointOption(given, "admin");
     const auto text = toString(address);
