Judge silence by the usual latency, and drain past requests of unknown outcome

Ruled out: claims (no refusal among them). Silence is now judged only after a few answers, by five times the usual latency. A request whose outcome is unknown stayed on its flow for 250 s and kept it from being handed over; only requests still to be answered do so now.

--- a/src/include/toucan/admission.h
+++ b/src/include/toucan/admission.h
@@ -63,6 +63,8 @@
     std::uint64_t inProgress() const { return m_inProgress; }
     /// True once the target counts as warm.
     bool isWarm() const { return m_warm; }
+    /// Latency to expect now, warm or cold; 0 before the first few answers.
+    instant usualLatency() const;
     /// Mean latency while warm; 0 when unknown.
     instant typicalLatency() const { return m_typical; }
 
--- a/src/include/toucan/request_runner.h
+++ b/src/include/toucan/request_runner.h
@@ -44,6 +44,8 @@
     /// True when a request on the flow has been at the target for much longer than is usual, while
     /// the target answers on other flows.
     bool isSilent(const flow &item) const;
+    /// True when a request on the flow is still to be answered.
+    bool isBusy(const flow &item) const;
     /// Passes the idempotent requests in progress on a flow to the target again.
     void resend(const flow &item);
     /// A datagram of the target on a flow. True when it was taken as the answer to a request.
--- a/src/libtoucancore/admission.cpp
+++ b/src/libtoucancore/admission.cpp
@@ -72,6 +72,13 @@
     return m_typical == instant{} ? m_peerReference : std::min(m_typical, m_peerReference);
 }
 
+instant admission::usualLatency() const
+{
+    if (m_answersSinceCold < fewestAnswers)
+        return {};
+    return std::max(m_typical, m_recent);
+}
+
 bool admission::looksWarm(instant now) const
 {
     if (!m_healthy)
--- a/src/libtoucancore/request_runner.cpp
+++ b/src/libtoucancore/request_runner.cpp
@@ -162,8 +162,11 @@
 
 bool request_runner::isSilent(const flow &item) const
 {
+    // Without knowing what is usual, a slow answer cannot be told from a lost one.
+    if (m_admission.usualLatency() == instant{})
+        return false;
     const auto patience
-        = std::max<instant>(m_admission.typicalLatency() * silentFactor, shortestSilence);
+        = std::max<instant>(m_admission.usualLatency() * silentFactor, shortestSilence);
     return std::ranges::any_of(item.requests, [&](std::uint64_t id) {
         const request &known = m_requests.at(id);
         return known.at == step::running && m_context.now - known.passed > patience
@@ -171,6 +174,12 @@
     });
 }
 
+bool request_runner::isBusy(const flow &item) const
+{
+    return std::ranges::any_of(
+        item.requests, [&](std::uint64_t id) { return m_active.contains(id); });
+}
+
 void request_runner::resend(const flow &item)
 {
     for (const auto id : item.requests) {
--- a/src/libtoucancore/target_flows.cpp
+++ b/src/libtoucancore/target_flows.cpp
@@ -58,7 +58,7 @@
 {
     const flow_key key{.caller = message.caller, .service = message.service};
     flow *item = m_flows.find(key);
-    if (!item || item->handoverSent == instant{} || !item->requests.empty())
+    if (!item || item->handoverSent == instant{} || m_requests.isBusy(*item))
         return;
     item->handoverSent = {};
     if (!message.accepted)
@@ -153,7 +153,7 @@
     }
     for (const auto &key : leaving) {
         flow *item = m_flows.find(key);
-        if (!item || !item->requests.empty() || m_context.now - item->lastUpload < uploadTimeout)
+        if (!item || m_requests.isBusy(*item) || m_context.now - item->lastUpload < uploadTimeout)
             continue;
         if (item->handoverSent != instant{} && m_context.now - item->handoverSent < handoverRetry)
             continue;
