Let entries probe members, so that one that knows no entry hears of changes

Ruled out: the platform (entries had version 8 and later) and the peers (all at 6). Each entry now probes two random members a second.

--- a/src/include/toucan/entry_engine.h
+++ b/src/include/toucan/entry_engine.h
@@ -68,6 +68,7 @@
     void noteVersion(instant now, const endpoint &from, std::uint64_t version);
     void send(const endpoint &to, const peer_message &message);
     void probePeers(instant now);
+    void probeMembers();
 
     entry_options m_options;
     metrics::number &m_unknownService;
--- a/src/libtoucancore/entry_engine.cpp
+++ b/src/libtoucancore/entry_engine.cpp
@@ -15,6 +15,8 @@
 constexpr auto peerProbeInterval = 1s;
 // Other entries that are probed in each round, to hear of newer configurations.
 constexpr std::size_t probedPeers = 2;
+// Members that are probed in each round: a member that has heard of no entry yet hears of one.
+constexpr std::size_t probedMembers = 2;
 constexpr auto staleNoticeInterval = 100ms;
 
 } // namespace
@@ -146,6 +148,23 @@
         if (peer.data != m_options.data)
             send(peer.data, probe{.version = version(), .control = m_options.control});
     }
+    probeMembers();
+}
+
+void entry_engine::probeMembers()
+{
+    if (m_config->services.empty())
+        return;
+    std::uniform_int_distribution<std::size_t> pickService(0, m_config->services.size() - 1);
+    for (std::size_t i = 0; i < probedMembers; ++i) {
+        const auto &members = m_config->services[pickService(m_random)].members;
+        if (members.empty())
+            continue;
+        std::uniform_int_distribution<std::size_t> pick(0, members.size() - 1);
+        const auto &chosen = members[pick(m_random)];
+        if (!chosen.out)
+            send(chosen.data, probe{.version = version(), .control = m_options.control});
+    }
 }
 
 void entry_engine::onTick(instant now)
