--- a/src/cmake/compiler.cmake
+++ b/src/cmake/compiler.cmake
@@ -7,7 +7,13 @@
     set(CMAKE_BUILD_TYPE RelWithDebInfo)
 endif()
 set(CMAKE_CXX_FLAGS_RELWITHDEBINFO "-O2 -g1")
-add_compile_options(-Wall -Wextra -Wpedantic -Werror -Wno-missing-field-initializers)
+# GCC 12 reports accesses that cannot happen when it vectorises at -O3.
+set(CMAKE_CXX_FLAGS_RELEASE "-O2 -DNDEBUG")
+option(TOUCAN_WERROR "Treat warnings as errors" OFF)
+add_compile_options(-Wall -Wextra -Wpedantic -Wno-missing-field-initializers)
+if(TOUCAN_WERROR)
+    add_compile_options(-Werror)
+endif()
 set(CMAKE_RUNTIME_OUTPUT_DIRECTORY "${CMAKE_BINARY_DIR}/bin")
 
 # Adds the static library of one package from all of its sources that are not tests.
@@ -22,7 +28,7 @@
 # ctest test of its own.
 function(toucan_unit_tests name)
     file(GLOB tests CONFIGURE_DEPENDS "${CMAKE_CURRENT_SOURCE_DIR}/*_test.cpp")
-    if(NOT tests)
+    if(NOT tests OR NOT TOUCAN_TESTING)
         return()
     endif()
     add_executable(${name} ${tests} "${CMAKE_SOURCE_DIR}/testsuite/test_main.cpp")
--- a/src/include/toucan/control_link.h
+++ b/src/include/toucan/control_link.h
@@ -1,8 +1,8 @@
 #pragma once
 
 /// Control links between processes: binary WebSocket messages, one request and one answer each, and
-/// plain HTTP pages on the same port. Written in C++17 because websocketpp needs it; names none of
-/// its types.
+/// plain HTTP on the same ports. Written in C++17 because websocketpp needs it; names none of its
+/// types.
 
 #include <chrono>
 #include <cstdint>
@@ -14,6 +14,29 @@
 
 namespace toucan {
 
+/// A plain HTTP request.
+struct http_request
+{
+    std::string method;
+    std::string path;
+    std::string body;
+};
+
+/// The answer to a plain HTTP request.
+struct http_response
+{
+    int status = 200;
+    std::string body;
+    std::string contentType = "text/plain; version=0.0.4";
+};
+
+/// An address to listen on.
+struct listen_address
+{
+    std::string ip;
+    std::uint16_t port = 0;
+};
+
 /// Serves control links on its own thread until destroyed.
 class control_server
 {
@@ -21,12 +44,12 @@
     /// Answers a binary message; called on the server's thread.
     using request_handler
         = std::function<std::vector<std::uint8_t>(const std::vector<std::uint8_t> &)>;
-    /// Gives the page at a path, or nullopt for 404; called on the server's thread.
-    using page_handler = std::function<std::optional<std::string>(const std::string &)>;
+    /// Answers a plain HTTP request; called on the server's thread.
+    using http_handler = std::function<http_response(const http_request &)>;
 
-    /// Listens on ip:port; throws std::runtime_error when it cannot.
-    control_server(
-        const std::string &ip, std::uint16_t port, request_handler onRequest, page_handler onPage);
+    /// Listens on all addresses; throws std::runtime_error when it cannot.
+    control_server(const std::vector<listen_address> &addresses, request_handler onRequest,
+        http_handler onHttp);
     ~control_server();
     control_server(const control_server &) = delete;
     control_server &operator=(const control_server &) = delete;
--- /dev/null
+++ b/src/include/toucan/event_log.h
@@ -0,0 +1,80 @@
+#pragma once
+
+/// Structured log lines: one for each decision, as a part's name followed by a JSON object. Writing
+/// never blocks and is bounded for each kind of line; what was left out is counted.
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <spdlog/logger.h>
+#include <toucan/endpoint.h>
+#include <toucan/fields.h>
+#include <toucan/generated/events.h>
+
+namespace toucan {
+
+/// Allows a number of events a second, with bursts of as many. Not thread-safe.
+class token_bucket
+{
+public:
+    explicit token_bucket(double perSecond)
+        : m_perSecond(perSecond)
+        , m_tokens(perSecond)
+    { }
+    /// Takes a token; false when there is none.
+    bool take(instant now);
+
+private:
+    double m_perSecond;
+    double m_tokens;
+    instant m_last{};
+};
+
+/// Writes the lines of one part of a process. Thread-safe.
+class event_log
+{
+public:
+    /// Writes to standard output, at most `linesPerSecond` of each kind.
+    event_log(std::string part, std::uint64_t linesPerSecond);
+
+    /// Writes one line.
+    template <class E>
+    void write(instant now, const E &event)
+    {
+        if (!admit(now, fields_of<E>::name))
+            return;
+        nlohmann::ordered_json line;
+        forEachField<E>([&](const auto &spec) {
+            line[std::string(spec.name)] = value(event.*spec.member);
+        });
+        emit(fields_of<E>::name, std::move(line));
+    }
+
+    /// Turns the log off, for tests.
+    static void silence();
+
+private:
+    struct kind_state
+    {
+        token_bucket bucket;
+        std::uint64_t leftOut = 0;
+    };
+
+    static nlohmann::ordered_json value(const endpoint &item) { return toString(item); }
+    template <class T>
+    static nlohmann::ordered_json value(const T &item)
+    {
+        return item;
+    }
+
+    bool admit(instant now, std::string_view kind);
+    void emit(std::string_view kind, nlohmann::ordered_json line);
+
+    std::shared_ptr<spdlog::logger> m_logger;
+    double m_linesPerSecond;
+    std::mutex m_mutex;
+    std::map<std::string_view, kind_state> m_kinds;
+};
+
+} // namespace toucan
--- a/src/include/toucan/message_cbor.h
+++ b/src/include/toucan/message_cbor.h
@@ -6,7 +6,9 @@
 
 #include <nlohmann/json.hpp>
 #include <stdexcept>
+#include <toucan/error.h>
 #include <toucan/fields.h>
+#include <variant>
 
 namespace toucan::message_cbor {
 
@@ -110,4 +112,48 @@
     });
 }
 
+// The first element of an envelope tells messages (at least this) from packets, which count from 1.
+inline constexpr std::uint64_t firstMessageType = 16;
+
+template <class V, std::size_t I = 0>
+V readAlternative(std::size_t type, const json &body)
+{
+    if constexpr (I < std::variant_size_v<V>) {
+        if (type != I)
+            return readAlternative<V, I + 1>(type, body);
+        std::variant_alternative_t<I, V> message;
+        fromElement(body, message);
+        return message;
+    } else {
+        throw std::invalid_argument("unknown message type");
+    }
+}
+
+/// Writes one of the messages of a variant as a datagram.
+template <class V>
+byte_buffer encodeEnvelope(const V &message)
+{
+    json envelope = json::array({firstMessageType + message.index()});
+    std::visit([&](const auto &body) { envelope.push_back(toElement(body)); }, message);
+    return json::to_cbor(envelope);
+}
+
+/// Reads one of the messages of a variant; bad_request when it is malformed.
+template <class V>
+result<V> decodeEnvelope(byte_view datagram)
+{
+    try {
+        const auto envelope = json::from_cbor(datagram.begin(), datagram.end());
+        if (!envelope.is_array() || envelope.size() != 2)
+            return error{error_kind::bad_request, "a message is an array of two"};
+        std::uint64_t type = 0;
+        fromElement(envelope[0], type);
+        if (type < firstMessageType)
+            return error{error_kind::bad_request, "unknown message type"};
+        return readAlternative<V>(type - firstMessageType, envelope[1]);
+    } catch (const std::exception &failure) {
+        return error{error_kind::bad_request, failure.what()};
+    }
+}
+
 } // namespace toucan::message_cbor
--- a/src/include/toucan/node.h
+++ b/src/include/toucan/node.h
@@ -19,6 +19,8 @@
 void handleStopSignals();
 /// True once a stop signal came.
 bool stopRequested();
+/// True once after each SIGHUP that came since handleStopSignals().
+bool takeReloadRequest();
 
 /// Hands the newest configuration from the control thread to the traffic thread.
 class config_mailbox
@@ -51,6 +53,11 @@
 std::unique_ptr<control_server> serveControlLink(const endpoint &address, const config_agent &agent,
     const status_board &status, const metrics::registry &metrics);
 
+/// The answer to a path that is not served.
+http_response notFound();
+/// An endpoint in the form that control_server takes.
+listen_address listenAddress(const endpoint &address);
+
 /// A random number for a start of this process.
 std::uint64_t randomNumber();
 
--- /dev/null
+++ b/src/include/toucan/opening_gate.h
@@ -0,0 +1,83 @@
+#pragma once
+
+/// Admission of new flows at the process beside a target: the last decision before the target, so
+/// that an entry with old knowledge cannot break a bound. Pure decisions and small counters.
+///
+/// Load answered for: bursts of openings beyond a target's slots, and cold targets, which bear a few
+/// openings a second and fall over under more.
+
+#include <deque>
+#include <string_view>
+#include <toucan/target_liveness.h>
+
+namespace toucan {
+
+/// What becomes of an opening.
+enum class opening_verdict : std::uint8_t {
+    accepted,
+    standing_unknown, ///< The target has not reported, or not for long.
+    draining, ///< The target leaves.
+    domain_out, ///< Operators took the failure domain out.
+    wrong_service, ///< The target belongs to another service.
+    route_stale, ///< The entry decided under a configuration that was replaced a while ago.
+    cold, ///< The target is cold and has had its openings for this second.
+    full, ///< The target holds as many flows as it can.
+    busy, ///< All slots are taken and another candidate can be asked.
+    silent, ///< The target does not answer openings.
+};
+
+/// Name of a verdict in logs.
+std::string_view toString(opening_verdict verdict);
+
+/// What the verdict depends on.
+struct opening_circumstances
+{
+    target_standing standing = target_standing::unknown;
+    bool domainOut = false;
+    bool serviceMatches = true;
+    bool routeStale = false;
+    bool silent = false;
+    bool coldAllowance = true; ///< The cold limit has room.
+    bool hasAlternative = false; ///< Another candidate can still be asked.
+    std::uint64_t flows = 0;
+    std::uint64_t flowLimit = 0; ///< 0 when not stated.
+    std::uint64_t waiting = 0; ///< Requests without an answer.
+    std::uint64_t slots = 0;
+};
+
+/// Decides on one opening.
+opening_verdict judgeOpening(const opening_circumstances &circumstances);
+
+/// Counts openings in a sliding second.
+class opening_window
+{
+public:
+    /// Openings in the second before `now`.
+    std::size_t count(instant now);
+    void add(instant now) { m_times.push_back(now); }
+
+private:
+    std::deque<instant> m_times;
+};
+
+/// A level with exponential forgetting, weighted by time.
+class smoothed_level
+{
+public:
+    /// `memory` is the time in which an old value loses two thirds of its weight.
+    explicit smoothed_level(std::chrono::milliseconds memory)
+        : m_memory(memory)
+    { }
+    /// The level is `value` from now on.
+    void set(instant now, double value);
+    /// The smoothed level.
+    double read(instant now) const;
+
+private:
+    instant m_memory;
+    instant m_at{};
+    double m_value = 0;
+    double m_smoothed = 0;
+};
+
+} // namespace toucan
--- a/src/include/toucan/platform_client.h
+++ b/src/include/toucan/platform_client.h
@@ -1,9 +1,10 @@
 #pragma once
 
-/// Client of the platform's object service: HTTP with JSON bodies, versions as entity tags, and
-/// conditional requests (RFC 9110). Every call has a time limit. Not thread-safe.
+/// Client of the platform's object service: HTTP with JSON bodies and conditional writes. How the
+/// calls are spelled is a dialect's matter. Every call has a time limit. Not thread-safe.
 
 #include <chrono>
+#include <memory>
 #include <optional>
 #include <toucan/config.h>
 
@@ -14,16 +15,63 @@
 {
     std::uint64_t version = 0;
     std::vector<stored_object> objects; ///< A deleted one has a null body.
+    bool more = false; ///< The list goes on after its last object.
 };
 
-/// One connection to the platform.
+/// One HTTP request to the platform.
+struct platform_request
+{
+    std::string method;
+    std::string path;
+    std::string body;
+    std::string conditionName; ///< Header that carries the condition of a write; empty for none.
+    std::string conditionValue;
+};
+
+/// What an HTTP status says of a call.
+enum class platform_status : std::uint8_t { done, not_found, conflict, gone, unavailable };
+
+/// How a platform spells the calls. An empty kind means all kinds where the platform has such
+/// calls. Implementations keep no state and may be shared by threads.
+class platform_dialect
+{
+public:
+    virtual ~platform_dialect() = default;
+    /// Lists a kind from behind the object named `after`; `mayBeOld` allows an answer that is
+    /// seconds old where the platform gives a discount for it.
+    virtual platform_request list(
+        std::string_view kind, std::string_view after, bool mayBeOld) const = 0;
+    virtual platform_request watch(
+        std::string_view kind, std::uint64_t version, std::chrono::milliseconds wait) const = 0;
+    virtual platform_request get(std::string_view kind, std::string_view name) const = 0;
+    /// `expected` of 0 creates, other values replace under that condition.
+    virtual platform_request put(std::string_view kind, std::string_view name,
+        const nlohmann::json &body, std::uint64_t expected) const = 0;
+    virtual platform_request remove(
+        std::string_view kind, std::string_view name, std::uint64_t expected) const = 0;
+    virtual platform_status status(int httpStatus) const = 0;
+    /// Readers of answers. Throw nlohmann::json::exception when the answer is malformed.
+    virtual object_list readList(std::string_view kind, const nlohmann::json &answer) const = 0;
+    virtual object_list readChanges(std::string_view kind, const nlohmann::json &answer) const = 0;
+    virtual stored_object readObject(
+        std::string_view kind, const nlohmann::json &answer) const = 0;
+    /// The version that a write made.
+    virtual std::uint64_t readVersion(const nlohmann::json &answer) const = 0;
+};
+
+/// The product's own spelling: versions as entity tags and conditional requests (RFC 9110).
+const platform_dialect &entityTagDialect();
+
+/// One connection to the platform, kept open between calls and opened again when it fails.
 class platform_client
 {
 public:
-    platform_client(const endpoint &address, std::chrono::milliseconds timeout);
+    platform_client(const endpoint &address, std::chrono::milliseconds timeout,
+        const platform_dialect &dialect = entityTagDialect());
+    ~platform_client();
 
-    /// Every object.
-    result<object_list> list();
+    /// Every object of a kind, all pages.
+    result<object_list> list(std::string_view kind = {}, bool mayBeOld = false);
     /// One object; not_found when there is none.
     result<stored_object> get(std::string_view kind, std::string_view name);
     /// Creates or replaces. `expected` is the version that must be current, 0 for "must not exist".
@@ -35,7 +83,10 @@
         std::string_view kind, std::string_view name, std::uint64_t expected);
     /// Waits up to `wait` for changes after `version`. Not_found when the platform no longer has
     /// the changes since then: list again.
-    result<object_list> changesAfter(std::uint64_t version, std::chrono::milliseconds wait);
+    result<object_list> changesAfter(
+        std::uint64_t version, std::chrono::milliseconds wait, std::string_view kind = {});
+    /// Calls made so far, answered or not.
+    std::uint64_t calls() const { return m_calls; }
 
 private:
     struct response
@@ -43,14 +94,18 @@
         int status = 0;
         std::string body;
     };
-    result<response> call(const std::string &method, const std::string &path,
-        const std::string &body, std::optional<std::uint64_t> expected,
-        std::chrono::milliseconds timeout);
-    result<std::uint64_t> write(const std::string &method, std::string_view kind,
-        std::string_view name, const std::string &body, std::uint64_t expected);
+    class session;
+    result<response> call(const platform_request &request, std::chrono::milliseconds timeout);
+    result<response> attempt(const platform_request &request, std::chrono::milliseconds timeout);
+    result<nlohmann::json> read(
+        const platform_request &request, std::chrono::milliseconds timeout, std::string_view path);
+    result<std::uint64_t> write(const platform_request &request, std::string_view path);
 
     endpoint m_address;
     std::chrono::milliseconds m_timeout;
+    const platform_dialect &m_dialect;
+    std::unique_ptr<session> m_session;
+    std::uint64_t m_calls = 0;
 };
 
 } // namespace toucan
--- /dev/null
+++ b/src/include/toucan/relay_config.h
@@ -0,0 +1,71 @@
+#pragma once
+
+/// The operators' configuration of services whose flows are relayed segment by segment.
+
+#include <boost/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <string>
+#include <toucan/endpoint.h>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace toucan {
+
+/// A service that takes a share of a route's new flows.
+struct route_share
+{
+    std::string service;
+    std::uint64_t weight = 1;
+};
+
+/// Where new flows of one service address go.
+struct route_rule
+{
+    std::string name;
+    endpoint address;
+    std::vector<route_share> shares; ///< At least one.
+
+    /// The service that a flow with this hash belongs to.
+    const std::string &serviceFor(std::uint64_t flowHash) const;
+};
+
+/// What the targets of one service bear.
+struct service_rule
+{
+    std::string name;
+    std::uint64_t flows = 0; ///< Flows that a target holds at once; 0 when not stated.
+    double coldRate = 0; ///< Openings a second that a cold target bears; 0 when not stated.
+};
+
+/// One version of the configuration. Never changes once built; shared between threads.
+class relay_config : public boost::intrusive_ref_counter<relay_config>
+{
+public:
+    std::uint64_t revision = 0; ///< Store revision; orders versions.
+    std::uint64_t version = 0; ///< The operators' own number.
+    std::string text; ///< As it was read, for peers.
+    std::vector<route_rule> routes;
+    std::vector<service_rule> services;
+    std::vector<std::string> faults; ///< Parts that could not be read, and why.
+    std::unordered_map<endpoint, std::size_t> index; ///< Into routes.
+
+    /// The route at an address, or nullptr.
+    const route_rule *routeAt(const endpoint &address) const;
+    /// Bounds of a service, or nullptr.
+    const service_rule *serviceNamed(std::string_view name) const;
+};
+
+using relay_config_ptr = boost::intrusive_ptr<const relay_config>;
+
+/// Failure domains that are out of service, as read at one store revision.
+struct domains_out
+{
+    std::uint64_t revision = 0;
+    std::vector<std::string> names; ///< Sorted.
+
+    bool contains(std::string_view domain) const;
+    bool operator==(const domains_out &) const = default;
+};
+
+} // namespace toucan
--- /dev/null
+++ b/src/include/toucan/relay_entry.h
@@ -0,0 +1,150 @@
+#pragma once
+
+/// All decisions of an entry that relays segments. Keeps a cache of owners of flows, which any entry
+/// can rebuild from packets; does no I/O. Used by one thread.
+
+#include <map>
+#include <toucan/event_log.h>
+#include <toucan/metrics.h>
+#include <toucan/relay_packet.h>
+#include <toucan/relay_placement.h>
+#include <toucan/relay_port.h>
+#include <toucan/segment.h>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace toucan {
+
+/// How a relaying entry starts.
+struct relay_entry_options
+{
+    std::string name;
+    std::string domain;
+    endpoint peer; ///< Own address for other processes.
+    std::vector<endpoint> seeds; ///< Peer addresses of entries to start from.
+    std::chrono::milliseconds flowLifetime{60000}; ///< Silence after which a flow is forgotten.
+    std::chrono::milliseconds grace{6000}; ///< Time between a stop signal and the kill.
+    std::uint64_t boot = 0; ///< Random number of this start.
+};
+
+/// The engine of one relaying entry.
+class relay_entry
+{
+public:
+    relay_entry(relay_entry_options options, const segment_codec &codec, relay_port &port,
+        metrics::registry &metrics, event_log &log, instant now);
+
+    /// A segment from a caller. The bytes may be changed.
+    void onCallerBytes(instant now, std::span<std::uint8_t> bytes);
+    /// A datagram from another process.
+    void onPeerBytes(instant now, const endpoint &from, std::span<std::uint8_t> bytes);
+    /// A configuration; older ones are ignored. `source` says where it came from, for the log.
+    void onConfig(instant now, const relay_config_ptr &config, std::string_view source);
+    /// Failure domains out of service; older ones are ignored.
+    void onDomains(instant now, const domains_out &domains, std::string_view source);
+    /// Peer addresses of entries that the platform knows.
+    void onEntries(instant now, std::span<const endpoint> peers);
+    /// Other seeds from the settings.
+    void setSeeds(std::vector<endpoint> seeds) { m_options.seeds = std::move(seeds); }
+    /// Time passed. Call at least each tickInterval.
+    void onTick(instant now);
+
+    /// Longest time between two calls of onTick.
+    static constexpr std::chrono::milliseconds tickInterval{250};
+
+    /// True when callers' packets can be served.
+    bool isReady(instant now) const;
+    /// A stop signal came: the process turns not ready and goes on forwarding.
+    void startLeaving(instant now);
+    /// True once the fabric sends no more packets, or the grace is nearly over.
+    bool mayExit(instant now) const;
+
+    const relay_config_ptr &config() const { return m_config; }
+    const domains_out &domains() const { return m_domains; }
+    std::size_t flowCount() const { return m_flows.size(); }
+    std::size_t memberCount() const { return m_members.aliveCount(); }
+    std::size_t entryCount() const { return m_entries.size(); }
+
+private:
+    /// Members that an opening and its copies were sent to.
+    using tried_list = boost::container::static_vector<endpoint, 2 * maximumPlaces>;
+
+    struct cached_flow
+    {
+        endpoint owner; ///< Process beside the flow's target; none while it is searched.
+        instant lastPacket{};
+        instant openedAt{}; ///< When the newest opening was sent.
+        tried_list tried;
+        bool established = false; ///< A segment other than an opening was seen.
+        bool finishing = false; ///< The caller closes the flow.
+        std::uint16_t searchOffset = 0; ///< Members already asked in this search.
+        std::uint16_t searches = 0; ///< Searches that found nobody.
+        bool refusedOnce = false; ///< All candidates of an opening turned it away before.
+    };
+
+    struct entry_peer
+    {
+        instant heard{};
+        std::uint64_t revision = 0;
+    };
+
+    void onOpening(
+        instant now, const segment &head, const route_rule &route, std::span<std::uint8_t> bytes);
+    void place(instant now, const segment &head, const route_rule &route, cached_flow &cached,
+        byte_view bytes);
+    void onEstablished(
+        instant now, const segment &head, const route_rule *route, std::span<std::uint8_t> bytes);
+    void search(instant now, const segment &head, const route_rule &route, cached_flow &cached,
+        byte_view bytes);
+    void onRefused(instant now, const segment &head, byte_view bytes);
+    void onNotFound(instant now, const endpoint &from, const segment &head, byte_view bytes);
+    void suspectOwner(instant now, const cached_flow &cached);
+    bool isLearning(instant now) const;
+    bool mayBecomeReady(std::string_view service);
+    void resetFlow(instant now, const segment &head, std::string_view reason);
+    void logOpening(instant now, const segment &head, std::string_view outcome,
+        const relay_member *target, std::size_t eligible);
+    void logSearch(instant now, const segment &head, std::string_view outcome,
+        std::string_view target, std::size_t asked, const cached_flow &cached);
+    void forward(const endpoint &to, const relay_header &header, byte_view bytes);
+    relay_header headerFor(relay_kind kind, std::string_view service) const;
+
+    void handle(instant now, const endpoint &from, const target_report &message);
+    void handle(instant now, const endpoint &from, const entry_notice &message);
+    void handle(instant now, const endpoint &from, const flow_owner &message);
+    void handlePacket(instant now, const endpoint &from, const relay_packet &packet);
+    void logMember(instant now, const member_change &change);
+    void sendNotice(instant now, const endpoint &to, const relay_member *member, bool wantsNotice);
+    void sendNotices(instant now);
+    bool shouldKeepCopy(const relay_member &member);
+    void noteRevision(instant now, const endpoint &from, std::uint64_t revision);
+    void sweepFlows(instant now);
+
+    relay_entry_options m_options;
+    const segment_codec &m_codec;
+    relay_port &m_port;
+    event_log &m_log;
+    metrics::number &m_openings;
+    metrics::number &m_forwarded;
+    metrics::number &m_searches;
+    metrics::number &m_notFound;
+    metrics::number &m_resets;
+    metrics::number &m_dropped;
+    metrics::number &m_malformed;
+
+    relay_config_ptr m_config;
+    domains_out m_domains;
+    std::unordered_set<endpoint> m_droppedRoutes; ///< Addresses that had a route before.
+    member_table m_members;
+    std::map<endpoint, entry_peer> m_entries;
+    std::unordered_map<flow_key, cached_flow> m_flows;
+    instant m_started;
+    instant m_configAt{};
+    instant m_lastCaller{};
+    instant m_lastNotices{};
+    instant m_lastSweep{};
+    instant m_lastFetch{};
+    std::optional<instant> m_leavingSince;
+};
+
+} // namespace toucan
--- /dev/null
+++ b/src/include/toucan/relay_members.h
@@ -0,0 +1,90 @@
+#pragma once
+
+/// An entry's beliefs about target processes, from their reports.
+
+#include <map>
+#include <memory>
+#include <string>
+#include <toucan/generated/relay.h>
+#include <toucan/target_liveness.h>
+#include <unordered_map>
+#include <vector>
+
+namespace toucan {
+
+/// One target process and its target.
+struct relay_member
+{
+    std::string name;
+    std::uint64_t nameHash = 0; ///< Input to rendezvous ranking.
+    std::string service;
+    std::string domain;
+    endpoint address;
+    std::uint64_t boot = 0;
+    std::uint64_t order = 0; ///< Number of the newest report of that boot.
+    std::uint64_t lifetime = 0; ///< Number of the target's lifetime.
+    target_standing standing = target_standing::unknown;
+    std::uint64_t slots = 0;
+    std::uint64_t flows = 0;
+    std::uint64_t waiting = 0;
+    std::uint64_t load = 0; ///< Smoothed waiting requests for each slot, thousandths.
+    std::uint64_t openRate = 0; ///< Openings that a cold target still bears in a second.
+    std::uint64_t openedSince = 0; ///< Openings sent its way since the newest report.
+    std::chrono::milliseconds interval{250}; ///< Time between its reports.
+    instant heard{};
+    instant suspectedSince{}; ///< An opening sent its way went unanswered; zero when none did.
+    bool lost = false; ///< Silent for so long that nothing is sent its way.
+
+    /// True when it is heard and answers.
+    bool answers() const { return !lost && suspectedSince == instant{}; }
+    /// Load with what was sent since the newest report, thousandths of a slot.
+    std::uint64_t expectedLoad() const;
+};
+
+/// A change of belief, for the log.
+struct member_change
+{
+    const relay_member *member = nullptr;
+    std::string from;
+    std::string to;
+};
+
+/// All members, by service. Not thread-safe.
+class member_table
+{
+public:
+    /// Silence after which a member is not used. Reports come at least each 250 ms to few entries;
+    /// a process that is killed is back within about a second.
+    static constexpr std::chrono::milliseconds silenceLimit{1500};
+    /// Silence after which a member is forgotten: flows live for a minute at most.
+    static constexpr std::chrono::milliseconds forgetAfter{60000};
+
+    /// Takes a report in; nullopt when it changes no belief worth a log line, or is late.
+    std::optional<member_change> apply(
+        instant now, const endpoint &from, const target_report &report);
+    /// Notes silence; returns what changed.
+    std::vector<member_change> onTick(instant now);
+    /// Members of a service, in no order; empty when there are none.
+    std::span<relay_member *const> membersOf(std::string_view service) const;
+    /// The member at an address, or nullptr.
+    relay_member *at(const endpoint &address) const;
+    /// Number of members that are not lost.
+    std::size_t aliveCount() const;
+    /// Calls visit(member) for all.
+    template <class F>
+    void forEach(F &&visit) const
+    {
+        for (const auto &[address, item] : m_members)
+            visit(*item);
+    }
+
+private:
+    relay_member *find(std::string_view name) const;
+    void remove(const endpoint &address);
+    void rebuildIndex();
+
+    std::unordered_map<endpoint, std::unique_ptr<relay_member>> m_members; ///< By address.
+    std::map<std::string, std::vector<relay_member *>, std::less<>> m_services;
+};
+
+} // namespace toucan
--- /dev/null
+++ b/src/include/toucan/relay_packet.h
@@ -0,0 +1,66 @@
+#pragma once
+
+/// Datagrams between entries and target processes that relay segments: forwarded segments behind a
+/// relay_header, and messages.
+
+#include <boost/container/static_vector.hpp>
+#include <toucan/error.h>
+#include <toucan/generated/relay.h>
+#include <variant>
+
+namespace toucan {
+
+/// What a forwarded segment is.
+enum class relay_kind : std::uint8_t {
+    opening = 1, ///< Opens a flow at the recipient's target, or at the next candidate.
+    established = 2, ///< Belongs to a flow that a candidate may hold.
+    refused_opening = 3, ///< To the entry: no candidate takes the flow.
+    not_found = 4, ///< To the entry: no candidate holds the flow.
+};
+
+/// Target processes that a packet may visit after its recipient.
+inline constexpr std::size_t maximumCandidates = 8;
+using candidate_list = boost::container::static_vector<endpoint, maximumCandidates>;
+
+/// Precedes the untouched segment.
+struct relay_header
+{
+    relay_kind kind = relay_kind::established;
+    std::uint64_t revision = 0; ///< Configuration under which the entry decided.
+    endpoint entry; ///< Entry that took the segment from the fabric.
+    std::uint64_t serviceTag = 0; ///< serviceTagOf() the flow's service.
+    candidate_list candidates; ///< Who to pass the packet on to, in this order.
+};
+
+/// Short tag of a service name, the same in every process.
+std::uint64_t serviceTagOf(std::string_view service);
+
+/// Bytes that a relay header takes at most.
+inline constexpr std::size_t maximumRelayHeader = 128;
+
+/// True when a datagram starts like a forwarded segment rather than a message.
+bool isRelayPacket(byte_view datagram);
+
+/// Writes a header into `out`, which must hold maximumRelayHeader bytes; returns its length.
+std::size_t encodeRelayHeader(const relay_header &header, std::span<std::uint8_t> out);
+
+/// A header and the segment behind it, which views the datagram.
+struct relay_packet
+{
+    relay_header header;
+    std::span<std::uint8_t> bytes;
+};
+
+/// Reads a forwarded segment; nullopt when the header is malformed.
+std::optional<relay_packet> decodeRelayPacket(std::span<std::uint8_t> datagram);
+
+/// Messages between entries and target processes.
+using relay_message = std::variant<target_report, entry_notice, flow_owner>;
+
+/// Writes a message as one datagram.
+byte_buffer encodeRelayMessage(const relay_message &message);
+
+/// Reads a message; bad_request when it is malformed.
+result<relay_message> decodeRelayMessage(byte_view datagram);
+
+} // namespace toucan
--- /dev/null
+++ b/src/include/toucan/relay_port.h
@@ -0,0 +1,24 @@
+#pragma once
+
+/// What a relay engine asks its program to do. Implemented by the programs and by tests.
+
+#include <toucan/endpoint.h>
+
+namespace toucan {
+
+/// Side effects of a relay engine; called on its thread.
+class relay_port
+{
+public:
+    virtual ~relay_port() = default;
+    /// Sends a datagram to another process of the system.
+    virtual void sendPeer(const endpoint &to, byte_view head, byte_view payload) = 0;
+    /// Sends a segment to a caller; the port is the one on which callers receive.
+    virtual void sendCaller(const endpoint &caller, byte_view bytes) = 0;
+    /// Sends a segment to the target beside the process. Entries have none.
+    virtual void sendTarget(byte_view bytes) = 0;
+    /// Fetches a configuration of at least `revision` from the process whose peer address is given.
+    virtual void fetchConfig(const endpoint &peer, std::uint64_t revision) = 0;
+};
+
+} // namespace toucan
--- /dev/null
+++ b/src/include/toucan/relay_target.h
@@ -0,0 +1,165 @@
+#pragma once
+
+/// All decisions of the process beside a target whose flows are relayed segment by segment. Owns
+/// the truth about the target's flows; does no I/O. Used by one thread.
+
+#include <map>
+#include <toucan/event_log.h>
+#include <toucan/metrics.h>
+#include <toucan/opening_gate.h>
+#include <toucan/relay_config.h>
+#include <toucan/relay_packet.h>
+#include <toucan/relay_port.h>
+#include <toucan/segment.h>
+#include <unordered_map>
+
+namespace toucan {
+
+/// How a target process starts.
+struct relay_target_options
+{
+    std::string name; ///< Name of the VM.
+    std::string domain;
+    std::string service; ///< Service of the target until it reports another.
+    endpoint peer; ///< Own address for other processes.
+    std::vector<endpoint> seeds; ///< Peer addresses of entries to start from.
+    std::chrono::milliseconds flowLifetime{60000}; ///< Silence after which a flow is forgotten.
+    double coldOvershoot = 1; ///< Factor on the cold rate that must never be passed.
+    double coldSlack = 0; ///< Openings in a second on top of that.
+    bool firstStart = false; ///< No flow was open before this start.
+    std::uint64_t boot = 0; ///< Random number of this start.
+};
+
+/// The engine of one target process.
+class relay_target
+{
+public:
+    relay_target(relay_target_options options, const segment_codec &codec, relay_port &port,
+        metrics::registry &metrics, event_log &log, instant now);
+
+    /// A datagram from another process.
+    void onPeerBytes(instant now, const endpoint &from, std::span<std::uint8_t> bytes);
+    /// A segment from the target. The bytes may be changed.
+    void onTargetBytes(instant now, std::span<std::uint8_t> bytes);
+    /// The target reported itself.
+    void onLiveness(instant now, const target_liveness &report);
+    /// A copy of the configuration is kept here, for entries that start without one.
+    void setCopyRevision(std::uint64_t revision) { m_copyRevision = revision; }
+    /// Peer addresses of entries that the platform knows.
+    void onEntries(instant now, std::span<const endpoint> peers);
+    /// Other seeds from the settings.
+    void setSeeds(std::vector<endpoint> seeds) { m_options.seeds = std::move(seeds); }
+    /// Time passed. Call at least each tickInterval.
+    void onTick(instant now);
+    /// A stop signal came: entries are told to place no more openings here.
+    void startLeaving(instant now);
+
+    /// Longest time between two calls of onTick.
+    static constexpr std::chrono::milliseconds tickInterval{50};
+
+    /// True while an entry was heard from lately.
+    bool hearsEntries(instant now) const;
+    std::size_t flowCount() const { return m_flows.size(); }
+
+private:
+    /// How much is known of a flow.
+    enum class flow_state : std::uint8_t {
+        offered, ///< The opening was passed to the target.
+        probing, ///< Segments are passed to the target to learn whether it holds the flow.
+        open, ///< The target holds it.
+    };
+
+    struct flow
+    {
+        flow_state state = flow_state::offered;
+        endpoint entry; ///< Entry that sent the newest segment.
+        endpoint toldEntry; ///< Entry that knows this process as the owner.
+        candidate_list candidates; ///< Who to ask next when the target turns a segment away.
+        std::uint64_t serviceTag = 0;
+        std::uint64_t revision = 0;
+        byte_buffer opening; ///< The opening, until the target answers it.
+        instant opened{};
+        instant lastPacket{};
+        std::optional<std::uint32_t> targetSequence; ///< Of the target's answer to the opening.
+        std::uint32_t callerAcknowledged = 0;
+        std::optional<std::uint32_t> callerNext; ///< End of the caller's data seen so far.
+        std::optional<instant> waitingSince; ///< A request has no answer since then.
+        std::uint32_t requests = 0;
+        std::chrono::milliseconds slowest{0};
+        bool callerFinished = false;
+        bool targetFinished = false;
+    };
+    using flow_map = std::unordered_map<flow_key, flow>;
+
+    struct entry_state
+    {
+        instant heard{};
+        instant reported{};
+        std::uint64_t reports = 0;
+    };
+
+    void onOpening(instant now, const segment &head, const relay_packet &packet);
+    void onEstablished(instant now, const endpoint &from, const segment &head,
+        const relay_packet &packet);
+    void onReturned(instant now, const segment &head, std::span<std::uint8_t> bytes);
+    opening_verdict judge(instant now, const relay_header &header);
+    void passOn(const relay_header &header, relay_kind unclaimed, byte_view bytes);
+    void offerElsewhere(instant now, flow &item, byte_view opening);
+    void noteCaller(instant now, flow &item, const segment &head);
+    void noteTarget(instant now, flow_map::iterator place, const segment &head);
+    bool isMine(const flow &item, const segment &head) const;
+    void tellOwner(const flow_key &key, flow &item);
+    void setWaiting(instant now, flow &item, bool waiting);
+    void erase(instant now, flow_map::iterator place, std::string_view outcome);
+    void endLifetime(instant now, std::string_view reason);
+    bool knowsAllFlows(instant now) const;
+    bool isSilent(instant now);
+    void checkUnanswered(instant now);
+    void sweepFlows(instant now);
+    std::uint64_t coldLimit() const;
+    target_standing standing(instant now) const;
+    std::string service() const;
+
+    void handle(instant now, const endpoint &from, const target_report &message);
+    void handle(instant now, const endpoint &from, const entry_notice &message);
+    void handle(instant now, const endpoint &from, const flow_owner &message);
+    void sendReports(instant now, bool atOnce);
+    void logOpening(instant now, const segment &head, std::string_view outcome);
+
+    relay_target_options m_options;
+    const segment_codec &m_codec;
+    relay_port &m_port;
+    event_log &m_log;
+    metrics::number &m_accepted;
+    metrics::number &m_refused;
+    metrics::number &m_passedOn;
+    metrics::number &m_resets;
+    metrics::number &m_malformed;
+    metrics::distribution &m_firstAnswer;
+
+    liveness_record m_liveness;
+    domains_out m_domains;
+    std::uint64_t m_revision = 0; ///< Newest configuration that an entry named.
+    instant m_revisionAt{}; ///< When it was named first.
+    std::uint64_t m_copyRevision = 0;
+    service_bounds m_bounds;
+    flow_map m_flows;
+    std::map<endpoint, entry_state> m_entries;
+    opening_window m_window;
+    smoothed_level m_load;
+    std::uint64_t m_waiting = 0;
+    std::uint64_t m_reportOrder = 0;
+    std::vector<std::pair<instant, flow_key>> m_unanswered; ///< Openings, oldest first.
+    std::optional<instant> m_silentSince; ///< The target answers no openings since then.
+    instant m_lastTrial{};
+    std::optional<instant> m_resetFlowsAt; ///< The target said good-bye; its flows end then.
+    bool m_knowsAllFlows = false;
+    bool m_leaving = false;
+    instant m_started;
+    instant m_lastReport{};
+    instant m_lastSweep{};
+    instant m_lastCopyFetch{};
+    target_standing m_reportedStanding = target_standing::unknown;
+};
+
+} // namespace toucan
--- /dev/null
+++ b/src/include/toucan/segment.h
@@ -0,0 +1,49 @@
+#pragma once
+
+/// Segments of a reliable transport between callers and targets, as far as a load balancer has to
+/// know them. The bytes are decoded by a codec that the platform's adapter brings.
+
+#include <optional>
+#include <toucan/endpoint.h>
+
+namespace toucan {
+
+/// Bytes of the largest segment, head and payload.
+inline constexpr std::size_t maximumSegment = 2048;
+
+/// The head of one segment.
+struct segment
+{
+    endpoint source; ///< Sender's end of the flow.
+    endpoint destination; ///< Recipient's end of the flow.
+    bool synchronize = false;
+    bool acknowledge = false;
+    bool finish = false;
+    bool reset = false;
+    bool returned = false; ///< A target turned it away; otherwise unchanged.
+    std::uint32_t sequence = 0;
+    std::uint32_t acknowledged = 0; ///< Next byte that the sender expects.
+    std::uint32_t copy = 0; ///< Which copy of an opening this is; 0 for the first.
+    std::uint32_t length = 0; ///< Payload bytes.
+
+    /// True for the first segment of a flow or a copy of it.
+    bool isOpening() const { return synchronize && !acknowledge; }
+    /// The flow of a segment that a caller sent.
+    flow_key flowFromCaller() const { return {.caller = source, .service = destination}; }
+    /// The flow of a segment that a target sent.
+    flow_key flowFromTarget() const { return {.caller = destination, .service = source}; }
+};
+
+/// Reads and makes segments; a table of functions without state, usable by any thread.
+struct segment_codec
+{
+    /// Reads a head; nullopt when the bytes are no segment.
+    std::optional<segment> (*decode)(byte_view bytes);
+    /// Makes the reset of a flow, sent on behalf of the service. `sequence` is the caller's last
+    /// acknowledgement; any value does for a flow that never opened.
+    byte_buffer (*makeReset)(const flow_key &flow, std::uint32_t sequence);
+    /// Turns a returned segment into the one that was sent, so that another target can take it.
+    void (*clearReturned)(std::span<std::uint8_t> bytes);
+};
+
+} // namespace toucan
--- a/src/include/toucan/settings.h
+++ b/src/include/toucan/settings.h
@@ -11,7 +11,7 @@
 namespace toucan::settings {
 
 /// Reads and checks INI text. An error lists every fault, one a line, as "file:line: key: text".
-/// Instantiated for bridge_settings and target_settings.
+/// Instantiated for every struct of schema/settings.json.
 template <class T>
 result<T> parse(std::string_view text, std::string_view fileName);
 
@@ -29,7 +29,7 @@
 int runWith(
     const std::string &fileName, bool checkOnly, const std::function<int(const T &)> &serve);
 
-/// Reads "250ms", "3s" or "2min"; nullopt for anything else.
+/// Reads "250ms", "3s", "0.5s" or "2min"; nullopt for anything else.
 std::optional<std::chrono::milliseconds> parseDuration(std::string_view text);
 
 } // namespace toucan::settings
--- /dev/null
+++ b/src/include/toucan/store_follower.h
@@ -0,0 +1,75 @@
+#pragma once
+
+/// Follows one kind of objects in the platform's store on a thread of its own: lists it, then waits
+/// for changes. Calls that fail are repeated with a growing, random pause.
+
+#include <functional>
+#include <map>
+#include <random>
+#include <thread>
+#include <toucan/event_log.h>
+#include <toucan/metrics.h>
+#include <toucan/platform_client.h>
+
+namespace toucan {
+
+/// Pauses between failed calls: doubled from 100 ms up to 1 s, each shortened at random by up to
+/// half, so that the processes that wait for a store do not return together.
+class retry_pause
+{
+public:
+    explicit retry_pause(std::uint64_t seed)
+        : m_random(seed)
+    { }
+    std::chrono::milliseconds next();
+    void reset() { m_failures = 0; }
+    std::uint64_t failures() const { return m_failures; }
+
+private:
+    std::mt19937_64 m_random;
+    std::uint64_t m_failures = 0;
+};
+
+/// How to reach the store.
+struct store_access
+{
+    endpoint address;
+    std::chrono::milliseconds timeout{1000};
+    const platform_dialect &dialect;
+    metrics::registry &metrics;
+    event_log &log;
+};
+
+/// Waits up to `time`; false when the thread is to stop.
+bool pauseThread(const std::stop_token &stop, std::chrono::milliseconds time);
+
+/// Logs a failed call, counts it, and waits before the next; false when the thread is to stop.
+bool pauseAfterFailure(const store_access &store, retry_pause &pause, const std::string &call,
+    const error &failure, const std::stop_token &stop);
+
+/// The follower of one kind.
+class store_follower
+{
+public:
+    /// All objects of the kind by name, as of a revision. Called on the follower's thread after
+    /// each change.
+    using snapshot = std::map<std::string, stored_object>;
+    using handler = std::function<void(std::uint64_t revision, const snapshot &objects)>;
+
+    store_follower(store_access access, std::string kind, handler onChange);
+    ~store_follower();
+
+private:
+    void run(const std::stop_token &stop);
+    bool follow(platform_client &client, const std::stop_token &stop, retry_pause &pause);
+    void noteAnswer();
+    void noteFailure(const error &failure);
+
+    store_access m_store;
+    std::string m_kind;
+    handler m_handler;
+    bool m_lost = false;
+    std::jthread m_thread;
+};
+
+} // namespace toucan
--- a/src/libtoucanbase/settings.cpp
+++ b/src/libtoucanbase/settings.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <fstream>
 #include <iostream>
 #include <map>
@@ -54,6 +55,23 @@
     return std::nullopt;
 }
 
+std::optional<double> parseDecimal(std::string_view text)
+{
+    double value = 0;
+    const auto [end, status] = std::from_chars(text.data(), text.data() + text.size(), value);
+    const bool whole = status == std::errc() && end == text.data() + text.size();
+    return whole && std::isfinite(value) && value >= 0 ? std::optional(value) : std::nullopt;
+}
+
+std::optional<std::string> readValue(const std::string &text, double &out)
+{
+    const auto value = parseDecimal(text);
+    if (!value)
+        return "expected a number that is not negative, for example 1.5";
+    out = *value;
+    return std::nullopt;
+}
+
 std::optional<std::string> readValue(const std::string &text, endpoint &out)
 {
     const auto value = parseEndpoint(text);
@@ -165,6 +183,10 @@
 {
     return std::to_string(value);
 }
+std::string defaultText(double value)
+{
+    return std::to_string(value);
+}
 std::string defaultText(std::chrono::milliseconds value)
 {
     return std::to_string(value.count()) + "ms";
@@ -201,11 +223,12 @@
         = std::ranges::find_if(units, [&](const auto &row) { return text.ends_with(row.suffix); });
     if (unit == units.end())
         return std::nullopt;
-    const auto count = parseNumber(text.substr(0, text.size() - unit->suffix.size()));
-    constexpr std::uint64_t longest = 1'000'000'000;
+    const auto count = parseDecimal(text.substr(0, text.size() - unit->suffix.size()));
+    constexpr double longest = 1e9;
     if (!count || *count > longest)
         return std::nullopt;
-    return unit->length * static_cast<std::int64_t>(*count);
+    return std::chrono::milliseconds(
+        std::llround(*count * static_cast<double>(unit->length.count())));
 }
 
 template <class T>
@@ -296,15 +319,15 @@
     }
 }
 
-template int runWith(
-    const std::string &, bool, const std::function<int(const bridge_settings &)> &);
-template int runWith(
-    const std::string &, bool, const std::function<int(const target_settings &)> &);
-template result<bridge_settings> parse(std::string_view, std::string_view);
-template result<target_settings> parse(std::string_view, std::string_view);
-template result<bridge_settings> load(const std::string &);
-template result<target_settings> load(const std::string &);
-template std::string example<bridge_settings>();
-template std::string example<target_settings>();
+#define TOUCAN_SETTINGS(type) \
+    template int runWith(const std::string &, bool, const std::function<int(const type &)> &); \
+    template result<type> parse(std::string_view, std::string_view); \
+    template result<type> load(const std::string &); \
+    template std::string example<type>();
+
+TOUCAN_SETTINGS(bridge_settings)
+TOUCAN_SETTINGS(target_settings)
+TOUCAN_SETTINGS(entry_relay_settings)
+TOUCAN_SETTINGS(target_relay_settings)
 
 } // namespace toucan::settings
--- a/src/libtoucannet/control_link.cpp
+++ b/src/libtoucannet/control_link.cpp
@@ -24,47 +24,76 @@
 
 struct control_server::impl
 {
-    server_type server;
+    boost::asio::io_context context;
+    std::vector<std::unique_ptr<server_type>> servers;
+    request_handler onRequest;
+    http_handler onHttp;
     std::thread thread;
+
+    void listen(const listen_address &address);
+    void answerMessage(server_type &server, const websocketpp::connection_hdl &link,
+        const server_type::message_ptr &message) const;
+    void answerHttp(server_type &server, const websocketpp::connection_hdl &link) const;
 };
 
-control_server::control_server(
-    const std::string &ip, std::uint16_t port, request_handler onRequest, page_handler onPage)
-    : m_impl(std::make_unique<impl>())
+void control_server::impl::listen(const listen_address &address)
 {
-    auto &server = m_impl->server;
+    auto &server = *servers.emplace_back(std::make_unique<server_type>());
     server.clear_access_channels(websocketpp::log::alevel::all);
     server.clear_error_channels(websocketpp::log::elevel::all);
     server.set_max_message_size(maximumMessage);
-    server.init_asio();
+    server.init_asio(&context);
     server.set_reuse_addr(true);
-    server.set_message_handler([&server, onRequest](const websocketpp::connection_hdl &link,
+    server.set_message_handler([this, &server](const websocketpp::connection_hdl &link,
                                    const server_type::message_ptr &message) {
-        const auto answer = onRequest(toBytes(message->get_payload()));
-        websocketpp::lib::error_code failure;
-        server.send(
-            link, answer.data(), answer.size(), websocketpp::frame::opcode::binary, failure);
-    });
-    server.set_http_handler([&server, onPage](const websocketpp::connection_hdl &link) {
-        const auto connection = server.get_con_from_hdl(link);
-        const auto page = onPage(connection->get_resource());
-        connection->set_body(page.value_or("not found\n"));
-        connection->append_header("Content-Type", "text/plain; version=0.0.4");
-        connection->set_status(
-            page ? websocketpp::http::status_code::ok : websocketpp::http::status_code::not_found);
+        answerMessage(server, link, message);
     });
+    server.set_http_handler(
+        [this, &server](const websocketpp::connection_hdl &link) { answerHttp(server, link); });
     websocketpp::lib::error_code failure;
-    server.listen(boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address(ip), port), failure);
+    server.listen(
+        boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address(address.ip), address.port),
+        failure);
     if (failure)
-        throw std::runtime_error(
-            "control link " + ip + ":" + std::to_string(port) + ": " + failure.message());
+        throw std::runtime_error("control link " + address.ip + ":" + std::to_string(address.port)
+            + ": " + failure.message());
     server.start_accept();
-    m_impl->thread = std::thread([&server] { server.run(); });
+}
+
+void control_server::impl::answerMessage(server_type &server,
+    const websocketpp::connection_hdl &link, const server_type::message_ptr &message) const
+{
+    const auto answer = onRequest(toBytes(message->get_payload()));
+    websocketpp::lib::error_code failure;
+    server.send(link, answer.data(), answer.size(), websocketpp::frame::opcode::binary, failure);
+}
+
+void control_server::impl::answerHttp(
+    server_type &server, const websocketpp::connection_hdl &link) const
+{
+    const auto connection = server.get_con_from_hdl(link);
+    const auto answer = onHttp({connection->get_request().get_method(),
+        connection->get_resource(), connection->get_request_body()});
+    connection->set_body(answer.body);
+    connection->append_header("Content-Type", answer.contentType);
+    connection->append_header("Connection", "close");
+    connection->set_status(static_cast<websocketpp::http::status_code::value>(answer.status));
+}
+
+control_server::control_server(
+    const std::vector<listen_address> &addresses, request_handler onRequest, http_handler onHttp)
+    : m_impl(std::make_unique<impl>())
+{
+    m_impl->onRequest = std::move(onRequest);
+    m_impl->onHttp = std::move(onHttp);
+    for (const auto &address : addresses)
+        m_impl->listen(address);
+    m_impl->thread = std::thread([this] { m_impl->context.run(); });
 }
 
 control_server::~control_server()
 {
-    m_impl->server.stop();
+    m_impl->context.stop();
     m_impl->thread.join();
 }
 
--- a/src/libtoucannet/node.cpp
+++ b/src/libtoucannet/node.cpp
@@ -6,12 +6,18 @@
 namespace {
 
 volatile std::sig_atomic_t stopSignal = 0;
+volatile std::sig_atomic_t reloadSignal = 0;
 
 void onStopSignal(int number)
 {
     stopSignal = number;
 }
 
+void onReloadSignal(int number)
+{
+    reloadSignal = number;
+}
+
 using json = nlohmann::json;
 
 json answerRequest(const json &request, const config_agent &agent, const status_board &status)
@@ -32,6 +38,8 @@
     action.sa_handler = onStopSignal;
     sigaction(SIGTERM, &action, nullptr);
     sigaction(SIGINT, &action, nullptr);
+    action.sa_handler = onReloadSignal;
+    sigaction(SIGHUP, &action, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
 }
 
@@ -40,6 +48,14 @@
     return stopSignal != 0;
 }
 
+bool takeReloadRequest()
+{
+    if (reloadSignal == 0)
+        return false;
+    reloadSignal = 0;
+    return true;
+}
+
 void config_mailbox::put(const config_ptr &config)
 {
     const std::lock_guard lock(m_mutex);
@@ -71,7 +87,6 @@
 std::unique_ptr<control_server> serveControlLink(const endpoint &address, const config_agent &agent,
     const status_board &status, const metrics::registry &metrics)
 {
-    const auto text = toString(address);
     const auto onRequest = [&](const std::vector<std::uint8_t> &bytes) {
         try {
             return json::to_cbor(answerRequest(json::from_cbor(bytes), agent, status));
@@ -79,15 +94,26 @@
             return json::to_cbor(json{{"error", failure.what()}});
         }
     };
-    const auto onPage = [&](const std::string &path) -> std::optional<std::string> {
-        if (path == "/metrics")
-            return metrics.text();
-        if (path == "/status")
-            return status.read().dump(2) + '\n';
-        return std::nullopt;
+    const auto onHttp = [&](const http_request &request) -> http_response {
+        if (request.path == "/metrics")
+            return {.body = metrics.text()};
+        if (request.path == "/status")
+            return {.body = status.read().dump(2) + '\n'};
+        return notFound();
     };
     return std::make_unique<control_server>(
-        text.substr(0, text.rfind(':')), address.port, onRequest, onPage);
+        std::vector{listenAddress(address)}, onRequest, onHttp);
+}
+
+http_response notFound()
+{
+    return {.status = 404, .body = "not found\n"};
+}
+
+listen_address listenAddress(const endpoint &address)
+{
+    const auto text = toString(address);
+    return {text.substr(0, text.rfind(':')), address.port};
 }
 
 std::uint64_t randomNumber()
--- a/src/libtoucannet/platform_client.cpp
+++ b/src/libtoucannet/platform_client.cpp
@@ -3,7 +3,8 @@
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/StreamCopier.h>
-#include <Poco/URI.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <toucan/platform_client.h>
 
 namespace toucan {
@@ -13,33 +14,17 @@
 using Poco::Net::HTTPResponse;
 using json = nlohmann::json;
 
-std::string objectPath(std::string_view kind, std::string_view name)
-{
-    std::string encoded;
-    Poco::URI::encode(std::string(name), "/?#&", encoded);
-    return "/v1/objects/" + std::string(kind) + '/' + encoded;
-}
-
-stored_object toObject(const json &value)
-{
-    return {.kind = value.at("kind").get<std::string>(),
-        .name = value.at("name").get<std::string>(),
-        .version = value.at("version").get<std::uint64_t>(),
-        .body = value.at("body")};
-}
+// A connection that went silent is found within three seconds, the shortest time in which a
+// configuration has to be in force.
+constexpr int keepAliveIdleSeconds = 1;
+constexpr int keepAliveIntervalSeconds = 1;
+constexpr int keepAliveProbes = 2;
+constexpr int unacknowledgedMilliseconds = 2000;
 
-result<object_list> toList(const std::string &text)
+error malformed(const json::exception &failure)
 {
-    try {
-        const auto value = json::parse(text);
-        object_list list{.version = value.at("version").get<std::uint64_t>()};
-        for (const auto &item : value.at("objects"))
-            list.objects.push_back(toObject(item));
-        return list;
-    } catch (const json::exception &failure) {
-        return error{error_kind::platform_unavailable,
-            std::string("the platform's answer is malformed: ") + failure.what()};
-    }
+    return {error_kind::platform_unavailable,
+        std::string("the platform's answer is malformed: ") + failure.what()};
 }
 
 error unexpectedStatus(int status, const std::string &body)
@@ -48,122 +33,199 @@
         "the platform answered " + std::to_string(status) + ' ' + body};
 }
 
+std::string pathOf(std::string_view kind, std::string_view name)
+{
+    return std::string(kind) + '/' + std::string(name);
+}
+
 } // namespace
 
-platform_client::platform_client(const endpoint &address, std::chrono::milliseconds timeout)
+/// An HTTP session whose connection finds out by itself that the other end is silent.
+class platform_client::session : public Poco::Net::HTTPClientSession
+{
+public:
+    using HTTPClientSession::HTTPClientSession;
+
+protected:
+    void connect(const Poco::Net::SocketAddress &address) override
+    {
+        HTTPClientSession::connect(address);
+        auto &open = socket();
+        open.setKeepAlive(true);
+        open.setOption(IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
+        open.setOption(IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
+        open.setOption(IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
+        open.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedMilliseconds);
+        open.setNoDelay(true);
+    }
+};
+
+platform_client::platform_client(const endpoint &address, std::chrono::milliseconds timeout,
+    const platform_dialect &dialect)
     : m_address(address)
     , m_timeout(timeout)
+    , m_dialect(dialect)
 { }
 
-result<platform_client::response> platform_client::call(const std::string &method,
-    const std::string &path, const std::string &body, std::optional<std::uint64_t> expected,
-    std::chrono::milliseconds timeout)
+platform_client::~platform_client() = default;
+
+result<platform_client::response> platform_client::call(
+    const platform_request &request, std::chrono::milliseconds timeout)
+{
+    const bool reused = m_session != nullptr;
+    auto outcome = attempt(request, timeout);
+    const auto *failure = errorOf(outcome);
+    // The platform may have closed an idle connection; a read is simply made again.
+    const bool again = failure && reused && request.method == HTTPRequest::HTTP_GET
+        && failure->detail.find("imeout") == std::string::npos;
+    return again ? attempt(request, timeout) : outcome;
+}
+
+result<platform_client::response> platform_client::attempt(
+    const platform_request &request, std::chrono::milliseconds timeout)
 {
+    ++m_calls;
     bool sent = false;
     try {
-        const auto text = toString(m_address);
-        Poco::Net::HTTPClientSession session(text.substr(0, text.rfind(':')), m_address.port);
+        if (!m_session) {
+            const auto text = toString(m_address);
+            m_session
+                = std::make_unique<session>(text.substr(0, text.rfind(':')), m_address.port);
+            m_session->setKeepAlive(true);
+        }
         const Poco::Timespan limit(timeout.count() * 1000);
-        session.setTimeout(limit, limit, limit);
-        HTTPRequest request(method, path, Poco::Net::HTTPMessage::HTTP_1_1);
-        request.setKeepAlive(false);
-        request.setContentType("application/json");
-        request.setContentLength(static_cast<std::streamsize>(body.size()));
-        if (expected && *expected == 0)
-            request.set("If-None-Match", "*");
-        else if (expected)
-            request.set("If-Match", '"' + std::to_string(*expected) + '"');
-        session.sendRequest(request) << body;
+        const Poco::Timespan connectLimit(m_timeout.count() * 1000);
+        m_session->setTimeout(connectLimit, connectLimit, limit);
+        HTTPRequest head(request.method, request.path, Poco::Net::HTTPMessage::HTTP_1_1);
+        head.setKeepAlive(true);
+        head.setContentType("application/json");
+        head.setContentLength(static_cast<std::streamsize>(request.body.size()));
+        if (!request.conditionName.empty())
+            head.set(request.conditionName, request.conditionValue);
+        m_session->sendRequest(head) << request.body;
         sent = true;
         HTTPResponse answer;
-        std::string answerBody;
-        Poco::StreamCopier::copyToString(session.receiveResponse(answer), answerBody);
-        if (answer.hasContentLength()
-            && static_cast<std::size_t>(answer.getContentLength()) != answerBody.size())
+        std::string body;
+        Poco::StreamCopier::copyToString(m_session->receiveResponse(answer), body);
+        const bool cut = answer.hasContentLength()
+            && static_cast<std::size_t>(answer.getContentLength()) != body.size();
+        if (cut || !answer.getKeepAlive())
+            m_session.reset();
+        if (cut)
             return error{error_kind::write_uncertain, "the platform's answer was cut short"};
-        return response{static_cast<int>(answer.getStatus()), std::move(answerBody)};
+        return response{static_cast<int>(answer.getStatus()), std::move(body)};
     } catch (const Poco::Exception &failure) {
+        m_session.reset();
         return error{sent ? error_kind::write_uncertain : error_kind::platform_unavailable,
             toString(m_address) + ": " + failure.displayText()};
     }
 }
 
-result<object_list> platform_client::list()
+result<json> platform_client::read(
+    const platform_request &request, std::chrono::milliseconds timeout, std::string_view path)
 {
-    const auto outcome = call(HTTPRequest::HTTP_GET, "/v1/objects", {}, {}, m_timeout);
+    const auto outcome = call(request, timeout);
     const auto *answer = valueOf(outcome);
     if (!answer)
         return error{error_kind::platform_unavailable, errorOf(outcome)->detail};
-    if (answer->status != HTTPResponse::HTTP_OK)
+    const auto status = m_dialect.status(answer->status);
+    if (status == platform_status::not_found || status == platform_status::gone)
+        return error{error_kind::not_found, std::string(path)};
+    if (status != platform_status::done)
         return unexpectedStatus(answer->status, answer->body);
-    return toList(answer->body);
+    try {
+        return json::parse(answer->body);
+    } catch (const json::exception &failure) {
+        return malformed(failure);
+    }
+}
+
+result<object_list> platform_client::list(std::string_view kind, bool mayBeOld)
+{
+    object_list all;
+    do {
+        const auto after = all.objects.empty() ? std::string() : all.objects.back().name;
+        const auto outcome = read(m_dialect.list(kind, after, mayBeOld), m_timeout, kind);
+        const auto *answer = valueOf(outcome);
+        if (!answer)
+            return *errorOf(outcome);
+        try {
+            auto page = m_dialect.readList(kind, *answer);
+            // Changes that come between two pages are seen by a watch from the first one.
+            if (all.version == 0)
+                all.version = page.version;
+            all.more = page.more && !page.objects.empty();
+            std::ranges::move(page.objects, std::back_inserter(all.objects));
+        } catch (const json::exception &failure) {
+            return malformed(failure);
+        }
+    } while (all.more);
+    return all;
 }
 
 result<stored_object> platform_client::get(std::string_view kind, std::string_view name)
 {
-    const auto outcome = call(HTTPRequest::HTTP_GET, objectPath(kind, name), {}, {}, m_timeout);
+    const auto outcome = read(m_dialect.get(kind, name), m_timeout, pathOf(kind, name));
     const auto *answer = valueOf(outcome);
     if (!answer)
-        return error{error_kind::platform_unavailable, errorOf(outcome)->detail};
-    if (answer->status == HTTPResponse::HTTP_NOT_FOUND)
-        return error{error_kind::not_found, std::string(kind) + '/' + std::string(name)};
-    if (answer->status != HTTPResponse::HTTP_OK)
-        return unexpectedStatus(answer->status, answer->body);
+        return *errorOf(outcome);
     try {
-        return toObject(json::parse(answer->body));
+        return m_dialect.readObject(kind, *answer);
     } catch (const json::exception &failure) {
-        return error{error_kind::platform_unavailable,
-            std::string("the platform's answer is malformed: ") + failure.what()};
+        return malformed(failure);
     }
 }
 
-result<std::uint64_t> platform_client::write(const std::string &method, std::string_view kind,
-    std::string_view name, const std::string &body, std::uint64_t expected)
+result<std::uint64_t> platform_client::write(
+    const platform_request &request, std::string_view path)
 {
-    const auto outcome = call(method, objectPath(kind, name), body, expected, m_timeout);
+    const auto outcome = call(request, m_timeout);
     const auto *answer = valueOf(outcome);
     if (!answer)
         return *errorOf(outcome);
-    const auto path = std::string(kind) + '/' + std::string(name);
-    if (answer->status == HTTPResponse::HTTP_PRECONDITION_FAILED)
-        return error{error_kind::conflict, path};
-    if (answer->status == HTTPResponse::HTTP_NOT_FOUND)
-        return error{error_kind::not_found, path};
-    if (answer->status != HTTPResponse::HTTP_OK)
+    switch (m_dialect.status(answer->status)) {
+    case platform_status::conflict:
+        return error{error_kind::conflict, std::string(path)};
+    case platform_status::not_found:
+    case platform_status::gone:
+        return error{error_kind::not_found, std::string(path)};
+    case platform_status::unavailable:
         return unexpectedStatus(answer->status, answer->body);
-    const auto value = json::parse(answer->body, nullptr, false);
-    if (!value.is_object() || !value.contains("version"))
+    case platform_status::done:
+        break;
+    }
+    try {
+        return m_dialect.readVersion(json::parse(answer->body));
+    } catch (const json::exception &) {
         return error{error_kind::write_uncertain, "the platform's answer is malformed"};
-    return value["version"].get<std::uint64_t>();
+    }
 }
 
 result<std::uint64_t> platform_client::put(
     std::string_view kind, std::string_view name, const json &body, std::uint64_t expected)
 {
-    return write(HTTPRequest::HTTP_PUT, kind, name, body.dump(), expected);
+    return write(m_dialect.put(kind, name, body, expected), pathOf(kind, name));
 }
 
 result<std::uint64_t> platform_client::remove(
     std::string_view kind, std::string_view name, std::uint64_t expected)
 {
-    return write(HTTPRequest::HTTP_DELETE, kind, name, {}, expected);
+    return write(m_dialect.remove(kind, name, expected), pathOf(kind, name));
 }
 
 result<object_list> platform_client::changesAfter(
-    std::uint64_t version, std::chrono::milliseconds wait)
+    std::uint64_t version, std::chrono::milliseconds wait, std::string_view kind)
 {
-    const auto path = "/v1/changes?after=" + std::to_string(version)
-        + "&wait_ms=" + std::to_string(wait.count());
-    const auto outcome = call(HTTPRequest::HTTP_GET, path, {}, {}, m_timeout + wait);
+    const auto outcome
+        = read(m_dialect.watch(kind, version, wait), m_timeout + wait, "changes since a version");
     const auto *answer = valueOf(outcome);
     if (!answer)
-        return error{error_kind::platform_unavailable, errorOf(outcome)->detail};
-    if (answer->status == HTTPResponse::HTTP_GONE)
-        return error{error_kind::not_found,
-            "the changes since version " + std::to_string(version) + " are gone"};
-    if (answer->status != HTTPResponse::HTTP_OK)
-        return unexpectedStatus(answer->status, answer->body);
-    return toList(answer->body);
+        return *errorOf(outcome);
+    try {
+        return m_dialect.readChanges(kind, *answer);
+    } catch (const json::exception &failure) {
+        return malformed(failure);
+    }
 }
 
 } // namespace toucan
--- /dev/null
+++ b/src/libtoucannet/store_follower.cpp
@@ -0,0 +1,133 @@
+#include <algorithm>
+#include <condition_variable>
+#include <random>
+#include <toucan/store_follower.h>
+#include <toucan/udp_socket.h>
+
+namespace toucan {
+namespace {
+
+using namespace std::chrono_literals;
+
+// The store lets a watch wait for 30 s; each wait is a call that is paid for. A connection that
+// went silent is found by its keep-alive probes meanwhile.
+constexpr auto watchTime = 28s;
+constexpr auto shortestPause = 100ms;
+constexpr std::uint64_t mostDoublings = 4; // up to 1.6 s, which random shortening brings below 2 s
+
+} // namespace
+
+std::chrono::milliseconds retry_pause::next()
+{
+    const auto longest = shortestPause * (1U << std::min(m_failures, mostDoublings));
+    ++m_failures;
+    std::uniform_int_distribution<std::int64_t> part(longest.count() / 2, longest.count());
+    return std::chrono::milliseconds(part(m_random));
+}
+
+bool pauseThread(const std::stop_token &stop, std::chrono::milliseconds time)
+{
+    std::mutex mutex;
+    std::condition_variable_any wake;
+    std::unique_lock lock(mutex);
+    wake.wait_for(lock, stop, time, [] { return false; });
+    return !stop.stop_requested();
+}
+
+bool pauseAfterFailure(const store_access &store, retry_pause &pause, const std::string &call,
+    const error &failure, const std::stop_token &stop)
+{
+    const auto time = pause.next();
+    store.metrics.numberOf("toucan_store_failures_total").add();
+    store.log.write(monotonicNow(),
+        store_call_failed{.call = call,
+            .error = failure.detail,
+            .failures = pause.failures(),
+            .retryMs = static_cast<std::uint64_t>(time.count())});
+    return pauseThread(stop, time);
+}
+
+store_follower::store_follower(store_access access, std::string kind, handler onChange)
+    : m_store(access)
+    , m_kind(std::move(kind))
+    , m_handler(std::move(onChange))
+    , m_thread([this](const std::stop_token &stop) { run(stop); })
+{ }
+
+store_follower::~store_follower() = default;
+
+void store_follower::run(const std::stop_token &stop)
+{
+    platform_client client(m_store.address, m_store.timeout, m_store.dialect);
+    retry_pause pause(std::random_device{}());
+    while (!stop.stop_requested()) {
+        if (!follow(client, stop, pause))
+            return;
+    }
+}
+
+// Lists and then watches until a call fails; false when the thread is to stop.
+bool store_follower::follow(
+    platform_client &client, const std::stop_token &stop, retry_pause &pause)
+{
+    auto &calls = m_store.metrics.numberOf("toucan_store_calls_total");
+    calls.add();
+    const auto listed = client.list(m_kind);
+    const auto *all = valueOf(listed);
+    if (!all) {
+        noteFailure(*errorOf(listed));
+        return pauseAfterFailure(m_store, pause, "list " + m_kind, *errorOf(listed), stop);
+    }
+    noteAnswer();
+    snapshot objects;
+    for (const auto &object : all->objects)
+        objects[object.name] = object;
+    m_handler(all->version, objects);
+    auto revision = all->version;
+    while (!stop.stop_requested()) {
+        calls.add();
+        const auto outcome = client.changesAfter(revision, watchTime, m_kind);
+        const auto *changes = valueOf(outcome);
+        if (!changes) {
+            const auto &failure = *errorOf(outcome);
+            // The history is gone: list again at once.
+            if (failure.kind == error_kind::not_found)
+                return true;
+            noteFailure(failure);
+            return pauseAfterFailure(m_store, pause, "watch " + m_kind, failure, stop);
+        }
+        noteAnswer();
+        pause.reset();
+        revision = std::max(revision, changes->version);
+        for (const auto &object : changes->objects) {
+            if (object.body.is_null())
+                objects.erase(object.name);
+            else
+                objects[object.name] = object;
+        }
+        m_handler(revision, objects);
+    }
+    return false;
+}
+
+void store_follower::noteAnswer()
+{
+    if (!std::exchange(m_lost, false))
+        return;
+    m_store.log.write(monotonicNow(),
+        dependency_changed{
+            .dependency = "store", .name = m_kind, .state = "regained", .reason = "it answered"});
+}
+
+void store_follower::noteFailure(const error &failure)
+{
+    if (std::exchange(m_lost, true))
+        return;
+    m_store.log.write(monotonicNow(),
+        dependency_changed{.dependency = "store",
+            .name = m_kind,
+            .state = "lost",
+            .reason = failure.detail});
+}
+
+} // namespace toucan
--- /dev/null
+++ b/src/libtoucanrelay/opening_gate.cpp
@@ -0,0 +1,61 @@
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <toucan/opening_gate.h>
+
+namespace toucan {
+
+std::string_view toString(opening_verdict verdict)
+{
+    constexpr std::array<std::string_view, 10> names{"accepted", "standing unknown", "draining",
+        "domain out", "wrong service", "route stale", "cold", "full", "busy", "target silent"};
+    return names[static_cast<std::size_t>(verdict)];
+}
+
+opening_verdict judgeOpening(const opening_circumstances &circumstances)
+{
+    const auto &now = circumstances;
+    if (!now.serviceMatches)
+        return opening_verdict::wrong_service;
+    if (now.standing == target_standing::unknown)
+        return opening_verdict::standing_unknown;
+    if (now.standing == target_standing::draining || now.standing == target_standing::gone)
+        return opening_verdict::draining;
+    if (now.domainOut)
+        return opening_verdict::domain_out;
+    if (now.routeStale)
+        return opening_verdict::route_stale;
+    if (now.standing == target_standing::cold && !now.coldAllowance)
+        return opening_verdict::cold;
+    if (now.flowLimit != 0 && now.flows >= now.flowLimit)
+        return opening_verdict::full;
+    if (now.silent)
+        return opening_verdict::silent;
+    if (now.hasAlternative && now.slots != 0 && now.waiting >= now.slots)
+        return opening_verdict::busy;
+    return opening_verdict::accepted;
+}
+
+std::size_t opening_window::count(instant now)
+{
+    using namespace std::chrono_literals;
+    while (!m_times.empty() && now - m_times.front() >= 1s)
+        m_times.pop_front();
+    return m_times.size();
+}
+
+void smoothed_level::set(instant now, double value)
+{
+    m_smoothed = read(now);
+    m_at = now;
+    m_value = value;
+}
+
+double smoothed_level::read(instant now) const
+{
+    const auto passed = std::chrono::duration<double>(std::max(now - m_at, instant{}));
+    const auto memory = std::chrono::duration<double>(m_memory);
+    return m_value + (m_smoothed - m_value) * std::exp(-passed / memory);
+}
+
+} // namespace toucan
--- /dev/null
+++ b/src/libtoucanrelay/relay_config.cpp
@@ -0,0 +1,37 @@
+#include <algorithm>
+#include <numeric>
+#include <toucan/relay_config.h>
+
+namespace toucan {
+
+const std::string &route_rule::serviceFor(std::uint64_t flowHash) const
+{
+    const auto total = std::accumulate(shares.begin(), shares.end(), std::uint64_t{0},
+        [](std::uint64_t sum, const route_share &share) { return sum + share.weight; });
+    auto place = total == 0 ? 0 : flowHash % total;
+    for (const auto &share : shares) {
+        if (place < share.weight)
+            return share.service;
+        place -= share.weight;
+    }
+    return shares.front().service;
+}
+
+const route_rule *relay_config::routeAt(const endpoint &address) const
+{
+    const auto found = index.find(address);
+    return found == index.end() ? nullptr : &routes[found->second];
+}
+
+const service_rule *relay_config::serviceNamed(std::string_view name) const
+{
+    const auto found = std::ranges::find(services, name, &service_rule::name);
+    return found == services.end() ? nullptr : &*found;
+}
+
+bool domains_out::contains(std::string_view domain) const
+{
+    return std::ranges::binary_search(names, domain);
+}
+
+} // namespace toucan
--- /dev/null
+++ b/src/libtoucanrelay/relay_placement.cpp
@@ -0,0 +1,93 @@
+#include <algorithm>
+#include <ranges>
+#include <toucan/ranking.h>
+#include <toucan/relay_placement.h>
+
+namespace toucan {
+namespace {
+
+// Rendezvous ranks that are compared by load in the own domain and in all of them.
+constexpr std::size_t comparedRanks = 2;
+// How much less loaded a target of another failure domain has to be, thousandths of a slot: a
+// request there costs a few milliseconds, a quarter of a queue about as much as half a request.
+constexpr std::uint64_t otherDomainPenalty = 150;
+
+struct ranked_member
+{
+    std::uint64_t weight;
+    relay_member *member;
+};
+
+std::vector<ranked_member> rank(
+    std::span<relay_member *const> members, std::uint64_t flowHash, auto &&accept)
+{
+    std::vector<ranked_member> ranked;
+    ranked.reserve(members.size());
+    for (auto *item : members) {
+        if (accept(*item))
+            ranked.push_back({rankWeight(flowHash, item->nameHash), item});
+    }
+    std::ranges::sort(ranked, std::greater<>(), &ranked_member::weight);
+    return ranked;
+}
+
+// The first ranks of the own domain, then those of all domains, without repeats.
+std::vector<relay_member *> likelyOwners(
+    const std::vector<ranked_member> &ranked, std::string_view domain)
+{
+    std::vector<relay_member *> likely;
+    const auto isLocal = [&](const ranked_member &item) { return item.member->domain == domain; };
+    for (const auto &item : ranked | std::views::filter(isLocal) | std::views::take(comparedRanks))
+        likely.push_back(item.member);
+    for (const auto &item : ranked | std::views::take(comparedRanks)) {
+        if (std::ranges::find(likely, item.member) == likely.end())
+            likely.push_back(item.member);
+    }
+    return likely;
+}
+
+} // namespace
+
+bool takesOpenings(const relay_member &item, const domains_out &out)
+{
+    if (!item.answers() || out.contains(item.domain))
+        return false;
+    if (item.standing == target_standing::cold)
+        return item.openedSince < item.openRate;
+    return item.standing == target_standing::ready;
+}
+
+placement placeOpening(std::span<relay_member *const> members, const placement_request &request)
+{
+    const auto accept = [&](const relay_member &item) {
+        return takesOpenings(item, request.out)
+            && std::ranges::find(request.tried, item.address) == request.tried.end();
+    };
+    const auto ranked = rank(members, request.flowHash, accept);
+    auto likely = likelyOwners(ranked, request.domain);
+    std::ranges::stable_sort(likely, {}, [&](const relay_member *item) {
+        return item->expectedLoad() + (item->domain == request.domain ? 0 : otherDomainPenalty);
+    });
+    placement result{.eligible = ranked.size()};
+    for (auto *item : likely | std::views::take(maximumPlaces))
+        result.order.push_back(item);
+    return result;
+}
+
+std::vector<relay_member *> searchOrder(
+    std::span<relay_member *const> members, std::uint64_t flowHash, std::string_view domain)
+{
+    const auto ranked
+        = rank(members, flowHash, [](const relay_member &item) { return !item.lost; });
+    auto order = likelyOwners(ranked, domain);
+    for (const bool local : {true, false}) {
+        for (const auto &item : ranked) {
+            if ((item.member->domain == domain) == local
+                && std::ranges::find(order, item.member) == order.end())
+                order.push_back(item.member);
+        }
+    }
+    return order;
+}
+
+} // namespace toucan
--- /dev/null
+++ b/src/libtoucanrelay/relay_target.cpp
@@ -0,0 +1,622 @@
+#include <algorithm>
+#include <toucan/ranking.h>
+#include <toucan/relay_target.h>
+
+namespace toucan {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Reports to few entries come this often; with more entries, less often, so that the process sends
+// at most 32 a second.
+constexpr auto reportInterval = 250ms;
+constexpr auto intervalForEachEntry = 31ms;
+// Every this many reports an entry is asked for its notice, and twice this many at a start.
+constexpr std::uint64_t noticeEvery = 4;
+// Entries that stay unheard are reported to for this long, and seeds always.
+constexpr auto entryForget = 60s;
+constexpr auto entrySilence = 5s;
+// Targets report about each 1.2 s; three in a row may be lost.
+constexpr auto targetSilence = 4s;
+// Targets answer openings within a millisecond, also under load.
+constexpr auto openingAnswerLimit = 80ms;
+// Openings that are tried on a target that answers none.
+constexpr auto trialInterval = 250ms;
+// An entry hears of a configuration within a second; the platform's shortest bound is three.
+constexpr auto staleRouteLimit = 1500ms;
+// Between a target's good-bye and its end.
+constexpr auto exitDelay = 500ms;
+// Retransmissions of a closed flow's last segments.
+constexpr auto closedLifetime = 4s;
+constexpr auto sweepInterval = 1s;
+constexpr auto loadMemory = 1s;
+// Data of one flow that can be under way: 16 packets of 1,200 bytes, with room to spare.
+constexpr std::uint32_t sequenceWindow = 1U << 20U;
+constexpr auto copyFetchInterval = 700ms;
+
+} // namespace
+
+relay_target::relay_target(relay_target_options options, const segment_codec &codec,
+    relay_port &port, metrics::registry &metrics, event_log &log, instant now)
+    : m_options(std::move(options))
+    , m_codec(codec)
+    , m_port(port)
+    , m_log(log)
+    , m_accepted(metrics.numberOf("toucan_openings_accepted_total"))
+    , m_refused(metrics.numberOf("toucan_openings_refused_total"))
+    , m_passedOn(metrics.numberOf("toucan_segments_passed_on_total"))
+    , m_resets(metrics.numberOf("toucan_resets_total"))
+    , m_malformed(metrics.numberOf("toucan_malformed_datagrams_total"))
+    , m_firstAnswer(metrics.distributionOf("toucan_first_answer_ms"))
+    , m_load(loadMemory)
+    , m_knowsAllFlows(m_options.firstStart)
+    , m_started(now)
+{ }
+
+// --- From entries and other target processes
+
+void relay_target::onPeerBytes(instant now, const endpoint &from, std::span<std::uint8_t> bytes)
+{
+    if (const auto packet = decodeRelayPacket(bytes)) {
+        const auto head = m_codec.decode(packet->bytes);
+        if (!head) {
+            m_malformed.add();
+        } else if (packet->header.kind == relay_kind::opening) {
+            onOpening(now, *head, *packet);
+        } else if (packet->header.kind == relay_kind::established) {
+            onEstablished(now, from, *head, *packet);
+        } else {
+            m_malformed.add();
+        }
+        return;
+    }
+    const auto message = decodeRelayMessage(bytes);
+    if (const auto *value = valueOf(message))
+        std::visit([&](const auto &item) { handle(now, from, item); }, *value);
+    else
+        m_malformed.add();
+}
+
+void relay_target::onOpening(instant now, const segment &head, const relay_packet &packet)
+{
+    const auto key = head.flowFromCaller();
+    const auto &header = packet.header;
+    const auto found = m_flows.find(key);
+    if (found != m_flows.end() && found->second.state != flow_state::probing) {
+        // A copy: the target answers it again.
+        found->second.lastPacket = now;
+        m_port.sendTarget(packet.bytes);
+        return;
+    }
+    const auto verdict = judge(now, header);
+    logOpening(now, head, toString(verdict));
+    if (verdict != opening_verdict::accepted) {
+        m_refused.add();
+        passOn(header, relay_kind::refused_opening, packet.bytes);
+        return;
+    }
+    m_accepted.add();
+    m_window.add(now);
+    auto &item = m_flows[key];
+    item = {.entry = header.entry,
+        .candidates = header.candidates,
+        .serviceTag = header.serviceTag,
+        .revision = header.revision,
+        .opening = byte_buffer(packet.bytes.begin(), packet.bytes.end()),
+        .opened = now,
+        .lastPacket = now};
+    m_unanswered.emplace_back(now, key);
+    m_port.sendTarget(packet.bytes);
+}
+
+opening_verdict relay_target::judge(instant now, const relay_header &header)
+{
+    const bool stale = header.revision < m_revision && now - m_revisionAt > staleRouteLimit;
+    const auto &latest = m_liveness.latest();
+    return judgeOpening({.standing = standing(now),
+        .domainOut = m_domains.contains(m_options.domain),
+        .serviceMatches = header.serviceTag == serviceTagOf(service()),
+        .routeStale = stale,
+        .silent = isSilent(now),
+        .coldAllowance = m_window.count(now) < coldLimit(),
+        .hasAlternative = !header.candidates.empty(),
+        .flows = m_flows.size(),
+        .flowLimit = m_bounds.flows,
+        .waiting = m_waiting + m_unanswered.size(),
+        .slots = latest ? latest->slots : 0});
+}
+
+// Passes a packet to its next candidate, or back to the entry when there is none left.
+void relay_target::passOn(const relay_header &header, relay_kind unclaimed, byte_view bytes)
+{
+    auto next = header;
+    auto to = header.entry;
+    if (next.candidates.empty()) {
+        next.kind = unclaimed;
+    } else {
+        to = next.candidates.front();
+        next.candidates.erase(next.candidates.begin());
+    }
+    m_passedOn.add();
+    std::array<std::uint8_t, maximumRelayHeader> head{};
+    const auto size = encodeRelayHeader(next, head);
+    m_port.sendPeer(to, byte_view(head).first(size), bytes);
+}
+
+void relay_target::onEstablished(
+    instant now, const endpoint &from, const segment &head, const relay_packet &packet)
+{
+    const auto key = head.flowFromCaller();
+    const auto &header = packet.header;
+    auto found = m_flows.find(key);
+    const bool foreign = found == m_flows.end() ? knowsAllFlows(now) : !isMine(found->second, head);
+    if (foreign) {
+        passOn(header, relay_kind::not_found, packet.bytes);
+        return;
+    }
+    if (found == m_flows.end()) {
+        found = m_flows
+                    .emplace(key,
+                        flow{.state = flow_state::probing, .opened = now, .lastPacket = now})
+                    .first;
+    }
+    auto &item = found->second;
+    item.entry = header.entry;
+    if (item.state == flow_state::probing) {
+        item.candidates = header.candidates;
+        item.serviceTag = header.serviceTag;
+        item.revision = header.revision;
+    } else if (item.state == flow_state::offered) {
+        item.state = flow_state::open;
+        item.opening.clear();
+        item.candidates.clear();
+    }
+    noteCaller(now, item, head);
+    // The entry looked for the owner, or does not know which of several targets the caller took.
+    if (item.state == flow_state::open && (from != header.entry || !header.candidates.empty()))
+        tellOwner(key, item);
+    m_port.sendTarget(packet.bytes);
+}
+
+// The caller acknowledges the answer that it took to its opening; other targets' answers differ.
+bool relay_target::isMine(const flow &item, const segment &head) const
+{
+    if (item.state != flow_state::offered)
+        return true;
+    return item.targetSequence && head.acknowledged - *item.targetSequence < sequenceWindow;
+}
+
+void relay_target::tellOwner(const flow_key &key, flow &item)
+{
+    item.toldEntry = item.entry;
+    m_port.sendPeer(item.entry,
+        encodeRelayMessage(flow_owner{.caller = key.caller, .service = key.service}), {});
+}
+
+void relay_target::noteCaller(instant now, flow &item, const segment &head)
+{
+    item.lastPacket = now;
+    item.callerAcknowledged = head.acknowledged;
+    item.callerFinished = item.callerFinished || head.finish || head.reset;
+    if (head.length == 0)
+        return;
+    const auto end = head.sequence + head.length;
+    const bool isNew = !item.callerNext
+        || (end - *item.callerNext != 0 && end - *item.callerNext < sequenceWindow);
+    if (!isNew)
+        return;
+    item.callerNext = end;
+    if (!item.waitingSince)
+        ++item.requests;
+    setWaiting(now, item, true);
+}
+
+void relay_target::setWaiting(instant now, flow &item, bool waiting)
+{
+    if (waiting == item.waitingSince.has_value())
+        return;
+    if (waiting) {
+        item.waitingSince = now;
+        ++m_waiting;
+    } else {
+        const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(
+            now - *item.waitingSince);
+        item.slowest = std::max(item.slowest, took);
+        m_firstAnswer.add(static_cast<double>(took.count()));
+        item.waitingSince.reset();
+        --m_waiting;
+    }
+    m_load.set(now, static_cast<double>(m_waiting));
+}
+
+// --- From the target
+
+void relay_target::onTargetBytes(instant now, std::span<std::uint8_t> bytes)
+{
+    const auto head = m_codec.decode(bytes);
+    if (!head) {
+        m_malformed.add();
+        return;
+    }
+    if (m_silentSince)
+        m_log.write(now,
+            dependency_changed{.dependency = "target",
+                .name = service(),
+                .state = "regained",
+                .reason = "it answers again"});
+    m_silentSince.reset();
+    if (head->returned) {
+        onReturned(now, *head, bytes);
+        return;
+    }
+    const auto key = head->flowFromTarget();
+    auto found = m_flows.find(key);
+    if (found == m_flows.end()) {
+        // Opened before this process started, or already forgotten.
+        found = m_flows
+                    .emplace(key, flow{.state = flow_state::open, .opened = now, .lastPacket = now})
+                    .first;
+    }
+    m_port.sendCaller(key.caller, bytes);
+    noteTarget(now, found, *head);
+}
+
+void relay_target::noteTarget(instant now, flow_map::iterator place, const segment &head)
+{
+    auto &item = place->second;
+    item.lastPacket = now;
+    if (head.synchronize) {
+        item.targetSequence = head.sequence;
+        item.opening.clear();
+        std::erase_if(
+            m_unanswered, [&](const auto &waiting) { return waiting.second == place->first; });
+        return;
+    }
+    if (item.state == flow_state::probing) {
+        // The answer shows that the target holds the flow.
+        item.state = flow_state::open;
+        if (item.entry)
+            tellOwner(place->first, item);
+    }
+    if (head.length > 0 || head.reset)
+        setWaiting(now, item, false);
+    item.targetFinished = item.targetFinished || head.finish;
+    if (head.reset)
+        erase(now, place, "reset by target");
+}
+
+void relay_target::onReturned(instant now, const segment &head, std::span<std::uint8_t> bytes)
+{
+    m_codec.clearReturned(bytes);
+    const auto key = head.flowFromCaller();
+    const auto found = m_flows.find(key);
+    if (head.isOpening()) {
+        logOpening(now, head, "turned away by the target");
+        if (found == m_flows.end() || found->second.state != flow_state::offered)
+            return;
+        m_refused.add();
+        offerElsewhere(now, found->second, bytes);
+        std::erase_if(m_unanswered, [&](const auto &waiting) { return waiting.second == key; });
+        erase(now, found, "turned away");
+        return;
+    }
+    if (found == m_flows.end())
+        return;
+    // The target does not hold the flow (any more); somebody else may.
+    const relay_header header{.kind = relay_kind::established,
+        .revision = found->second.revision,
+        .entry = found->second.entry,
+        .serviceTag = found->second.serviceTag,
+        .candidates = found->second.candidates};
+    if (found->second.state != flow_state::probing)
+        erase(now, found, "not held by the target");
+    if (header.entry)
+        passOn(header, relay_kind::not_found, bytes);
+}
+
+void relay_target::offerElsewhere(instant now, flow &item, byte_view opening)
+{
+    static_cast<void>(now);
+    const relay_header header{.kind = relay_kind::opening,
+        .revision = item.revision,
+        .entry = item.entry,
+        .serviceTag = item.serviceTag,
+        .candidates = item.candidates};
+    passOn(header, relay_kind::refused_opening, opening);
+    item.candidates.clear();
+}
+
+// --- Lifetimes
+
+void relay_target::onLiveness(instant now, const target_liveness &report)
+{
+    const auto before = standing(now);
+    const auto serviceBefore = service();
+    const bool first = !m_liveness.latest();
+    const auto outcome = m_liveness.apply(now, report);
+    const auto after = standing(now);
+    if (first || before != after || outcome != liveness_outcome::applied)
+        m_log.write(now,
+            liveness_report{.target = report.id,
+                .started = report.startedMs,
+                .sequence = report.sequence,
+                .standing = std::string(toString(after)),
+                .coldMs = static_cast<std::uint64_t>(report.coldFor.count()),
+                .outcome = std::string(toString(outcome))});
+    if (outcome == liveness_outcome::late)
+        return;
+    if (outcome == liveness_outcome::new_lifetime) {
+        endLifetime(now, "the target started anew");
+        m_knowsAllFlows = true;
+    }
+    if (report.leaving)
+        m_resetFlowsAt = now + exitDelay;
+    if (before != after || serviceBefore != service()
+        || outcome == liveness_outcome::new_lifetime)
+        sendReports(now, true);
+}
+
+void relay_target::endLifetime(instant now, std::string_view reason)
+{
+    m_resetFlowsAt.reset();
+    m_unanswered.clear();
+    m_silentSince.reset();
+    for (auto &[key, item] : m_flows) {
+        if (item.waitingSince)
+            setWaiting(now, item, false);
+        if (item.state != flow_state::open || (item.callerFinished && item.targetFinished))
+            continue;
+        m_resets.add();
+        m_log.write(now,
+            flow_reset{.caller = key.caller,
+                .service = key.service,
+                .reason = std::string(reason),
+                .revision = m_revision,
+                .open = true});
+        m_port.sendCaller(key.caller, m_codec.makeReset(key, item.callerAcknowledged));
+    }
+    m_flows.clear();
+}
+
+target_standing relay_target::standing(instant now) const
+{
+    const auto known = m_liveness.standing(now, targetSilence);
+    return m_leaving && (known == target_standing::ready || known == target_standing::cold)
+        ? target_standing::unknown
+        : known;
+}
+
+std::string relay_target::service() const
+{
+    return m_liveness.latest() ? m_liveness.latest()->service : m_options.service;
+}
+
+std::uint64_t relay_target::coldLimit() const
+{
+    if (m_bounds.service != service())
+        return 1;
+    constexpr double thousand = 1000;
+    const auto rate = static_cast<double>(m_bounds.coldRate) / thousand;
+    // One less than what must never be passed: openings are counted here a little later than there.
+    const auto hard = std::floor(rate * m_options.coldOvershoot + m_options.coldSlack) - 1;
+    return static_cast<std::uint64_t>(std::max(1.0, std::min(std::max(rate, m_options.coldSlack), hard)));
+}
+
+bool relay_target::knowsAllFlows(instant now) const
+{
+    return m_knowsAllFlows || now - m_started > m_options.flowLifetime;
+}
+
+// --- A target that does not answer
+
+bool relay_target::isSilent(instant now)
+{
+    if (!m_silentSince)
+        return false;
+    if (now - m_lastTrial < trialInterval)
+        return true;
+    m_lastTrial = now;
+    return false;
+}
+
+void relay_target::checkUnanswered(instant now)
+{
+    const auto firstRecent = std::ranges::find_if(m_unanswered,
+        [&](const auto &waiting) { return now - waiting.first < openingAnswerLimit; });
+    if (firstRecent == m_unanswered.begin())
+        return;
+    if (!m_silentSince) {
+        m_silentSince = now;
+        m_lastTrial = now;
+        m_log.write(now,
+            dependency_changed{.dependency = "target",
+                .name = service(),
+                .state = "lost",
+                .reason = "openings go unanswered"});
+    }
+    for (auto each = m_unanswered.begin(); each != firstRecent; ++each) {
+        const auto found = m_flows.find(each->second);
+        if (found == m_flows.end() || found->second.opening.empty())
+            continue;
+        offerElsewhere(now, found->second, found->second.opening);
+        found->second.opening.clear();
+    }
+    m_unanswered.erase(m_unanswered.begin(), firstRecent);
+}
+
+// --- Entries
+
+void relay_target::handle(instant, const endpoint &, const target_report &)
+{
+    m_malformed.add();
+}
+
+void relay_target::handle(instant, const endpoint &, const flow_owner &)
+{
+    m_malformed.add();
+}
+
+void relay_target::handle(instant now, const endpoint &from, const entry_notice &message)
+{
+    auto &entry = m_entries[from];
+    if (now - entry.heard > entrySilence)
+        m_log.write(now,
+            dependency_changed{.dependency = "entry",
+                .name = message.name,
+                .state = "regained",
+                .reason = "its notice came"});
+    entry.heard = now;
+    if (message.revision > m_revision) {
+        m_revision = message.revision;
+        m_revisionAt = now;
+    }
+    if (message.domainsRevision > m_domains.revision) {
+        const bool changed = message.domainsOut != m_domains.names;
+        m_domains = {.revision = message.domainsRevision, .names = message.domainsOut};
+        if (changed)
+            m_log.write(now,
+                domains_changed{.revision = m_domains.revision,
+                    .source = message.name,
+                    .out = m_domains.names});
+    }
+    for (const auto &bounds : message.bounds) {
+        if (bounds.service == service())
+            m_bounds = bounds;
+    }
+    if (message.keepsCopy && message.revision > m_copyRevision
+        && now - m_lastCopyFetch >= copyFetchInterval) {
+        m_lastCopyFetch = now;
+        m_port.fetchConfig(from, message.revision);
+    }
+    onEntries(now, message.entries);
+    if (message.leaving)
+        entry.heard = now - entrySilence;
+}
+
+void relay_target::onEntries(instant now, std::span<const endpoint> peers)
+{
+    bool added = false;
+    for (const auto &peer : peers) {
+        // Unheard so far, but worth reporting to for a while.
+        added |= m_entries.try_emplace(peer, entry_state{.heard = now - entrySilence}).second;
+    }
+    if (added)
+        sendReports(now, false);
+}
+
+bool relay_target::hearsEntries(instant now) const
+{
+    return std::ranges::any_of(
+        m_entries, [&](const auto &item) { return now - item.second.heard < entrySilence; });
+}
+
+void relay_target::sendReports(instant now, bool atOnce)
+{
+    for (const auto &seed : m_options.seeds)
+        m_entries.try_emplace(seed, entry_state{.heard = now - entrySilence});
+    const auto interval = std::max<std::chrono::milliseconds>(
+        reportInterval, intervalForEachEntry * static_cast<std::int64_t>(m_entries.size()));
+    m_reportedStanding = standing(now);
+    const auto &latest = m_liveness.latest();
+    const auto slots = latest ? std::max<std::uint64_t>(latest->slots, 1) : 1;
+    constexpr double thousand = 1000;
+    target_report report{.member = m_options.name,
+        .service = service(),
+        .domain = m_options.domain,
+        .boot = m_options.boot,
+        .lifetime = m_liveness.lifetime(),
+        .standing = static_cast<std::uint64_t>(m_reportedStanding),
+        .slots = slots,
+        .flows = m_flows.size(),
+        .waiting = m_waiting,
+        .load = static_cast<std::uint64_t>(
+            m_load.read(now) * thousand / static_cast<double>(slots)),
+        .openRate = coldLimit(),
+        .intervalMs = static_cast<std::uint64_t>(interval.count()),
+        .copyRevision = m_copyRevision,
+        .domainsRevision = m_domains.revision,
+        .domainsOut = m_domains.names};
+    for (auto &[address, entry] : m_entries) {
+        if (!atOnce && now - entry.reported < interval)
+            continue;
+        entry.reported = now;
+        report.order = ++m_reportOrder;
+        report.wantsNotice = entry.reports++ % noticeEvery == 0 || now - entry.heard > entrySilence;
+        m_port.sendPeer(address, encodeRelayMessage(report), {});
+    }
+}
+
+void relay_target::startLeaving(instant now)
+{
+    m_leaving = true;
+    sendReports(now, true);
+}
+
+// --- Time
+
+void relay_target::onTick(instant now)
+{
+    checkUnanswered(now);
+    if (m_resetFlowsAt && now >= *m_resetFlowsAt)
+        endLifetime(now, "the target ended");
+    sendReports(now, standing(now) != m_reportedStanding);
+    if (now - m_lastSweep >= sweepInterval) {
+        m_lastSweep = now;
+        sweepFlows(now);
+        std::erase_if(m_entries, [&](const auto &item) {
+            const bool isSeed
+                = std::ranges::find(m_options.seeds, item.first) != m_options.seeds.end();
+            return !isSeed && now - item.second.heard > entryForget;
+        });
+    }
+}
+
+void relay_target::sweepFlows(instant now)
+{
+    for (auto place = m_flows.begin(); place != m_flows.end();) {
+        const auto each = place++;
+        const auto &item = each->second;
+        const auto idle = now - item.lastPacket;
+        const bool closed = item.callerFinished && item.targetFinished;
+        if (closed && idle > closedLifetime)
+            erase(now, each, "closed");
+        else if (item.state != flow_state::open && idle > closedLifetime)
+            erase(now, each, "never opened");
+        else if (idle > m_options.flowLifetime)
+            erase(now, each, "idle");
+    }
+}
+
+void relay_target::erase(instant now, flow_map::iterator place, std::string_view outcome)
+{
+    auto &item = place->second;
+    if (item.waitingSince)
+        setWaiting(now, item, false);
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    m_log.write(now,
+        flow_ended{.caller = place->first.caller,
+            .service = place->first.service,
+            .outcome = std::string(outcome),
+            .ageMs = static_cast<std::uint64_t>(
+                duration_cast<milliseconds>(now - item.opened).count()),
+            .requests = item.requests,
+            .slowestMs = static_cast<std::uint64_t>(item.slowest.count())});
+    m_flows.erase(place);
+}
+
+void relay_target::logOpening(instant now, const segment &head, std::string_view outcome)
+{
+    m_log.write(now,
+        opening_decided{.caller = head.source,
+            .service = head.destination,
+            .copy = head.copy,
+            .outcome = std::string(outcome),
+            .target = m_options.name,
+            .load = m_waiting,
+            .eligible = m_flows.size(),
+            .revision = m_revision,
+            .domainsRevision = m_domains.revision});
+}
+
+} // namespace toucan
--- a/src/libtoucanwire/peer_message.cpp
+++ b/src/libtoucanwire/peer_message.cpp
@@ -6,10 +6,6 @@
 namespace toucan {
 namespace {
 
-using json = nlohmann::json;
-
-// The first element of the array tells packets (a packet_kind) from messages (at least this).
-constexpr std::uint64_t firstMessageType = 16;
 constexpr std::uint8_t cborArrayBase = 0x80;
 constexpr std::size_t headerFields = std::tuple_size_v<decltype(fields_of<packet_header>::table)>;
 
@@ -55,26 +51,12 @@
     return callbacks;
 }
 
-template <std::size_t I = 0>
-peer_message readAlternative(std::size_t type, const json &body)
-{
-    if constexpr (I < std::variant_size_v<peer_message>) {
-        if (type != I)
-            return readAlternative<I + 1>(type, body);
-        std::variant_alternative_t<I, peer_message> message;
-        message_cbor::fromElement(body, message);
-        return message;
-    } else {
-        throw std::invalid_argument("unknown message type");
-    }
-}
-
 } // namespace
 
 bool isPacket(byte_view datagram)
 {
     return datagram.size() > 1 && datagram[0] == cborArrayBase + headerFields
-        && datagram[1] < firstMessageType;
+        && datagram[1] < message_cbor::firstMessageType;
 }
 
 std::size_t encodeHeader(const packet_header &header, std::span<std::uint8_t> out)
@@ -133,26 +115,12 @@
 
 byte_buffer encodeMessage(const peer_message &message)
 {
-    json envelope = json::array({firstMessageType + message.index()});
-    std::visit(
-        [&](const auto &body) { envelope.push_back(message_cbor::toElement(body)); }, message);
-    return json::to_cbor(envelope);
+    return message_cbor::encodeEnvelope(message);
 }
 
 result<peer_message> decodeMessage(byte_view datagram)
 {
-    try {
-        const auto envelope = json::from_cbor(datagram.begin(), datagram.end());
-        if (!envelope.is_array() || envelope.size() != 2)
-            return error{error_kind::bad_request, "a peer message is an array of two"};
-        std::uint64_t type = 0;
-        message_cbor::fromElement(envelope[0], type);
-        if (type < firstMessageType)
-            return error{error_kind::bad_request, "unknown message type"};
-        return readAlternative(type - firstMessageType, envelope[1]);
-    } catch (const std::exception &failure) {
-        return error{error_kind::bad_request, failure.what()};
-    }
+    return message_cbor::decodeEnvelope<peer_message>(datagram);
 }
 
 } // namespace toucan
--- a/src/toucanbridge/main.cpp
+++ b/src/toucanbridge/main.cpp
@@ -1,9 +1,12 @@
 #include "bridge_server.h"
 #include "commands.h"
+#include "entry_relay_server.h"
 
 #include <cxxopts.hpp>
 #include <iostream>
+#include <platform/adapter.h>
 #include <toucan/log.h>
+#include <toucan/relay_server.h>
 #include <toucan/settings.h>
 
 namespace {
@@ -31,6 +34,23 @@
         file, given.count("check") != 0, serve);
 }
 
+int runRelay(const cxxopts::ParseResult &given)
+{
+    if (given.count("example") != 0) {
+        std::cout << toucan::settings::example<toucan::entry_relay_settings>();
+        return 0;
+    }
+    const auto &adapter = toucan::platform::adapter();
+    const auto file = given.count("config") != 0 ? given["config"].as<std::string>() : "";
+    return toucan::runRelayCommand<toucan::entry_relay_settings>(adapter, file,
+        given.count("check") != 0,
+        [&](const toucan::entry_relay_settings &settings, const std::string &fileName) {
+            toucan::log::start(settings.logLevel);
+            toucan::node::handleStopSignals();
+            return toucan::entry_relay_server(settings, fileName, adapter).run();
+        });
+}
+
 toucan::result<command_options> readOptions(const cxxopts::ParseResult &given)
 {
     command_options options{.asJson = given["output"].as<std::string>() == "json",
@@ -63,6 +83,7 @@
         std::cout << parser.help()
                   << "\nCommands:\n"
                      "  serve --config FILE [--check]          run an entry\n"
+                     "  relay [--config FILE] [--check]        run an entry that relays segments\n"
                      "  record put KIND NAME [FIELD=VALUE ...] write a record; KIND is "
                 + toucan::operatorKindsHelp()
                 + "\n"
@@ -75,6 +96,8 @@
     }
     if (words[0] == "serve")
         return runServe(given);
+    if (words[0] == "relay")
+        return runRelay(given);
     const auto read = readOptions(given);
     const auto *options = toucan::valueOf(read);
     if (!options)
@@ -84,7 +107,7 @@
     if (words[0] == "status")
         return toucan::runStatusCommand(*options);
     return toucan::reportError(
-        {error_kind::usage, words[0] + ": unknown command; expected serve, record or status"},
+        {error_kind::usage, words[0] + ": unknown command; expected serve, relay, record or status"},
         *options);
 }
 
@@ -97,9 +120,9 @@
     parser.positional_help("COMMAND [WORDS]");
     parser.add_options()("words", "command and its words",
         cxxopts::value<std::vector<std::string>>()->default_value(""))("config",
-        "settings file (INI) of serve",
+        "settings file (INI) of serve and relay",
         cxxopts::value<std::string>())("check", "check the settings and exit")("example",
-        "with serve: print annotated settings and exit")("platform", "address of the platform",
+        "with serve and relay: print annotated settings and exit")("platform", "address of the platform",
         cxxopts::value<std::string>()->default_value("127.0.0.1:8001"))("peer",
         "control links to read from while the platform is down",
         cxxopts::value<std::vector<std::string>>()->default_value(""))(
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -16,6 +16,8 @@
     "bytes": "byte_buffer",
     "endpoint": "endpoint",
     "endpoints": "std::vector<endpoint>",
+    "strings": "std::vector<std::string>",
+    "decimal": "double",
     "duration": "std::chrono::milliseconds",
 }
 
