--- a/src/include/toucan/entry_directory.h
+++ b/src/include/toucan/entry_directory.h
@@ -23,6 +23,7 @@
 public:
     entry_registration(
         store_access access, std::string kind, directory_entry self, directory_handler onList);
+    ~entry_registration();
 
 private:
     void run(const std::stop_token &stop);
@@ -31,6 +32,7 @@
     std::string m_kind;
     directory_entry m_self;
     directory_handler m_handler;
+    platform_client m_client;
     std::jthread m_thread;
 };
 
@@ -39,11 +41,13 @@
 {
 public:
     directory_lookup(store_access access, std::string kind, directory_handler onList);
+    ~directory_lookup();
 
 private:
     store_access m_store;
     std::string m_kind;
     directory_handler m_handler;
+    platform_client m_client;
     std::jthread m_thread;
 };
 
--- a/src/include/toucan/event_log.h
+++ b/src/include/toucan/event_log.h
@@ -59,6 +59,7 @@
     {
         token_bucket bucket;
         std::uint64_t leftOut = 0;
+        instant told{};
     };
 
     static nlohmann::ordered_json value(const endpoint &item) { return toString(item); }
--- a/src/include/toucan/platform_client.h
+++ b/src/include/toucan/platform_client.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <toucan/config.h>
 
@@ -85,8 +86,8 @@
     /// the changes since then: list again.
     result<object_list> changesAfter(
         std::uint64_t version, std::chrono::milliseconds wait, std::string_view kind = {});
-    /// Calls made so far, answered or not.
-    std::uint64_t calls() const { return m_calls; }
+    /// Ends the call under way, and all later ones, with platform_unavailable. Any thread.
+    void cancel();
 
 private:
     struct response
@@ -95,6 +96,8 @@
         std::string body;
     };
     class session;
+    bool openSession();
+    void closeSession();
     result<response> call(const platform_request &request, std::chrono::milliseconds timeout);
     result<response> attempt(const platform_request &request, std::chrono::milliseconds timeout);
     result<nlohmann::json> read(
@@ -104,8 +107,9 @@
     endpoint m_address;
     std::chrono::milliseconds m_timeout;
     const platform_dialect &m_dialect;
+    std::mutex m_mutex; ///< Guards the session's life against cancel().
     std::unique_ptr<session> m_session;
-    std::uint64_t m_calls = 0;
+    bool m_cancelled = false;
 };
 
 } // namespace toucan
--- a/src/include/toucan/relay_entry.h
+++ b/src/include/toucan/relay_entry.h
@@ -76,30 +76,43 @@
         instant openedAt{}; ///< When the newest opening was sent.
         tried_list tried;
         bool established = false; ///< A segment other than an opening was seen.
+        bool confirmed = false; ///< The owner said that it is.
         bool finishing = false; ///< The caller closes the flow.
-        std::uint16_t searchOffset = 0; ///< Members already asked in this search.
         std::uint16_t searches = 0; ///< Searches that found nobody.
         bool refusedOnce = false; ///< All candidates of an opening turned it away before.
     };
 
+    /// An opening that waits for a configuration or for the first reports of targets.
+    struct parked_opening
+    {
+        segment head;
+        byte_buffer bytes;
+        instant until{}; ///< The caller's attempt is over then.
+    };
+
     struct entry_peer
     {
         instant heard{};
         std::uint64_t revision = 0;
     };
 
-    void onOpening(
-        instant now, const segment &head, const route_rule &route, std::span<std::uint8_t> bytes);
+    void onOpening(instant now, const segment &head, const route_rule &route, byte_view bytes);
     void place(instant now, const segment &head, const route_rule &route, cached_flow &cached,
         byte_view bytes);
     void onEstablished(
         instant now, const segment &head, const route_rule *route, std::span<std::uint8_t> bytes);
     void search(instant now, const segment &head, const route_rule &route, cached_flow &cached,
-        byte_view bytes);
+        std::size_t asked, byte_view bytes);
+    std::vector<relay_member *> wholeSearchOrder(const route_rule &route, const flow_key &flow) const;
+    bool searchIsConclusive(instant now, std::span<relay_member *const> order) const;
     void onRefused(instant now, const segment &head, byte_view bytes);
-    void onNotFound(instant now, const endpoint &from, const segment &head, byte_view bytes);
+    void onNotFound(instant now, const relay_header &header, const segment &head, byte_view bytes);
     void suspectOwner(instant now, const cached_flow &cached);
+    void park(instant now, const segment &head, byte_view bytes);
+    void retryParked(instant now);
+    void takeOpening(instant now, const segment &head, byte_view bytes);
     bool isLearning(instant now) const;
+    bool knowsMembers(instant now) const;
     bool mayBecomeReady(std::string_view service);
     void resetFlow(instant now, const segment &head, std::string_view reason);
     void logOpening(instant now, const segment &head, std::string_view outcome,
@@ -112,7 +125,7 @@
     void handle(instant now, const endpoint &from, const target_report &message);
     void handle(instant now, const endpoint &from, const entry_notice &message);
     void handle(instant now, const endpoint &from, const flow_owner &message);
-    void handlePacket(instant now, const endpoint &from, const relay_packet &packet);
+    void handlePacket(instant now, const relay_packet &packet);
     void logMember(instant now, const member_change &change);
     void sendNotice(instant now, const endpoint &to, const relay_member *member, bool wantsNotice);
     void sendNotices(instant now);
@@ -138,8 +151,10 @@
     member_table m_members;
     std::map<endpoint, entry_peer> m_entries;
     std::unordered_map<flow_key, cached_flow> m_flows;
+    std::map<flow_key, parked_opening> m_parked;
     instant m_started;
     instant m_configAt{};
+    instant m_memberAddedAt{}; ///< When the newest member was heard for the first time.
     instant m_lastCaller{};
     instant m_lastNotices{};
     instant m_lastSweep{};
--- a/src/include/toucan/relay_members.h
+++ b/src/include/toucan/relay_members.h
@@ -68,6 +68,10 @@
     std::span<relay_member *const> membersOf(std::string_view service) const;
     /// The member at an address, or nullptr.
     relay_member *at(const endpoint &address) const;
+    /// Names of the services that have members.
+    std::vector<std::string_view> services() const;
+    /// Number of members, lost ones included.
+    std::size_t count() const { return m_members.size(); }
     /// Number of members that are not lost.
     std::size_t aliveCount() const;
     /// Calls visit(member) for all.
--- a/src/include/toucan/relay_packet.h
+++ b/src/include/toucan/relay_packet.h
@@ -29,6 +29,7 @@
     std::uint64_t revision = 0; ///< Configuration under which the entry decided.
     endpoint entry; ///< Entry that took the segment from the fabric.
     std::uint64_t serviceTag = 0; ///< serviceTagOf() the flow's service.
+    std::uint64_t search = 0; ///< 1 + members asked before this list; 0 when nobody is searched.
     candidate_list candidates; ///< Who to pass the packet on to, in this order.
 };
 
--- a/src/include/toucan/relay_target.h
+++ b/src/include/toucan/relay_target.h
@@ -77,6 +77,7 @@
         candidate_list candidates; ///< Who to ask next when the target turns a segment away.
         std::uint64_t serviceTag = 0;
         std::uint64_t revision = 0;
+        std::uint64_t search = 0; ///< Of the header that came with the newest segment.
         byte_buffer opening; ///< The opening, until the target answers it.
         instant opened{};
         instant lastPacket{};
--- a/src/include/toucan/store_follower.h
+++ b/src/include/toucan/store_follower.h
@@ -61,13 +61,14 @@
 
 private:
     void run(const std::stop_token &stop);
-    bool follow(platform_client &client, const std::stop_token &stop, retry_pause &pause);
+    bool follow(const std::stop_token &stop, retry_pause &pause);
     void noteAnswer();
     void noteFailure(const error &failure);
 
     store_access m_store;
     std::string m_kind;
     handler m_handler;
+    platform_client m_client;
     bool m_lost = false;
     std::jthread m_thread;
 };
--- a/src/libtoucanbase/event_log.cpp
+++ b/src/libtoucanbase/event_log.cpp
@@ -57,6 +57,9 @@
 
 std::atomic<bool> silenced = false;
 
+// Lines about lines that were left out: one a kind in this long.
+constexpr std::chrono::seconds tellInterval{1};
+
 } // namespace
 
 bool token_bucket::take(instant now)
@@ -94,9 +97,11 @@
         ++state.leftOut;
         return false;
     }
-    if (state.leftOut > 0)
+    if (state.leftOut > 0 && now - state.told >= tellInterval) {
+        state.told = now;
         emit(fields_of<lines_left_out>::name,
             {{"kind", kind}, {"count", std::exchange(state.leftOut, 0)}});
+    }
     return true;
 }
 
--- a/src/libtoucannet/entry_directory.cpp
+++ b/src/libtoucannet/entry_directory.cpp
@@ -64,15 +64,21 @@
     , m_kind(std::move(kind))
     , m_self(std::move(self))
     , m_handler(std::move(onList))
+    , m_client(m_store.address, m_store.timeout, m_store.dialect)
     , m_thread([this](const std::stop_token &stop) { run(stop); })
 { }
 
+entry_registration::~entry_registration()
+{
+    m_thread.request_stop();
+    m_client.cancel();
+}
+
 void entry_registration::run(const std::stop_token &stop)
 {
-    platform_client client(m_store.address, m_store.timeout, m_store.dialect);
     retry_pause pause(std::random_device{}());
     while (!stop.stop_requested()) {
-        const auto outcome = writeRecord(client, m_store, m_kind, m_self);
+        const auto outcome = writeRecord(m_client, m_store, m_kind, m_self);
         if (valueOf(outcome))
             break;
         if (!pauseAfterFailure(m_store, pause, "put " + m_kind, *errorOf(outcome), stop))
@@ -80,7 +86,7 @@
     }
     pause.reset();
     while (!stop.stop_requested()) {
-        if (auto peers = readList(client, m_store, m_kind, pause, stop)) {
+        if (auto peers = readList(m_client, m_store, m_kind, pause, stop)) {
             m_handler(std::move(*peers));
             return;
         }
@@ -92,11 +98,11 @@
     : m_store(access)
     , m_kind(std::move(kind))
     , m_handler(std::move(onList))
+    , m_client(m_store.address, m_store.timeout, m_store.dialect)
     , m_thread([this](const std::stop_token &stop) {
-        platform_client client(m_store.address, m_store.timeout, m_store.dialect);
         retry_pause pause(std::random_device{}());
         while (!stop.stop_requested()) {
-            if (auto peers = readList(client, m_store, m_kind, pause, stop)) {
+            if (auto peers = readList(m_client, m_store, m_kind, pause, stop)) {
                 m_handler(std::move(*peers));
                 return;
             }
@@ -104,4 +110,10 @@
     })
 { }
 
+directory_lookup::~directory_lookup()
+{
+    m_thread.request_stop();
+    m_client.cancel();
+}
+
 } // namespace toucan
--- a/src/libtoucannet/platform_client.cpp
+++ b/src/libtoucannet/platform_client.cpp
@@ -69,6 +69,33 @@
 
 platform_client::~platform_client() = default;
 
+bool platform_client::openSession()
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_cancelled)
+        return false;
+    if (!m_session) {
+        const auto text = toString(m_address);
+        m_session = std::make_unique<session>(text.substr(0, text.rfind(':')), m_address.port);
+        m_session->setKeepAlive(true);
+    }
+    return true;
+}
+
+void platform_client::closeSession()
+{
+    const std::lock_guard lock(m_mutex);
+    m_session.reset();
+}
+
+void platform_client::cancel()
+{
+    const std::lock_guard lock(m_mutex);
+    m_cancelled = true;
+    if (m_session)
+        m_session->abort();
+}
+
 result<platform_client::response> platform_client::call(
     const platform_request &request, std::chrono::milliseconds timeout)
 {
@@ -84,18 +111,16 @@
 result<platform_client::response> platform_client::attempt(
     const platform_request &request, std::chrono::milliseconds timeout)
 {
-    ++m_calls;
     bool sent = false;
     try {
-        if (!m_session) {
-            const auto text = toString(m_address);
-            m_session
-                = std::make_unique<session>(text.substr(0, text.rfind(':')), m_address.port);
-            m_session->setKeepAlive(true);
-        }
+        if (!openSession())
+            return error{error_kind::platform_unavailable, "the call was cancelled"};
         const Poco::Timespan limit(timeout.count() * 1000);
         const Poco::Timespan connectLimit(m_timeout.count() * 1000);
         m_session->setTimeout(connectLimit, connectLimit, limit);
+        // An open connection keeps the limits that it was opened with.
+        if (m_session->connected())
+            m_session->socket().setReceiveTimeout(limit);
         HTTPRequest head(request.method, request.path, Poco::Net::HTTPMessage::HTTP_1_1);
         head.setKeepAlive(true);
         head.setContentType("application/json");
@@ -110,12 +135,12 @@
         const bool cut = answer.hasContentLength()
             && static_cast<std::size_t>(answer.getContentLength()) != body.size();
         if (cut || !answer.getKeepAlive())
-            m_session.reset();
+            closeSession();
         if (cut)
             return error{error_kind::write_uncertain, "the platform's answer was cut short"};
         return response{static_cast<int>(answer.getStatus()), std::move(body)};
     } catch (const Poco::Exception &failure) {
-        m_session.reset();
+        closeSession();
         return error{sent ? error_kind::write_uncertain : error_kind::platform_unavailable,
             toString(m_address) + ": " + failure.displayText()};
     }
--- a/src/libtoucannet/store_follower.cpp
+++ b/src/libtoucannet/store_follower.cpp
@@ -51,28 +51,31 @@
     : m_store(access)
     , m_kind(std::move(kind))
     , m_handler(std::move(onChange))
+    , m_client(m_store.address, m_store.timeout, m_store.dialect)
     , m_thread([this](const std::stop_token &stop) { run(stop); })
 { }
 
-store_follower::~store_follower() = default;
+store_follower::~store_follower()
+{
+    m_thread.request_stop();
+    m_client.cancel();
+}
 
 void store_follower::run(const std::stop_token &stop)
 {
-    platform_client client(m_store.address, m_store.timeout, m_store.dialect);
     retry_pause pause(std::random_device{}());
     while (!stop.stop_requested()) {
-        if (!follow(client, stop, pause))
+        if (!follow(stop, pause))
             return;
     }
 }
 
 // Lists and then watches until a call fails; false when the thread is to stop.
-bool store_follower::follow(
-    platform_client &client, const std::stop_token &stop, retry_pause &pause)
+bool store_follower::follow(const std::stop_token &stop, retry_pause &pause)
 {
     auto &calls = m_store.metrics.numberOf("toucan_store_calls_total");
     calls.add();
-    const auto listed = client.list(m_kind);
+    const auto listed = m_client.list(m_kind);
     const auto *all = valueOf(listed);
     if (!all) {
         noteFailure(*errorOf(listed));
@@ -86,8 +89,10 @@
     auto revision = all->version;
     while (!stop.stop_requested()) {
         calls.add();
-        const auto outcome = client.changesAfter(revision, watchTime, m_kind);
+        const auto outcome = m_client.changesAfter(revision, watchTime, m_kind);
         const auto *changes = valueOf(outcome);
+        if (stop.stop_requested())
+            return false;
         if (!changes) {
             const auto &failure = *errorOf(outcome);
             // The history is gone: list again at once.
--- a/src/libtoucanrelay/relay_entry.cpp
+++ b/src/libtoucanrelay/relay_entry.cpp
@@ -11,6 +11,18 @@
 // Targets report within this time of a start of everything: the platform's targets report about
 // each 1.2 s. Until then "no target" is not yet known to be true.
 constexpr auto learningTime = 3s;
+// A member reports each 250 ms or less often when there are many entries; after this, and this many
+// of its intervals, a new entry has heard of all that it can reach.
+constexpr auto shortestLearning = 1s;
+constexpr int learningIntervals = 3;
+// A caller's attempt to open a flow ends this long after its first opening, and the age of its copies.
+constexpr auto attemptTime = 1400ms;
+constexpr std::array copyAges{instant(0ms), instant(200ms), instant(600ms)};
+// Openings that wait, a few hundred bytes each.
+constexpr std::size_t mostParked = 2000;
+// A member silent for longer is gone for its callers: none waits longer for an answer, and a killed
+// process is back sooner.
+constexpr auto memberGone = 4s;
 // Entries tell each other their revisions this often; a configuration has seconds to be in force.
 constexpr auto noticeInterval = 500ms;
 // Entries that are told in one round.
@@ -26,6 +38,8 @@
 constexpr auto sweepInterval = 2s;
 // Fetches of a configuration from a peer: at most one at a time in this long.
 constexpr auto fetchInterval = 300ms;
+// Members that one search asks. Beyond that it would cost more than the caller's next try.
+constexpr std::size_t mostSearched = 96;
 // Copies of the configuration that target processes of one failure domain keep.
 constexpr std::size_t copiesPerDomain = 2;
 // The fabric asks each 0.5 s and needs two misses, both answered late at worst.
@@ -70,25 +84,57 @@
         return;
     }
     m_lastCaller = now;
-    if (!m_config) {
-        // Nothing is known; a copy of the segment may meet another entry.
+    if (head->isOpening()) {
+        takeOpening(now, *head, bytes);
+    } else if (m_config) {
+        onEstablished(now, *head, m_config->routeAt(head->destination), bytes);
+    } else {
+        // Nothing is known; the caller sends the segment again.
         m_dropped.add();
+    }
+}
+
+void relay_entry::takeOpening(instant now, const segment &head, byte_view bytes)
+{
+    if (!m_config) {
+        park(now, head, bytes);
         return;
     }
-    const auto *route = m_config->routeAt(head->destination);
-    if (!head->isOpening()) {
-        onEstablished(now, *head, route, bytes);
+    const auto *route = m_config->routeAt(head.destination);
+    if (route)
+        onOpening(now, head, *route, bytes);
+    else
+        resetFlow(now, head, "no route has the address");
+}
+
+// Keeps an opening for the short time in which the process learns what it needs, instead of leaving
+// it to the caller's next copy, which may come much later or not at all.
+void relay_entry::park(instant now, const segment &head, byte_view bytes)
+{
+    const auto age = copyAges[std::min<std::size_t>(head.copy, copyAges.size() - 1)];
+    if (m_parked.size() >= mostParked && !m_parked.contains(head.flowFromCaller())) {
+        m_dropped.add();
         return;
     }
-    if (!route) {
-        resetFlow(now, *head, "no route has the address");
+    m_parked[head.flowFromCaller()] = {.head = head,
+        .bytes = byte_buffer(bytes.begin(), bytes.end()),
+        .until = now + attemptTime - age};
+}
+
+void relay_entry::retryParked(instant now)
+{
+    if (m_parked.empty() || !m_config)
         return;
+    for (auto &[flow, item] : std::exchange(m_parked, {})) {
+        if (now < item.until)
+            takeOpening(now, item.head, item.bytes);
+        else
+            m_dropped.add();
     }
-    onOpening(now, *head, *route, bytes);
 }
 
 void relay_entry::onOpening(
-    instant now, const segment &head, const route_rule &route, std::span<std::uint8_t> bytes)
+    instant now, const segment &head, const route_rule &route, byte_view bytes)
 {
     auto &cached = m_flows[head.flowFromCaller()];
     cached.lastPacket = now;
@@ -130,8 +176,8 @@
     }
     if (chosen.order.empty()) {
         if (isLearning(now) || mayBecomeReady(service)) {
-            logOpening(now, head, "dropped: targets have not reported yet", nullptr, 0);
-            m_dropped.add();
+            logOpening(now, head, "parked: targets have not reported yet", nullptr, 0);
+            park(now, head, bytes);
             return;
         }
         logOpening(now, head, "reset: no target takes flows", nullptr, 0);
@@ -173,12 +219,12 @@
     cached.finishing = cached.finishing || head.finish || head.reset;
     auto *owner = cached.owner ? m_members.at(cached.owner) : nullptr;
     if (!cached.owner || (owner && owner->lost)) {
-        search(now, head, *route, cached, bytes);
+        search(now, head, *route, cached, 0, bytes);
         return;
     }
     auto header = headerFor(relay_kind::established, route->serviceFor(hashFlow(flow)));
     // Several targets may have answered the opening; which one the caller took is known to them.
-    if (!cached.established) {
+    if (!cached.confirmed) {
         for (const auto &other : cached.tried) {
             if (other != cached.owner && header.candidates.size() < header.candidates.capacity())
                 header.candidates.push_back(other);
@@ -189,41 +235,86 @@
     forward(cached.owner, header, bytes);
 }
 
-void relay_entry::search(instant now, const segment &head, const route_rule &route,
-    cached_flow &cached, byte_view bytes)
+// Everybody who may hold the flow: targets of the route's services first, then all others, because
+// a route may have gone to another service since the flow opened.
+std::vector<relay_member *> relay_entry::wholeSearchOrder(
+    const route_rule &route, const flow_key &flow) const
 {
-    const auto hash = hashFlow(head.flowFromCaller());
+    const auto hash = hashFlow(flow);
+    const auto &current = route.serviceFor(hash);
+    auto services = sharesOf(route);
+    std::ranges::stable_partition(services, [&](const auto &name) { return name == current; });
+    for (const auto &name : m_members.services()) {
+        if (std::ranges::find(services, name) == services.end())
+            services.emplace_back(name);
+    }
     std::vector<relay_member *> order;
-    // A change of weights may have moved the flow's hash to another service since it opened.
-    for (const auto &service : sharesOf(route)) {
+    for (const auto &service : services) {
         const auto part = searchOrder(m_members.membersOf(service), hash, m_options.domain);
-        const bool current = service == route.serviceFor(hash);
-        order.insert(current ? order.begin() : order.end(), part.begin(), part.end());
+        order.insert(order.end(), part.begin(), part.end());
+        if (order.size() >= mostSearched)
+            break;
     }
+    return order;
+}
+
+// Asks the members behind the first `asked` ones of the search order.
+void relay_entry::search(instant now, const segment &head, const route_rule &route,
+    cached_flow &cached, std::size_t asked, byte_view bytes)
+{
+    const auto order = wholeSearchOrder(route, head.flowFromCaller());
     cached.owner = {};
+    cached.tried.clear();
+    cached.confirmed = false;
     cached.established = true;
-    if (cached.searchOffset >= order.size()) {
-        cached.searchOffset = 0;
-        if (!order.empty()) {
-            ++cached.searches;
-            m_notFound.add();
-            logSearch(now, head, "not found", {}, order.size(), cached);
-            return;
-        }
-    }
     if (order.empty()) {
         m_dropped.add();
         logSearch(now, head, "nobody to ask", {}, 0, cached);
         return;
     }
-    auto header = headerFor(relay_kind::established, order[cached.searchOffset]->service);
-    for (auto *member : order | std::views::drop(cached.searchOffset + 1)
-            | std::views::take(maximumCandidates))
+    if (asked >= order.size()) {
+        ++cached.searches;
+        m_notFound.add();
+        logSearch(now, head, "not found", {}, order.size(), cached);
+        if (searchIsConclusive(now, order)) {
+            resetFlow(now, head, "no target holds the flow");
+            m_flows.erase(head.flowFromCaller());
+        }
+        return;
+    }
+    auto header = headerFor(relay_kind::established, order[asked]->service);
+    header.search = asked + 1;
+    for (auto *member :
+        order | std::views::drop(asked + 1) | std::views::take(maximumCandidates))
         header.candidates.push_back(member->address);
     m_searches.add();
-    logSearch(now, head, "asked", order[cached.searchOffset]->name, header.candidates.size() + 1,
-        cached);
-    forward(order[cached.searchOffset]->address, header, bytes);
+    logSearch(now, head, "asked", order[asked]->name, header.candidates.size() + 1, cached);
+    forward(order[asked]->address, header, bytes);
+}
+
+// Every target that could hold the flow was asked and said no: the process has known its members
+// for long enough, none was left out, and the silent ones hold nothing or are gone.
+bool relay_entry::searchIsConclusive(instant now, std::span<relay_member *const> order) const
+{
+    if (!knowsMembers(now) || order.size() >= mostSearched)
+        return false;
+    bool conclusive = true;
+    m_members.forEach([&](const relay_member &item) {
+        const bool holdsNothing = item.standing == target_standing::gone
+            || (item.standing == target_standing::unknown && item.flows == 0);
+        conclusive &= !item.lost || holdsNothing || now - item.heard > memberGone;
+    });
+    return conclusive;
+}
+
+bool relay_entry::knowsMembers(instant now) const
+{
+    instant longest = shortestLearning;
+    m_members.forEach([&](const relay_member &item) {
+        longest = std::max<instant>(longest, item.interval * learningIntervals);
+    });
+    return now - std::max(m_started, m_configAt) >= longest
+        && now - m_memberAddedAt >= longest / 2;
 }
 
 void relay_entry::resetFlow(instant now, const segment &head, std::string_view reason)
@@ -273,7 +364,7 @@
 void relay_entry::onPeerBytes(instant now, const endpoint &from, std::span<std::uint8_t> bytes)
 {
     if (const auto packet = decodeRelayPacket(bytes)) {
-        handlePacket(now, from, *packet);
+        handlePacket(now, *packet);
         return;
     }
     const auto message = decodeRelayMessage(bytes);
@@ -283,7 +374,7 @@
         m_malformed.add();
 }
 
-void relay_entry::handlePacket(instant now, const endpoint &from, const relay_packet &packet)
+void relay_entry::handlePacket(instant now, const relay_packet &packet)
 {
     const auto head = m_codec.decode(packet.bytes);
     if (!head) {
@@ -293,7 +384,7 @@
     if (packet.header.kind == relay_kind::refused_opening)
         onRefused(now, *head, packet.bytes);
     else if (packet.header.kind == relay_kind::not_found)
-        onNotFound(now, from, *head, packet.bytes);
+        onNotFound(now, packet.header, *head, packet.bytes);
     else
         m_malformed.add();
 }
@@ -317,8 +408,8 @@
         return;
     }
     if (isLearning(now)) {
-        logOpening(now, head, "dropped: refused while targets are still learnt", nullptr, 0);
-        m_dropped.add();
+        logOpening(now, head, "parked: refused while targets are still learnt", nullptr, 0);
+        park(now, head, bytes);
         return;
     }
     logOpening(now, head, "reset: refused by all targets asked", nullptr, 0);
@@ -327,24 +418,21 @@
 }
 
 void relay_entry::onNotFound(
-    instant now, const endpoint &from, const segment &head, byte_view bytes)
+    instant now, const relay_header &header, const segment &head, byte_view bytes)
 {
     const auto *route = m_config ? m_config->routeAt(head.destination) : nullptr;
     const auto found = m_flows.find(head.flowFromCaller());
     if (!route || found == m_flows.end())
         return;
-    auto &cached = found->second;
-    if (cached.owner) {
-        // The owner of the cache does not hold the flow, or an answer to an earlier search is late.
-        if (cached.owner != from && cached.tried.empty())
-            return;
-        cached.owner = {};
-        cached.tried.clear();
-        cached.searchOffset = 0;
-    } else {
-        cached.searchOffset += maximumCandidates + 1;
+    // Each packet is searched for on its own; the header says how far its search has come. The
+    // owner in the cache may be known again meanwhile.
+    const auto asked = header.search == 0 ? 0 : header.search + maximumCandidates;
+    if (header.search != 0 && found->second.owner) {
+        forward(found->second.owner, headerFor(relay_kind::established, route->serviceFor(
+            hashFlow(head.flowFromCaller()))), bytes);
+        return;
     }
-    search(now, head, *route, cached, bytes);
+    search(now, head, *route, found->second, asked, bytes);
 }
 
 void relay_entry::handle(instant now, const endpoint &from, const flow_owner &message)
@@ -356,8 +444,8 @@
     auto &cached = found->second;
     const bool searched = !cached.owner;
     cached.owner = from;
+    cached.confirmed = true;
     cached.tried.clear();
-    cached.searchOffset = 0;
     cached.searches = 0;
     if (!searched)
         return;
@@ -371,8 +459,14 @@
 
 void relay_entry::handle(instant now, const endpoint &from, const target_report &message)
 {
-    if (const auto change = m_members.apply(now, from, message))
+    const auto before = m_members.count();
+    const auto change = m_members.apply(now, from, message);
+    if (m_members.count() > before)
+        m_memberAddedAt = now;
+    if (change) {
         logMember(now, *change);
+        retryParked(now);
+    }
     noteRevision(now, from, message.copyRevision);
     onDomains(now, {.revision = message.domainsRevision, .names = message.domainsOut}, "target process");
     if (message.wantsNotice)
@@ -448,6 +542,7 @@
             .dropped = dropped,
             .faults = std::move(faults)});
     m_lastNotices = {};
+    retryParked(now);
 }
 
 void relay_entry::onDomains(instant now, const domains_out &domains, std::string_view source)
@@ -536,6 +631,7 @@
     }
     for (const auto &change : m_members.onTick(now))
         logMember(now, change);
+    retryParked(now);
     if (now - m_lastSweep >= sweepInterval) {
         m_lastSweep = now;
         sweepFlows(now);
--- a/src/libtoucanrelay/relay_members.cpp
+++ b/src/libtoucanrelay/relay_members.cpp
@@ -122,6 +122,14 @@
     return found == m_members.end() ? nullptr : found->second.get();
 }
 
+std::vector<std::string_view> member_table::services() const
+{
+    std::vector<std::string_view> names;
+    for (const auto &[name, members] : m_services)
+        names.push_back(name);
+    return names;
+}
+
 std::size_t member_table::aliveCount() const
 {
     return static_cast<std::size_t>(std::ranges::count_if(
--- a/src/libtoucanrelay/relay_packet.cpp
+++ b/src/libtoucanrelay/relay_packet.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // A header is a flat CBOR array of numbers: these, then the candidates.
-constexpr std::size_t fixedFields = 4;
+constexpr std::size_t fixedFields = 5;
 constexpr std::size_t mostFields = fixedFields + maximumCandidates;
 constexpr std::uint8_t cborArrayBase = 0x80;
 constexpr std::uint64_t serviceTagMask = 0xffffffff;
@@ -68,6 +68,7 @@
     append(header.revision);
     append(packEndpoint(header.entry));
     append(header.serviceTag);
+    append(header.search);
     for (const auto &candidate : header.candidates)
         append(packEndpoint(candidate));
     return size;
@@ -95,7 +96,8 @@
     relay_packet packet{.header = {.kind = static_cast<relay_kind>(numbers[0]),
                             .revision = numbers[1],
                             .entry = unpackEndpoint(numbers[2]),
-                            .serviceTag = numbers[3]},
+                            .serviceTag = numbers[3],
+                            .search = numbers[4]},
         .bytes = datagram.subspan(offset)};
     for (std::size_t i = fixedFields; i < numbers.size(); ++i)
         packet.header.candidates.push_back(unpackEndpoint(numbers[i]));
--- a/src/libtoucanrelay/relay_target.cpp
+++ b/src/libtoucanrelay/relay_target.cpp
@@ -28,6 +28,8 @@
 constexpr auto exitDelay = 500ms;
 // Retransmissions of a closed flow's last segments.
 constexpr auto closedLifetime = 4s;
+// A target turns a segment away within a millisecond; retransmissions come 200 ms apart at first.
+constexpr auto probeLifetime = 1s;
 constexpr auto sweepInterval = 1s;
 constexpr auto loadMemory = 1s;
 // Data of one flow that can be under way: 16 packets of 1,200 bytes, with room to spare.
@@ -166,12 +168,15 @@
         item.candidates = header.candidates;
         item.serviceTag = header.serviceTag;
         item.revision = header.revision;
+        item.search = header.search;
+        item.callerAcknowledged = head.acknowledged;
     } else if (item.state == flow_state::offered) {
         item.state = flow_state::open;
         item.opening.clear();
         item.candidates.clear();
     }
-    noteCaller(now, item, head);
+    if (item.state == flow_state::open)
+        noteCaller(now, item, head);
     // The entry looked for the owner, or does not know which of several targets the caller took.
     if (item.state == flow_state::open && (from != header.entry || !header.candidates.empty()))
         tellOwner(key, item);
@@ -307,6 +312,7 @@
         .revision = found->second.revision,
         .entry = found->second.entry,
         .serviceTag = found->second.serviceTag,
+        .search = found->second.search,
         .candidates = found->second.candidates};
     if (found->second.state != flow_state::probing)
         erase(now, found, "not held by the target");
@@ -345,6 +351,9 @@
                 .outcome = std::string(toString(outcome))});
     if (outcome == liveness_outcome::late)
         return;
+    // Nothing reaches a target that has not reported once, so none of its flows is unknown here.
+    if (first && report.sequence <= 1)
+        m_knowsAllFlows = true;
     if (outcome == liveness_outcome::new_lifetime) {
         endLifetime(now, "the target started anew");
         m_knowsAllFlows = true;
@@ -393,13 +402,15 @@
 
 std::uint64_t relay_target::coldLimit() const
 {
-    if (m_bounds.service != service())
-        return 1;
+    // Without a stated rate a cold target is only slower, which its queue shows.
+    constexpr std::uint64_t unlimited = 1'000'000;
+    if (m_bounds.coldRate == 0)
+        return unlimited;
     constexpr double thousand = 1000;
     const auto rate = static_cast<double>(m_bounds.coldRate) / thousand;
     // One less than what must never be passed: openings are counted here a little later than there.
     const auto hard = std::floor(rate * m_options.coldOvershoot + m_options.coldSlack) - 1;
-    return static_cast<std::uint64_t>(std::max(1.0, std::min(std::max(rate, m_options.coldSlack), hard)));
+    return static_cast<std::uint64_t>(std::max(1.0, std::min(rate, hard)));
 }
 
 bool relay_target::knowsAllFlows(instant now) const
@@ -580,8 +591,10 @@
         const bool closed = item.callerFinished && item.targetFinished;
         if (closed && idle > closedLifetime)
             erase(now, each, "closed");
-        else if (item.state != flow_state::open && idle > closedLifetime)
+        else if (item.state == flow_state::offered && idle > closedLifetime)
             erase(now, each, "never opened");
+        else if (item.state == flow_state::probing && idle > probeLifetime)
+            m_flows.erase(each);
         else if (idle > m_options.flowLifetime)
             erase(now, each, "idle");
     }
