--- a/src/include/toucan/opening_gate.h
+++ b/src/include/toucan/opening_gate.h
@@ -23,6 +23,7 @@
     cold, ///< The target is cold and has had its openings for this second.
     full, ///< The target holds as many flows as it can.
     busy, ///< All slots are taken and another candidate can be asked.
+    overloaded, ///< So many requests wait that a new one would be late.
     silent, ///< The target does not answer openings.
 };
 
@@ -45,6 +46,12 @@
     std::uint64_t slots = 0;
 };
 
+/// Requests that may wait for each slot before openings are refused: three rounds of requests take
+/// about as long as callers find acceptable, and targets queue more than that. Cold targets are about
+/// half as fast.
+inline constexpr std::uint64_t waitingForEachSlot = 3;
+inline constexpr std::uint64_t waitingForEachColdSlot = 2;
+
 /// Decides on one opening.
 opening_verdict judgeOpening(const opening_circumstances &circumstances);
 
--- a/src/include/toucan/relay_entry.h
+++ b/src/include/toucan/relay_entry.h
@@ -80,6 +80,7 @@
         bool finishing = false; ///< The caller closes the flow.
         std::uint16_t searches = 0; ///< Searches that found nobody.
         bool refusedOnce = false; ///< All candidates of an opening turned it away before.
+        std::optional<instant> refusedSince; ///< When that happened first.
     };
 
     /// An opening that waits for a configuration or for the first reports of targets.
@@ -103,11 +104,12 @@
         instant now, const segment &head, const route_rule *route, std::span<std::uint8_t> bytes);
     void search(instant now, const segment &head, const route_rule &route, cached_flow &cached,
         std::size_t asked, byte_view bytes);
-    std::vector<relay_member *> wholeSearchOrder(const route_rule &route, const flow_key &flow) const;
+    std::vector<relay_member *> wholeSearchOrder(
+        instant now, const route_rule &route, const flow_key &flow) const;
     bool searchIsConclusive(instant now, std::span<relay_member *const> order) const;
     void onRefused(instant now, const segment &head, byte_view bytes);
     void onNotFound(instant now, const relay_header &header, const segment &head, byte_view bytes);
-    void suspectOwner(instant now, const cached_flow &cached);
+    void suspectOwner(instant now, const flow_key &flow);
     void park(instant now, const segment &head, byte_view bytes);
     void retryParked(instant now);
     void takeOpening(instant now, const segment &head, byte_view bytes);
@@ -127,9 +129,14 @@
     void handle(instant now, const endpoint &from, const flow_owner &message);
     void handlePacket(instant now, const relay_packet &packet);
     void logMember(instant now, const member_change &change);
-    void sendNotice(instant now, const endpoint &to, const relay_member *member, bool wantsNotice);
+    void meetMembers(instant now, std::span<const endpoint> members);
+    entry_notice makeNotice(instant now) const;
+    void sendNotice(const endpoint &to, const entry_notice &notice);
+    void tellEntry(instant now, const endpoint &to, bool wantsNotice);
+    void answerEntry(instant now, const endpoint &to);
+    void tellMember(instant now, const relay_member &member);
     void sendNotices(instant now);
-    bool shouldKeepCopy(const relay_member &member);
+    bool shouldKeepCopy(const relay_member &member) const;
     void noteRevision(instant now, const endpoint &from, std::uint64_t revision);
     void sweepFlows(instant now);
 
@@ -150,6 +157,8 @@
     std::unordered_set<endpoint> m_droppedRoutes; ///< Addresses that had a route before.
     member_table m_members;
     std::map<endpoint, entry_peer> m_entries;
+    std::map<endpoint, instant> m_named; ///< Members that entries named lately and are not heard yet.
+    std::optional<instant> m_introducedAt; ///< When an entry first named its members.
     std::unordered_map<flow_key, cached_flow> m_flows;
     std::map<flow_key, parked_opening> m_parked;
     instant m_started;
@@ -159,6 +168,7 @@
     instant m_lastNotices{};
     instant m_lastSweep{};
     instant m_lastFetch{};
+    instant m_lastRetry{};
     std::optional<instant> m_leavingSince;
 };
 
--- a/src/include/toucan/relay_members.h
+++ b/src/include/toucan/relay_members.h
@@ -35,6 +35,8 @@
     instant suspectedSince{}; ///< An opening sent its way went unanswered; zero when none did.
     bool lost = false; ///< Silent for so long that nothing is sent its way.
 
+    /// True while no report of it is missing: one may be late or lost.
+    bool isFresh(instant now) const { return now - heard < interval * 5 / 2; }
     /// True when it is heard and answers.
     bool answers() const { return !lost && suspectedSince == instant{}; }
     /// Load with what was sent since the newest report, thousandths of a slot.
--- a/src/include/toucan/relay_target.h
+++ b/src/include/toucan/relay_target.h
@@ -118,6 +118,7 @@
     void checkUnanswered(instant now);
     void sweepFlows(instant now);
     std::uint64_t coldLimit() const;
+    std::size_t heldFlows() const;
     target_standing standing(instant now) const;
     std::string service() const;
 
--- a/src/libtoucanrelay/relay_entry.cpp
+++ b/src/libtoucanrelay/relay_entry.cpp
@@ -13,11 +13,18 @@
 constexpr auto learningTime = 3s;
 // A member reports each 250 ms or less often when there are many entries; after this, and this many
 // of its intervals, a new entry has heard of all that it can reach.
-constexpr auto shortestLearning = 1s;
-constexpr int learningIntervals = 3;
+constexpr auto shortestLearning = 500ms;
+constexpr int learningIntervals = 2;
 // A caller's attempt to open a flow ends this long after its first opening, and the age of its copies.
 constexpr auto attemptTime = 1400ms;
 constexpr std::array copyAges{instant(0ms), instant(200ms), instant(600ms)};
+// Targets answer openings within a few milliseconds, also across failure domains.
+constexpr auto answerLimit = 100ms;
+// Openings that wait are tried again this often.
+constexpr auto parkedInterval = 40ms;
+// An opening that all targets refuse is tried again for this long, less than a caller's first aim,
+// and then reset so that the caller can decide.
+constexpr auto refusedWait = 200ms;
 // Openings that wait, a few hundred bytes each.
 constexpr std::size_t mostParked = 2000;
 // A member silent for longer is gone for its callers: none waits longer for an answer, and a killed
@@ -29,6 +36,9 @@
 constexpr std::size_t noticesPerRound = 16;
 // Entries that are named in one notice, so that it fits a datagram.
 constexpr std::size_t namedEntries = 64;
+constexpr std::size_t namedMembers = 96;
+// A member that other entries name but that stays unheard by this one is cut off from it.
+constexpr auto namedLifetime = 4s;
 // Silence after which an entry is no longer named to others.
 constexpr auto entrySilence = 4s;
 // Silence after which an entry is forgotten.
@@ -85,6 +95,8 @@
     }
     m_lastCaller = now;
     if (head->isOpening()) {
+        if (head->copy > 0)
+            suspectOwner(now, head->flowFromCaller());
         takeOpening(now, *head, bytes);
     } else if (m_config) {
         onEstablished(now, *head, m_config->routeAt(head->destination), bytes);
@@ -109,7 +121,8 @@
 
 // Keeps an opening for the short time in which the process learns what it needs, instead of leaving
 // it to the caller's next copy, which may come much later or not at all.
-void relay_entry::park(instant now, const segment &head, byte_view bytes)
+void relay_entry::park(
+    instant now, const segment &head, byte_view bytes)
 {
     const auto age = copyAges[std::min<std::size_t>(head.copy, copyAges.size() - 1)];
     if (m_parked.size() >= mostParked && !m_parked.contains(head.flowFromCaller())) {
@@ -123,8 +136,9 @@
 
 void relay_entry::retryParked(instant now)
 {
-    if (m_parked.empty() || !m_config)
+    if (m_parked.empty() || !m_config || now - m_lastRetry < parkedInterval)
         return;
+    m_lastRetry = now;
     for (auto &[flow, item] : std::exchange(m_parked, {})) {
         if (now < item.until)
             takeOpening(now, item.head, item.bytes);
@@ -144,16 +158,18 @@
         forward(cached.owner, header, bytes);
         return;
     }
-    if (head.copy > 0)
-        suspectOwner(now, cached);
     place(now, head, route, cached, bytes);
 }
 
 // A copy of an opening means that the first one went unanswered for longer than any target takes.
-void relay_entry::suspectOwner(instant now, const cached_flow &cached)
+void relay_entry::suspectOwner(instant now, const flow_key &flow)
 {
-    auto *member = cached.owner ? m_members.at(cached.owner) : nullptr;
-    if (!member || member->heard > cached.openedAt)
+    const auto found = m_flows.find(flow);
+    if (found == m_flows.end() || found->second.established || !found->second.owner)
+        return;
+    auto *member = m_members.at(found->second.owner);
+    if (!member || member->heard > found->second.openedAt
+        || now - found->second.openedAt < answerLimit)
         return;
     if (member->suspectedSince == instant{})
         logMember(now, {.member = member, .from = "answers", .to = "suspected"});
@@ -238,7 +254,7 @@
 // Everybody who may hold the flow: targets of the route's services first, then all others, because
 // a route may have gone to another service since the flow opened.
 std::vector<relay_member *> relay_entry::wholeSearchOrder(
-    const route_rule &route, const flow_key &flow) const
+    instant now, const route_rule &route, const flow_key &flow) const
 {
     const auto hash = hashFlow(flow);
     const auto &current = route.serviceFor(hash);
@@ -255,6 +271,9 @@
         if (order.size() >= mostSearched)
             break;
     }
+    // A search ends unanswered at a process that is down; such ones come last.
+    std::ranges::stable_partition(
+        order, [&](const relay_member *item) { return item->isFresh(now); });
     return order;
 }
 
@@ -262,7 +281,7 @@
 void relay_entry::search(instant now, const segment &head, const route_rule &route,
     cached_flow &cached, std::size_t asked, byte_view bytes)
 {
-    const auto order = wholeSearchOrder(route, head.flowFromCaller());
+    const auto order = wholeSearchOrder(now, route, head.flowFromCaller());
     cached.owner = {};
     cached.tried.clear();
     cached.confirmed = false;
@@ -313,8 +332,9 @@
     m_members.forEach([&](const relay_member &item) {
         longest = std::max<instant>(longest, item.interval * learningIntervals);
     });
-    return now - std::max(m_started, m_configAt) >= longest
-        && now - m_memberAddedAt >= longest / 2;
+    // Without other entries to name the members, their first reports have to tell.
+    const auto since = m_introducedAt ? m_memberAddedAt : std::max(m_started, m_memberAddedAt);
+    return m_named.empty() && now - m_started >= longest && now - since >= longest / 2;
 }
 
 void relay_entry::resetFlow(instant now, const segment &head, std::string_view reason)
@@ -396,6 +416,7 @@
     if (found == m_flows.end() || !route || found->second.established)
         return;
     auto &cached = found->second;
+    cached.owner = {};
     const auto &service = route->serviceFor(hashFlow(head.flowFromCaller()));
     const placement_request request{.flowHash = hashFlow(head.flowFromCaller()),
         .domain = m_options.domain,
@@ -407,8 +428,13 @@
         place(now, head, *route, cached, bytes);
         return;
     }
-    if (isLearning(now)) {
-        logOpening(now, head, "parked: refused while targets are still learnt", nullptr, 0);
+    if (!cached.refusedSince)
+        cached.refusedSince = now;
+    // Queues are short: a target that refuses now often has room a moment later.
+    if (isLearning(now) || now - *cached.refusedSince < refusedWait) {
+        logOpening(now, head, "parked: refused by all targets asked", nullptr, 0);
+        cached.refusedOnce = false;
+        cached.tried.clear();
         park(now, head, bytes);
         return;
     }
@@ -463,14 +489,16 @@
     const auto change = m_members.apply(now, from, message);
     if (m_members.count() > before)
         m_memberAddedAt = now;
+    m_named.erase(from);
     if (change) {
         logMember(now, *change);
         retryParked(now);
     }
     noteRevision(now, from, message.copyRevision);
     onDomains(now, {.revision = message.domainsRevision, .names = message.domainsOut}, "target process");
-    if (message.wantsNotice)
-        sendNotice(now, from, m_members.at(from), false);
+    const auto *member = m_members.at(from);
+    if (message.wantsNotice && member)
+        tellMember(now, *member);
 }
 
 void relay_entry::handle(instant now, const endpoint &from, const entry_notice &message)
@@ -490,8 +518,23 @@
     noteRevision(now, from, message.revision);
     onDomains(now, {.revision = message.domainsRevision, .names = message.domainsOut}, "entry");
     onEntries(now, message.entries);
+    meetMembers(now, message.members);
     if (message.wantsNotice)
-        sendNotice(now, from, nullptr, false);
+        answerEntry(now, from);
+}
+
+// Members that other entries know and this one does not: they are told of this entry, so that they
+// report to it at once.
+void relay_entry::meetMembers(instant now, std::span<const endpoint> members)
+{
+    if (!members.empty() && !m_introducedAt)
+        m_introducedAt = now;
+    for (const auto &address : members) {
+        if (m_members.at(address))
+            continue;
+        m_named[address] = now;
+        sendNotice(address, makeNotice(now));
+    }
 }
 
 void relay_entry::noteRevision(instant now, const endpoint &from, std::uint64_t revision)
@@ -509,7 +552,7 @@
         if (peer == m_options.peer || m_entries.contains(peer))
             continue;
         m_entries.emplace(peer, entry_peer{.heard = now - entrySilence});
-        sendNotice(now, peer, nullptr, true);
+        tellEntry(now, peer, true);
     }
 }
 
@@ -558,11 +601,11 @@
             .source = std::string(source),
             .out = domains.names});
     // Target processes refuse openings by this; they are told at once.
-    m_members.forEach([&](const relay_member &item) { sendNotice(now, item.address, &item, false); });
+    m_members.forEach([&](const relay_member &item) { tellMember(now, item); });
     m_lastNotices = {};
 }
 
-bool relay_entry::shouldKeepCopy(const relay_member &member)
+bool relay_entry::shouldKeepCopy(const relay_member &member) const
 {
     std::size_t before = 0;
     m_members.forEach([&](const relay_member &other) {
@@ -571,8 +614,7 @@
     return before < copiesPerDomain;
 }
 
-void relay_entry::sendNotice(
-    instant now, const endpoint &to, const relay_member *member, bool wantsNotice)
+entry_notice relay_entry::makeNotice(instant now) const
 {
     entry_notice notice{.name = m_options.name,
         .domain = m_options.domain,
@@ -580,22 +622,48 @@
         .revision = m_config ? m_config->revision : 0,
         .domainsRevision = m_domains.revision,
         .domainsOut = m_domains.names,
-        .leaving = m_leavingSince.has_value(),
-        .wantsNotice = wantsNotice};
+        .leaving = m_leavingSince.has_value()};
     if (!m_leavingSince)
         notice.entries.push_back(m_options.peer);
     for (const auto &[address, peer] : m_entries) {
         if (now - peer.heard < entrySilence && notice.entries.size() < namedEntries)
             notice.entries.push_back(address);
     }
-    const auto *rule
-        = member && m_config ? m_config->serviceNamed(member->service) : nullptr;
+    return notice;
+}
+
+void relay_entry::sendNotice(const endpoint &to, const entry_notice &notice)
+{
+    m_port.sendPeer(to, encodeRelayMessage(notice), {});
+}
+
+void relay_entry::tellEntry(instant now, const endpoint &to, bool wantsNotice)
+{
+    auto notice = makeNotice(now);
+    notice.wantsNotice = wantsNotice;
+    sendNotice(to, notice);
+}
+
+void relay_entry::answerEntry(instant now, const endpoint &to)
+{
+    auto notice = makeNotice(now);
+    m_members.forEach([&](const relay_member &item) {
+        if (item.isFresh(now) && notice.members.size() < namedMembers)
+            notice.members.push_back(item.address);
+    });
+    sendNotice(to, notice);
+}
+
+void relay_entry::tellMember(instant now, const relay_member &member)
+{
+    auto notice = makeNotice(now);
+    const auto *rule = m_config ? m_config->serviceNamed(member.service) : nullptr;
     if (rule)
         notice.bounds.push_back({.service = rule->name,
             .flows = rule->flows,
             .coldRate = static_cast<std::uint64_t>(rule->coldRate * 1000)});
-    notice.keepsCopy = member && shouldKeepCopy(*member);
-    m_port.sendPeer(to, encodeRelayMessage(notice), {});
+    notice.keepsCopy = shouldKeepCopy(member);
+    sendNotice(member.address, notice);
 }
 
 void relay_entry::sendNotices(instant now)
@@ -613,7 +681,7 @@
         : 0;
     std::ranges::rotate(due, due.begin() + static_cast<std::ptrdiff_t>(offset));
     for (const auto &address : due | std::views::take(noticesPerRound))
-        sendNotice(now, address, nullptr, m_entries[address].heard + entrySilence <= now);
+        tellEntry(now, address, isLearning(now) || m_entries[address].heard + entrySilence <= now);
 }
 
 // --- Time
@@ -623,6 +691,8 @@
     if (now - m_lastNotices >= noticeInterval) {
         m_lastNotices = now;
         sendNotices(now);
+        std::erase_if(
+            m_named, [&](const auto &item) { return now - item.second > namedLifetime; });
         std::erase_if(m_entries, [&](const auto &item) {
             const bool isSeed
                 = std::ranges::find(m_options.seeds, item.first) != m_options.seeds.end();
@@ -648,8 +718,10 @@
 
 bool relay_entry::isReady(instant now) const
 {
-    return !m_leavingSince && m_config
-        && (m_members.aliveCount() > 0 || now - m_configAt > learningTime);
+    if (m_leavingSince || !m_config)
+        return false;
+    // Without members nothing can be served, but other entries may be no better off.
+    return (m_members.aliveCount() > 0 && m_named.empty()) || now - m_started > learningTime;
 }
 
 void relay_entry::startLeaving(instant now)
--- a/src/libtoucanrelay/relay_target.cpp
+++ b/src/libtoucanrelay/relay_target.cpp
@@ -122,7 +122,7 @@
         .silent = isSilent(now),
         .coldAllowance = m_window.count(now) < coldLimit(),
         .hasAlternative = !header.candidates.empty(),
-        .flows = m_flows.size(),
+        .flows = heldFlows(),
         .flowLimit = m_bounds.flows,
         .waiting = m_waiting + m_unanswered.size(),
         .slots = latest ? latest->slots : 0});
@@ -469,6 +469,7 @@
 
 void relay_target::handle(instant now, const endpoint &from, const entry_notice &message)
 {
+    const bool isNew = !m_entries.contains(from);
     auto &entry = m_entries[from];
     if (now - entry.heard > entrySilence)
         m_log.write(now,
@@ -500,8 +501,10 @@
         m_port.fetchConfig(from, message.revision);
     }
     onEntries(now, message.entries);
+    if (isNew)
+        sendReports(now, false);
     if (message.leaving)
-        entry.heard = now - entrySilence;
+        m_entries[from].heard = now - entrySilence;
 }
 
 void relay_target::onEntries(instant now, std::span<const endpoint> peers)
@@ -538,7 +541,7 @@
         .lifetime = m_liveness.lifetime(),
         .standing = static_cast<std::uint64_t>(m_reportedStanding),
         .slots = slots,
-        .flows = m_flows.size(),
+        .flows = heldFlows(),
         .waiting = m_waiting,
         .load = static_cast<std::uint64_t>(
             m_load.read(now) * thousand / static_cast<double>(slots)),
@@ -557,6 +560,12 @@
     }
 }
 
+std::size_t relay_target::heldFlows() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_flows, [](const auto &item) { return item.second.state != flow_state::probing; }));
+}
+
 void relay_target::startLeaving(instant now)
 {
     m_leaving = true;
--- a/src/toucanbridge/entry_relay_server.cpp
+++ b/src/toucanbridge/entry_relay_server.cpp
@@ -8,7 +8,7 @@
 using namespace std::chrono_literals;
 
 // Also the longest time that an event of another thread waits.
-constexpr auto pollInterval = 100ms;
+constexpr auto pollInterval = 50ms;
 
 relay_entry_options engineOptions(const entry_relay_settings &settings, std::uint64_t boot)
 {
