--- a/src/libtoucannet/platform_client.cpp
+++ b/src/libtoucannet/platform_client.cpp
@@ -102,9 +102,10 @@
     const bool reused = m_session != nullptr;
     auto outcome = attempt(request, timeout);
     const auto *failure = errorOf(outcome);
-    // The platform may have closed an idle connection; a read is simply made again.
+    // The platform may have closed an idle connection; a short read is simply made again. A watch
+    // that was cut off is not: its history may be gone without the platform saying so.
     const bool again = failure && reused && request.method == HTTPRequest::HTTP_GET
-        && failure->detail.find("imeout") == std::string::npos;
+        && timeout == m_timeout && failure->detail.find("imeout") == std::string::npos;
     return again ? attempt(request, timeout) : outcome;
 }
 
--- a/src/libtoucannet/store_follower.cpp
+++ b/src/libtoucannet/store_follower.cpp
@@ -95,9 +95,13 @@
             return false;
         if (!changes) {
             const auto &failure = *errorOf(outcome);
-            // The history is gone: list again at once.
-            if (failure.kind == error_kind::not_found)
+            if (failure.kind == error_kind::not_found) {
+                m_store.log.write(monotonicNow(),
+                    store_call_failed{.call = "watch " + m_kind,
+                        .error = "the changes since revision " + std::to_string(revision)
+                            + " are gone; listing again"});
                 return true;
+            }
             noteFailure(failure);
             return pauseAfterFailure(m_store, pause, "watch " + m_kind, failure, stop);
         }
