--- /dev/null
+++ b/src/include/toucan/lab/relay_fleet.h
@@ -0,0 +1,153 @@
+#pragma once
+
+/// Emulator of entries and target processes that relay segments: the real engines on a simulated
+/// network, clock, store, targets and callers, all driven by one seed. Checks the promises towards
+/// callers and targets while it runs.
+
+#include <functional>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <toucan/relay_entry.h>
+#include <toucan/relay_target.h>
+
+namespace toucan::lab {
+
+/// Size and manners of an emulated fleet.
+struct relay_fleet_options
+{
+    std::size_t entries = 3;
+    std::size_t targets = 6;
+    std::vector<std::string> domains{"a", "b", "c"};
+    double loss = 0; ///< Share of datagrams between processes that are lost.
+    std::uint64_t seed = 1;
+    std::uint64_t slots = 9;
+    std::chrono::milliseconds work{50}; ///< Time that a target works on a request.
+    bool logs = false; ///< Structured log lines go to standard output.
+};
+
+/// What became of the callers' flows.
+struct relay_outcome
+{
+    std::size_t opened = 0; ///< Flows whose opening was answered.
+    std::size_t answered = 0; ///< Requests that were answered.
+    std::size_t unanswered = 0; ///< Requests given up by their callers.
+    std::size_t resetOpen = 0; ///< Open flows that the system reset.
+    std::size_t resetUnopened = 0; ///< Openings that the system reset.
+};
+
+/// An emulated fleet.
+class relay_fleet
+{
+public:
+    relay_fleet(relay_fleet_options options, const segment_codec &codec);
+    ~relay_fleet();
+
+    /// Lets simulated time pass.
+    void run(std::chrono::milliseconds time);
+    instant now() const { return m_now; }
+
+    /// Opens a flow through a random entry and sends one request; returns the number of the flow.
+    /// A flow that stays open can send further requests.
+    std::size_t openFlow(bool staysOpen = false);
+    /// Sends another request on an open flow, through a random entry.
+    void request(std::size_t flow);
+    /// Callers use only these entries from now on; all when empty.
+    void useEntries(std::set<std::size_t> entries) { m_usedEntries = std::move(entries); }
+    /// True when the flow's newest request was answered.
+    bool wasAnswered(std::size_t flow) const;
+    /// True when the system reset the flow.
+    bool wasReset(std::size_t flow) const;
+    /// Target that holds the flow, or nullopt.
+    std::optional<std::size_t> holder(std::size_t flow) const;
+
+    std::size_t addEntry();
+    void killEntry(std::size_t entry);
+    void startEntry(std::size_t entry);
+    void leaveEntry(std::size_t entry);
+    bool entryIsReady(std::size_t entry) const;
+    /// Process of the system beside a target.
+    void killProcess(std::size_t target);
+    void startProcess(std::size_t target);
+    /// The target itself.
+    void crashTarget(std::size_t target);
+    void startTarget(std::size_t target, std::chrono::milliseconds coldFor = {});
+    void drainTarget(std::size_t target);
+    void silenceTarget(std::size_t target, bool silent);
+    std::size_t addTarget(const std::string &service = "main");
+
+    /// The store: whether entries reach it, routes, failure domains out of service.
+    void setStore(bool reachable);
+    void setRoutes(std::vector<std::pair<endpoint, std::string>> routes, double coldRate = 0);
+    void setDomainsOut(std::vector<std::string> names);
+    /// Cuts or heals the link between an entry and a target's process.
+    void setCut(std::size_t entry, std::size_t target, bool cut);
+
+    /// Openings that a target took since its lifetime began.
+    std::size_t openingsTaken(std::size_t target) const;
+    const relay_outcome &outcome() const { return m_outcome; }
+    /// Promises that were broken, one line each.
+    const std::vector<std::string> &violations() const { return m_violations; }
+    /// Address of the service that the fleet starts with.
+    static endpoint mainAddress() { return {.ip = 0xc6120001, .port = 443}; }
+
+private:
+    struct entry_node;
+    struct target_node;
+    struct caller_flow;
+
+    struct event
+    {
+        instant time;
+        std::uint64_t order;
+        std::function<void()> act;
+        bool operator>(const event &other) const
+        {
+            return std::tie(time, order) > std::tie(other.time, other.order);
+        }
+    };
+
+    void at(instant time, std::function<void()> act);
+    void after(std::chrono::microseconds delay, std::function<void()> act);
+    std::chrono::microseconds delay();
+    bool lost();
+    void deliver(const endpoint &from, const endpoint &to, byte_buffer bytes);
+    void toCaller(const endpoint &caller, byte_buffer bytes);
+    void sendFromCaller(caller_flow &flow, const segment &head, byte_view payload);
+    void sendOpening(std::size_t flow, std::uint32_t copy);
+    void sendRequest(std::size_t flow, std::uint32_t number, int tries);
+    void onCallerReset(caller_flow &flow);
+    bool isHeldByLiveTarget(const caller_flow &flow) const;
+    void publish(entry_node &entry);
+    entry_node *entryAt(const endpoint &peer);
+    target_node *targetAt(const endpoint &peer);
+    entry_node *chooseEntry();
+    relay_entry_options entryOptions(const entry_node &node);
+    relay_target_options targetOptions(const target_node &node, bool first);
+    void tickEntry(std::size_t entry, std::uint64_t start);
+    void tickTarget(std::size_t target, std::uint64_t start);
+    void reportTarget(std::size_t target, std::uint64_t lifetime);
+    std::vector<endpoint> seeds() const;
+
+    relay_fleet_options m_options;
+    const segment_codec &m_codec;
+    std::mt19937_64 m_random;
+    instant m_now = std::chrono::seconds(1000);
+    std::uint64_t m_order = 0;
+    std::priority_queue<event, std::vector<event>, std::greater<>> m_events;
+    std::vector<std::unique_ptr<entry_node>> m_entries;
+    std::vector<std::unique_ptr<target_node>> m_targets;
+    std::vector<std::unique_ptr<caller_flow>> m_flows;
+    std::set<std::size_t> m_usedEntries;
+    std::set<std::pair<std::size_t, std::size_t>> m_cuts;
+    bool m_storeReachable = true;
+    std::uint64_t m_storeRevision = 1;
+    relay_config_ptr m_storeConfig;
+    domains_out m_storeDomains;
+    std::map<std::string, instant> m_outSince;
+    relay_outcome m_outcome;
+    std::vector<std::string> m_violations;
+};
+
+} // namespace toucan::lab
--- a/src/include/toucan/relay_target.h
+++ b/src/include/toucan/relay_target.h
@@ -112,7 +112,8 @@
     void tellOwner(const flow_key &key, flow &item);
     void setWaiting(instant now, flow &item, bool waiting);
     void erase(instant now, flow_map::iterator place, std::string_view outcome);
-    void endLifetime(instant now, std::string_view reason);
+    void endLifetime(instant now, instant lastHeard, std::string_view reason);
+    void resetFlow(instant now, flow_map::iterator place, std::string_view reason);
     bool knowsAllFlows(instant now) const;
     bool isSilent(instant now);
     void checkUnanswered(instant now);
--- a/src/include/toucan/segment.h
+++ b/src/include/toucan/segment.h
@@ -39,11 +39,20 @@
 {
     /// Reads a head; nullopt when the bytes are no segment.
     std::optional<segment> (*decode)(byte_view bytes);
-    /// Makes the reset of a flow, sent on behalf of the service. `sequence` is the caller's last
-    /// acknowledgement; any value does for a flow that never opened.
-    byte_buffer (*makeReset)(const flow_key &flow, std::uint32_t sequence);
+    /// Makes a segment without the sender's proof of origin, which only the two ends can add.
+    byte_buffer (*encode)(const segment &head, byte_view payload);
     /// Turns a returned segment into the one that was sent, so that another target can take it.
     void (*clearReturned)(std::span<std::uint8_t> bytes);
 };
 
+/// Makes the reset of a flow, sent on behalf of the service. `sequence` is the caller's last
+/// acknowledgement; any value does for a flow that never opened.
+inline byte_buffer makeReset(
+    const segment_codec &codec, const flow_key &flow, std::uint32_t sequence)
+{
+    return codec.encode(
+        {.source = flow.service, .destination = flow.caller, .reset = true, .sequence = sequence},
+        {});
+}
+
 } // namespace toucan
--- /dev/null
+++ b/src/libtoucanlab/relay_fleet.cpp
@@ -0,0 +1,705 @@
+#include <algorithm>
+#include <toucan/lab/relay_fleet.h>
+
+namespace toucan::lab {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint32_t entryNet = 0x0a010000;
+constexpr std::uint32_t targetNet = 0x0a020000;
+constexpr std::uint32_t callerNet = 0x64400000;
+constexpr std::uint16_t peerPort = 7000;
+constexpr auto reportInterval = 1200ms;
+constexpr auto tick = 50ms;
+constexpr std::uint32_t payloadBytes = 100;
+// Retransmissions double from the first interval up to the longest.
+constexpr auto firstRetransmission = 200ms;
+constexpr int retransmissions = 4;
+constexpr std::array copyTimes{0ms, 200ms, 600ms};
+// Bounds that the platform sets for knowledge that has to be everywhere.
+constexpr auto drainBound = 3s;
+constexpr auto domainBound = 5s;
+
+} // namespace
+
+/// One flow as its caller sees it.
+struct relay_fleet::caller_flow
+{
+    std::size_t number = 0;
+    flow_key key;
+    bool staysOpen = false;
+    bool open = false;
+    bool reset = false;
+    std::uint32_t next = 1; ///< Next byte to send.
+    std::uint32_t peerNext = 0; ///< Next byte expected of the target.
+    std::uint32_t asked = 0; ///< Requests sent.
+    std::uint32_t answered = 0; ///< Requests answered.
+};
+
+struct relay_fleet::entry_node : relay_port
+{
+    relay_fleet &fleet;
+    std::size_t number;
+    endpoint peer;
+    std::string domain;
+    std::unique_ptr<relay_entry> engine;
+    metrics::registry metrics;
+    event_log log{"entry", 100'000};
+    std::uint64_t starts = 0;
+
+    entry_node(relay_fleet &owner, std::size_t index)
+        : fleet(owner)
+        , number(index)
+        , peer{.ip = entryNet + static_cast<std::uint32_t>(index), .port = peerPort}
+        , domain(owner.m_options.domains[index % owner.m_options.domains.size()])
+    { }
+
+    void sendPeer(const endpoint &to, byte_view head, byte_view payload) override
+    {
+        byte_buffer bytes(head.begin(), head.end());
+        bytes.insert(bytes.end(), payload.begin(), payload.end());
+        fleet.deliver(peer, to, std::move(bytes));
+    }
+    void sendCaller(const endpoint &caller, byte_view bytes) override
+    {
+        fleet.toCaller(caller, byte_buffer(bytes.begin(), bytes.end()));
+    }
+    void sendTarget(byte_view) override { }
+    void fetchConfig(const endpoint &from, std::uint64_t) override;
+};
+
+struct relay_fleet::target_node : relay_port
+{
+    /// A flow at the target.
+    struct held_flow
+    {
+        std::uint32_t sequence = 0;
+        bool established = false;
+        std::uint32_t callerNext = 0;
+        std::uint32_t answered = 0;
+    };
+
+    relay_fleet &fleet;
+    std::size_t number;
+    endpoint peer;
+    std::string domain;
+    std::string service;
+    std::unique_ptr<relay_target> engine;
+    relay_config_ptr copy;
+    metrics::registry metrics;
+    event_log log{"target", 100'000};
+    std::uint64_t starts = 0;
+    bool alive = false; ///< The target itself.
+    bool silent = false; ///< It takes packets and answers none.
+    std::uint64_t lifetime = 0;
+    std::uint64_t sequence = 0;
+    bool draining = false;
+    std::optional<instant> drainConfirmed;
+    instant coldUntil{};
+    std::size_t taken = 0;
+    std::map<flow_key, held_flow> held;
+
+    target_node(relay_fleet &owner, std::size_t index, std::string serviceName)
+        : fleet(owner)
+        , number(index)
+        , peer{.ip = targetNet + static_cast<std::uint32_t>(index), .port = peerPort}
+        , domain(owner.m_options.domains[index % owner.m_options.domains.size()])
+        , service(std::move(serviceName))
+    { }
+
+    void sendPeer(const endpoint &to, byte_view head, byte_view payload) override
+    {
+        byte_buffer bytes(head.begin(), head.end());
+        bytes.insert(bytes.end(), payload.begin(), payload.end());
+        fleet.deliver(peer, to, std::move(bytes));
+    }
+    void sendCaller(const endpoint &caller, byte_view bytes) override
+    {
+        fleet.toCaller(caller, byte_buffer(bytes.begin(), bytes.end()));
+    }
+    void sendTarget(byte_view bytes) override
+    {
+        const auto start = lifetime;
+        fleet.after(100us, [this, start, data = byte_buffer(bytes.begin(), bytes.end())] {
+            if (alive && lifetime == start && !silent)
+                onSegment(data);
+        });
+    }
+    void fetchConfig(const endpoint &from, std::uint64_t) override
+    {
+        fleet.after(5ms, [this, from] {
+            const auto *entry = fleet.entryAt(from);
+            if (!entry || !entry->engine || !entry->engine->config() || !engine)
+                return;
+            copy = entry->engine->config();
+            engine->setCopyRevision(copy->revision);
+        });
+    }
+
+    void answer(const segment &head, byte_view payload)
+    {
+        auto bytes = fleet.m_codec.encode(head, payload);
+        fleet.after(100us, [this, data = std::move(bytes)]() mutable {
+            if (engine)
+                engine->onTargetBytes(fleet.m_now, data);
+        });
+    }
+
+    void onSegment(const byte_buffer &bytes);
+    void onOpening(const segment &head);
+    void onEstablished(const segment &head, const byte_buffer &bytes);
+    void reply(const flow_key &key, const held_flow &flow, std::uint32_t number);
+};
+
+void relay_fleet::entry_node::fetchConfig(const endpoint &from, std::uint64_t)
+{
+    const auto start = starts;
+    fleet.after(5ms, [this, from, start] {
+        const auto *entry = fleet.entryAt(from);
+        const auto *target = fleet.targetAt(from);
+        const auto config = entry && entry->engine ? entry->engine->config()
+            : target && target->engine             ? target->copy
+                                                   : nullptr;
+        if (config && engine && starts == start)
+            engine->onConfig(fleet.m_now, config, "peer");
+    });
+}
+
+void relay_fleet::target_node::onSegment(const byte_buffer &bytes)
+{
+    const auto head = fleet.m_codec.decode(bytes);
+    if (!head)
+        return;
+    if (head->isOpening())
+        onOpening(*head);
+    else
+        onEstablished(*head, bytes);
+}
+
+void relay_fleet::target_node::onOpening(const segment &head)
+{
+    const auto key = head.flowFromCaller();
+    auto place = held.find(key);
+    if (place == held.end()) {
+        ++taken;
+        if (drainConfirmed && fleet.m_now - *drainConfirmed > drainBound)
+            fleet.m_violations.push_back("an opening reached a draining target");
+        const auto out = fleet.m_outSince.find(domain);
+        if (out != fleet.m_outSince.end() && fleet.m_now - out->second > domainBound)
+            fleet.m_violations.push_back("an opening reached a failure domain out of service");
+        const auto *route = fleet.m_storeConfig->routeAt(key.service);
+        if (route && route->shares.front().service != service)
+            fleet.m_violations.push_back("an opening reached a target of another service");
+        place = held.emplace(key, held_flow{.sequence = static_cast<std::uint32_t>(fleet.m_random())})
+                    .first;
+    }
+    answer({.source = key.service,
+               .destination = key.caller,
+               .synchronize = true,
+               .acknowledge = true,
+               .sequence = place->second.sequence,
+               .acknowledged = head.sequence + 1},
+        {});
+}
+
+void relay_fleet::target_node::onEstablished(const segment &head, const byte_buffer &bytes)
+{
+    const auto key = head.flowFromCaller();
+    const auto place = held.find(key);
+    const bool mine = place != held.end()
+        && (place->second.established || head.acknowledged == place->second.sequence + 1);
+    if (!mine) {
+        auto returned = head;
+        returned.returned = true;
+        answer(returned, byte_view(bytes).last(head.length));
+        return;
+    }
+    auto &flow = place->second;
+    flow.established = true;
+    if (head.length == 0)
+        return;
+    if (head.sequence + head.length == flow.callerNext) {
+        // A retransmission: the answer was lost.
+        if (flow.answered > 0)
+            reply(key, flow, flow.answered - 1);
+        return;
+    }
+    flow.callerNext = head.sequence + head.length;
+    const auto start = lifetime;
+    fleet.after(fleet.m_options.work, [this, key, start] {
+        const auto still = held.find(key);
+        if (!alive || lifetime != start || still == held.end())
+            return;
+        reply(key, still->second, still->second.answered++);
+    });
+}
+
+void relay_fleet::target_node::reply(
+    const flow_key &key, const held_flow &flow, std::uint32_t number)
+{
+    const byte_buffer payload(payloadBytes, 'r');
+    answer({.source = key.service,
+               .destination = key.caller,
+               .acknowledge = true,
+               .sequence = flow.sequence + 1 + number * payloadBytes,
+               .acknowledged = flow.callerNext,
+               .length = payloadBytes},
+        payload);
+}
+
+relay_fleet::relay_fleet(relay_fleet_options options, const segment_codec &codec)
+    : m_options(std::move(options))
+    , m_codec(codec)
+    , m_random(m_options.seed)
+{
+    if (!m_options.logs)
+        event_log::silence();
+    setRoutes({{mainAddress(), "main"}});
+    for (std::size_t i = 0; i < m_options.entries; ++i)
+        addEntry();
+    for (std::size_t i = 0; i < m_options.targets; ++i)
+        addTarget();
+}
+
+relay_fleet::~relay_fleet() = default;
+
+// --- Time and network
+
+void relay_fleet::at(instant time, std::function<void()> act)
+{
+    m_events.push({.time = time, .order = m_order++, .act = std::move(act)});
+}
+
+void relay_fleet::after(std::chrono::microseconds delay, std::function<void()> act)
+{
+    at(m_now + delay, std::move(act));
+}
+
+void relay_fleet::run(std::chrono::milliseconds time)
+{
+    const auto end = m_now + time;
+    while (!m_events.empty() && m_events.top().time <= end) {
+        const auto next = m_events.top();
+        m_events.pop();
+        m_now = next.time;
+        next.act();
+    }
+    m_now = end;
+}
+
+std::chrono::microseconds relay_fleet::delay()
+{
+    std::uniform_int_distribution<std::int64_t> micros(200, 1500);
+    return std::chrono::microseconds(micros(m_random));
+}
+
+bool relay_fleet::lost()
+{
+    return std::bernoulli_distribution(m_options.loss)(m_random);
+}
+
+void relay_fleet::deliver(const endpoint &from, const endpoint &to, byte_buffer bytes)
+{
+    if (lost())
+        return;
+    after(delay(), [this, from, to, data = std::move(bytes)]() mutable {
+        auto *fromEntry = entryAt(from);
+        auto *toEntry = entryAt(to);
+        auto *fromTarget = targetAt(from);
+        auto *toTarget = targetAt(to);
+        if (fromEntry && toTarget && m_cuts.contains({fromEntry->number, toTarget->number}))
+            return;
+        if (fromTarget && toEntry && m_cuts.contains({toEntry->number, fromTarget->number}))
+            return;
+        if (toEntry && toEntry->engine)
+            toEntry->engine->onPeerBytes(m_now, from, data);
+        if (toTarget && toTarget->engine)
+            toTarget->engine->onPeerBytes(m_now, from, data);
+    });
+}
+
+relay_fleet::entry_node *relay_fleet::entryAt(const endpoint &peer)
+{
+    const auto found = std::ranges::find(m_entries, peer, [](const auto &node) { return node->peer; });
+    return found == m_entries.end() ? nullptr : found->get();
+}
+
+relay_fleet::target_node *relay_fleet::targetAt(const endpoint &peer)
+{
+    const auto found = std::ranges::find(m_targets, peer, [](const auto &node) { return node->peer; });
+    return found == m_targets.end() ? nullptr : found->get();
+}
+
+// --- Callers
+
+std::size_t relay_fleet::openFlow(bool staysOpen)
+{
+    const auto number = m_flows.size();
+    auto flow = std::make_unique<caller_flow>();
+    flow->number = number;
+    flow->staysOpen = staysOpen;
+    flow->key = {.caller = {.ip = callerNet + static_cast<std::uint32_t>(number), .port = 2000},
+        .service = mainAddress()};
+    m_flows.push_back(std::move(flow));
+    for (std::uint32_t copy = 0; copy < copyTimes.size(); ++copy)
+        after(copyTimes[copy], [this, number, copy] { sendOpening(number, copy); });
+    return number;
+}
+
+relay_fleet::entry_node *relay_fleet::chooseEntry()
+{
+    std::vector<entry_node *> usable;
+    for (const auto &node : m_entries) {
+        if (node->engine && (m_usedEntries.empty() || m_usedEntries.contains(node->number)))
+            usable.push_back(node.get());
+    }
+    if (usable.empty())
+        return nullptr;
+    return usable[std::uniform_int_distribution<std::size_t>(0, usable.size() - 1)(m_random)];
+}
+
+void relay_fleet::sendFromCaller(caller_flow &flow, const segment &head, byte_view payload)
+{
+    static_cast<void>(flow);
+    auto *entry = chooseEntry();
+    if (!entry || lost())
+        return;
+    after(delay(), [this, number = entry->number, data = m_codec.encode(head, payload)]() mutable {
+        auto &node = *m_entries[number];
+        if (node.engine)
+            node.engine->onCallerBytes(m_now, data);
+    });
+}
+
+void relay_fleet::sendOpening(std::size_t flow, std::uint32_t copy)
+{
+    auto &item = *m_flows[flow];
+    if (item.open || item.reset)
+        return;
+    sendFromCaller(item,
+        {.source = item.key.caller,
+            .destination = item.key.service,
+            .synchronize = true,
+            .sequence = 0,
+            .copy = copy},
+        {});
+}
+
+void relay_fleet::request(std::size_t flow)
+{
+    auto &item = *m_flows[flow];
+    if (!item.open || item.reset)
+        return;
+    sendRequest(flow, ++item.asked, 0);
+}
+
+void relay_fleet::sendRequest(std::size_t flow, std::uint32_t number, int tries)
+{
+    auto &item = *m_flows[flow];
+    if (item.reset || item.answered >= number)
+        return;
+    if (tries > retransmissions) {
+        ++m_outcome.unanswered;
+        return;
+    }
+    const byte_buffer payload(payloadBytes, 'q');
+    sendFromCaller(item,
+        {.source = item.key.caller,
+            .destination = item.key.service,
+            .acknowledge = true,
+            .sequence = 1 + (number - 1) * payloadBytes,
+            .acknowledged = item.peerNext,
+            .length = payloadBytes},
+        payload);
+    after(firstRetransmission * (1 << tries),
+        [this, flow, number, tries] { sendRequest(flow, number, tries + 1); });
+}
+
+void relay_fleet::toCaller(const endpoint &caller, byte_buffer bytes)
+{
+    after(delay(), [this, caller, data = std::move(bytes)] {
+        const auto head = m_codec.decode(data);
+        const auto number = caller.ip - callerNet;
+        if (!head || number >= m_flows.size())
+            return;
+        auto &flow = *m_flows[number];
+        if (head->reset) {
+            onCallerReset(flow);
+        } else if (head->synchronize && !flow.open && !flow.reset) {
+            flow.open = true;
+            flow.peerNext = head->sequence + 1;
+            ++m_outcome.opened;
+            request(number);
+        } else if (head->length > 0 && head->sequence == flow.peerNext) {
+            flow.peerNext += head->length;
+            ++flow.answered;
+            ++m_outcome.answered;
+        }
+    });
+}
+
+bool relay_fleet::isHeldByLiveTarget(const caller_flow &flow) const
+{
+    return std::ranges::any_of(m_targets, [&](const auto &node) {
+        const auto held = node->held.find(flow.key);
+        return node->alive && node->engine && held != node->held.end() && held->second.established;
+    });
+}
+
+void relay_fleet::onCallerReset(caller_flow &flow)
+{
+    if (flow.reset)
+        return;
+    flow.reset = true;
+    ++(flow.open ? m_outcome.resetOpen : m_outcome.resetUnopened);
+    if (isHeldByLiveTarget(flow) && m_storeConfig->routeAt(flow.key.service))
+        m_violations.push_back("flow " + std::to_string(flow.number) + " was reset while its target holds it");
+}
+
+bool relay_fleet::wasAnswered(std::size_t flow) const
+{
+    return m_flows[flow]->asked > 0 && m_flows[flow]->answered >= m_flows[flow]->asked;
+}
+
+bool relay_fleet::wasReset(std::size_t flow) const
+{
+    return m_flows[flow]->reset;
+}
+
+std::optional<std::size_t> relay_fleet::holder(std::size_t flow) const
+{
+    const auto found = std::ranges::find_if(m_targets, [&](const auto &node) {
+        const auto held = node->held.find(m_flows[flow]->key);
+        return held != node->held.end() && held->second.established;
+    });
+    return found == m_targets.end() ? std::nullopt : std::optional((*found)->number);
+}
+
+// --- Entries
+
+std::vector<endpoint> relay_fleet::seeds() const
+{
+    std::vector<endpoint> list;
+    for (std::size_t i = 0; i < std::min<std::size_t>(m_options.entries, 3); ++i)
+        list.push_back({.ip = entryNet + static_cast<std::uint32_t>(i), .port = peerPort});
+    return list;
+}
+
+std::size_t relay_fleet::addEntry()
+{
+    m_entries.push_back(std::make_unique<entry_node>(*this, m_entries.size()));
+    startEntry(m_entries.size() - 1);
+    return m_entries.size() - 1;
+}
+
+relay_entry_options relay_fleet::entryOptions(const entry_node &node)
+{
+    return {.name = "e" + std::to_string(node.number),
+        .domain = node.domain,
+        .peer = node.peer,
+        .seeds = seeds(),
+        .boot = m_random()};
+}
+
+void relay_fleet::startEntry(std::size_t entry)
+{
+    auto &node = *m_entries[entry];
+    node.engine = std::make_unique<relay_entry>(
+        entryOptions(node), m_codec, node, node.metrics, node.log, m_now);
+    const auto start = ++node.starts;
+    after(20ms, [this, entry, start] {
+        if (m_entries[entry]->starts == start)
+            publish(*m_entries[entry]);
+    });
+    tickEntry(entry, start);
+}
+
+void relay_fleet::killEntry(std::size_t entry)
+{
+    m_entries[entry]->engine.reset();
+    ++m_entries[entry]->starts;
+}
+
+void relay_fleet::leaveEntry(std::size_t entry)
+{
+    m_entries[entry]->engine->startLeaving(m_now);
+}
+
+bool relay_fleet::entryIsReady(std::size_t entry) const
+{
+    return m_entries[entry]->engine && m_entries[entry]->engine->isReady(m_now);
+}
+
+void relay_fleet::tickEntry(std::size_t entry, std::uint64_t start)
+{
+    auto &node = *m_entries[entry];
+    if (!node.engine || node.starts != start)
+        return;
+    node.engine->onTick(m_now);
+    after(tick, [this, entry, start] { tickEntry(entry, start); });
+}
+
+void relay_fleet::publish(entry_node &entry)
+{
+    if (!m_storeReachable || !entry.engine)
+        return;
+    entry.engine->onConfig(m_now, m_storeConfig, "store");
+    entry.engine->onDomains(m_now, m_storeDomains, "store");
+}
+
+// --- Targets and their processes
+
+std::size_t relay_fleet::addTarget(const std::string &service)
+{
+    const auto number = m_targets.size();
+    m_targets.push_back(std::make_unique<target_node>(*this, number, service));
+    startProcess(number);
+    startTarget(number);
+    return number;
+}
+
+relay_target_options relay_fleet::targetOptions(const target_node &node, bool first)
+{
+    return {.name = "t" + std::to_string(node.number),
+        .domain = node.domain,
+        .service = node.service,
+        .peer = node.peer,
+        .seeds = seeds(),
+        .firstStart = first,
+        .boot = m_random()};
+}
+
+void relay_fleet::startProcess(std::size_t target)
+{
+    auto &node = *m_targets[target];
+    const bool first = node.starts == 0;
+    node.engine = std::make_unique<relay_target>(
+        targetOptions(node, first), m_codec, node, node.metrics, node.log, m_now);
+    const auto start = ++node.starts;
+    node.copy = nullptr;
+    tickTarget(target, start);
+}
+
+void relay_fleet::killProcess(std::size_t target)
+{
+    m_targets[target]->engine.reset();
+    ++m_targets[target]->starts;
+}
+
+void relay_fleet::tickTarget(std::size_t target, std::uint64_t start)
+{
+    auto &node = *m_targets[target];
+    if (!node.engine || node.starts != start)
+        return;
+    node.engine->onTick(m_now);
+    after(tick, [this, target, start] { tickTarget(target, start); });
+}
+
+void relay_fleet::startTarget(std::size_t target, std::chrono::milliseconds coldFor)
+{
+    auto &node = *m_targets[target];
+    node.alive = true;
+    node.silent = false;
+    node.draining = false;
+    node.drainConfirmed.reset();
+    node.held.clear();
+    node.taken = 0;
+    node.sequence = 0;
+    node.coldUntil = m_now + coldFor;
+    const auto lifetime = ++node.lifetime;
+    after(30ms, [this, target, lifetime] { reportTarget(target, lifetime); });
+}
+
+void relay_fleet::reportTarget(std::size_t target, std::uint64_t lifetime)
+{
+    auto &node = *m_targets[target];
+    if (!node.alive || node.lifetime != lifetime)
+        return;
+    if (node.engine) {
+        const auto cold = std::max(node.coldUntil - m_now, instant{});
+        node.engine->onLiveness(m_now,
+            {.id = "i" + std::to_string(target),
+                .service = node.service,
+                .startedMs = 1'000'000 + lifetime,
+                .sequence = ++node.sequence,
+                .slots = m_options.slots,
+                .draining = node.draining,
+                .coldFor = std::chrono::duration_cast<std::chrono::milliseconds>(cold)});
+        if (node.draining && !node.drainConfirmed)
+            node.drainConfirmed = m_now;
+    } else {
+        ++node.sequence;
+    }
+    after(reportInterval, [this, target, lifetime] { reportTarget(target, lifetime); });
+}
+
+void relay_fleet::crashTarget(std::size_t target)
+{
+    m_targets[target]->alive = false;
+    m_targets[target]->held.clear();
+}
+
+void relay_fleet::drainTarget(std::size_t target)
+{
+    m_targets[target]->draining = true;
+}
+
+void relay_fleet::silenceTarget(std::size_t target, bool silent)
+{
+    m_targets[target]->silent = silent;
+}
+
+std::size_t relay_fleet::openingsTaken(std::size_t target) const
+{
+    return m_targets[target]->taken;
+}
+
+// --- Store and links
+
+void relay_fleet::setStore(bool reachable)
+{
+    m_storeReachable = reachable;
+    if (!reachable)
+        return;
+    for (const auto &entry : m_entries)
+        after(5ms, [this, number = entry->number] { publish(*m_entries[number]); });
+}
+
+void relay_fleet::setRoutes(
+    std::vector<std::pair<endpoint, std::string>> routes, double coldRate)
+{
+    boost::intrusive_ptr<relay_config> config(new relay_config);
+    config->revision = ++m_storeRevision;
+    config->version = config->revision;
+    std::set<std::string> services;
+    for (const auto &[address, service] : routes) {
+        config->index[address] = config->routes.size();
+        config->routes.push_back(
+            {.name = toString(address), .address = address, .shares = {{.service = service}}});
+        if (services.insert(service).second)
+            config->services.push_back({.name = service, .flows = 2000, .coldRate = coldRate});
+    }
+    m_storeConfig = config;
+    setStore(m_storeReachable);
+}
+
+void relay_fleet::setDomainsOut(std::vector<std::string> names)
+{
+    std::ranges::sort(names);
+    m_outSince.clear();
+    for (const auto &name : names)
+        m_outSince[name] = m_now;
+    m_storeDomains = {.revision = ++m_storeRevision, .names = std::move(names)};
+    setStore(m_storeReachable);
+}
+
+void relay_fleet::setCut(std::size_t entry, std::size_t target, bool cut)
+{
+    if (cut)
+        m_cuts.insert({entry, target});
+    else
+        m_cuts.erase({entry, target});
+}
+
+} // namespace toucan::lab
--- /dev/null
+++ b/src/libtoucanlab/relay_fleet_test.cpp
@@ -0,0 +1,404 @@
+#include <catch2/catch.hpp>
+#include <platform/adapter.h>
+#include <rapidcheck.h>
+#include <toucan/lab/relay_fleet.h>
+
+using namespace toucan;
+using namespace toucan::lab;
+using namespace std::chrono_literals;
+
+namespace {
+
+relay_fleet makeFleet(relay_fleet_options options = {})
+{
+    return {std::move(options), platform::segments()};
+}
+
+std::vector<std::size_t> openFlows(relay_fleet &fleet, int count, bool stayOpen = false)
+{
+    std::vector<std::size_t> flows;
+    for (int i = 0; i < count; ++i) {
+        flows.push_back(fleet.openFlow(stayOpen));
+        fleet.run(10ms);
+    }
+    return flows;
+}
+
+std::size_t countAnswered(const relay_fleet &fleet, const std::vector<std::size_t> &flows)
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(flows, [&](std::size_t flow) { return fleet.wasAnswered(flow); }));
+}
+
+std::size_t countReset(const relay_fleet &fleet, const std::vector<std::size_t> &flows)
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(flows, [&](std::size_t flow) { return fleet.wasReset(flow); }));
+}
+
+std::string listOf(const std::vector<std::string> &lines)
+{
+    std::string text;
+    for (const auto &line : lines)
+        text += line + '\n';
+    return text;
+}
+
+} // namespace
+
+TEST_CASE("relay: a calm fleet answers every request")
+{
+    auto fleet = makeFleet();
+    fleet.run(4s);
+    const auto flows = openFlows(fleet, 200);
+    fleet.run(2s);
+    CHECK(countAnswered(fleet, flows) == flows.size());
+    CHECK(listOf(fleet.violations()).empty());
+}
+
+TEST_CASE("relay: every entry finds the owner of a flow that another one opened")
+{
+    auto fleet = makeFleet({.entries = 4});
+    fleet.run(4s);
+    fleet.useEntries({0});
+    const auto flows = openFlows(fleet, 100, true);
+    fleet.run(1s);
+    fleet.useEntries({3});
+    for (const auto flow : flows)
+        fleet.request(flow);
+    fleet.run(150ms);
+    CHECK(countAnswered(fleet, flows) == flows.size());
+    CHECK(countReset(fleet, flows) == 0);
+}
+
+// A new entry that has heard of one member only must not conclude that nobody holds a flow.
+TEST_CASE("relay: an entry that was just added resets no open flow")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        auto fleet = makeFleet({.entries = 5, .targets = 12, .seed = seed});
+        fleet.run(4s);
+        const auto flows = openFlows(fleet, 60, true);
+        const auto added = fleet.addEntry();
+        fleet.useEntries({added});
+        for (int round = 0; round < 15; ++round) {
+            fleet.run(100ms);
+            fleet.request(flows[static_cast<std::size_t>(round)]);
+        }
+        fleet.run(3s);
+        INFO("seed " << seed);
+        CHECK(countReset(fleet, flows) == 0);
+        CHECK(listOf(fleet.violations()).empty());
+    }
+}
+
+TEST_CASE("relay: flows survive the restart of all entries")
+{
+    auto fleet = makeFleet();
+    fleet.run(4s);
+    const auto flows = openFlows(fleet, 60, true);
+    for (std::size_t entry = 0; entry < 3; ++entry)
+        fleet.killEntry(entry);
+    fleet.run(500ms);
+    for (std::size_t entry = 0; entry < 3; ++entry)
+        fleet.startEntry(entry);
+    fleet.run(200ms);
+    for (const auto flow : flows)
+        fleet.request(flow);
+    fleet.run(3s);
+    CHECK(countAnswered(fleet, flows) == flows.size());
+    CHECK(countReset(fleet, flows) == 0);
+}
+
+TEST_CASE("relay: flows survive the restart of the processes beside the targets")
+{
+    auto fleet = makeFleet();
+    fleet.run(4s);
+    const auto flows = openFlows(fleet, 60, true);
+    for (std::size_t target = 0; target < 6; ++target) {
+        fleet.killProcess(target);
+        fleet.run(300ms);
+        fleet.startProcess(target);
+        fleet.run(300ms);
+    }
+    for (const auto flow : flows)
+        fleet.request(flow);
+    fleet.run(3s);
+    CHECK(countAnswered(fleet, flows) == flows.size());
+    CHECK(listOf(fleet.violations()).empty());
+}
+
+TEST_CASE("relay: flows of a lifetime that ended are reset when the next one reports")
+{
+    auto fleet = makeFleet();
+    fleet.run(4s);
+    const auto flows = openFlows(fleet, 60, true);
+    std::vector<std::size_t> held;
+    std::ranges::copy_if(
+        flows, std::back_inserter(held), [&](std::size_t flow) { return fleet.holder(flow) == 0; });
+    REQUIRE_FALSE(held.empty());
+    fleet.run(1500ms);
+    fleet.crashTarget(0);
+    fleet.run(200ms);
+    fleet.startTarget(0);
+    fleet.run(200ms);
+    CHECK(countReset(fleet, held) == held.size());
+    CHECK(countReset(fleet, flows) == held.size());
+}
+
+// A target that starts anew takes openings before its first report; they must outlive that report,
+// while flows of the earlier lifetime are reset as soon as their callers send again.
+TEST_CASE("relay: flows opened round a target's restart are told apart by the target")
+{
+    auto fleet = makeFleet({.targets = 1, .domains = {"a"}});
+    fleet.run(4s);
+    const auto earlier = openFlows(fleet, 20, true);
+    fleet.crashTarget(0);
+    fleet.run(5ms);
+    fleet.startTarget(0);
+    const auto later = fleet.openFlow(true);
+    fleet.run(500ms);
+    for (const auto flow : earlier)
+        fleet.request(flow);
+    fleet.request(later);
+    fleet.run(300ms);
+    CHECK(countReset(fleet, earlier) == earlier.size());
+    CHECK(fleet.wasAnswered(later));
+    CHECK(listOf(fleet.violations()).empty());
+}
+
+// After a loss of power nobody remembers the flows; the callers' next try must not wait for a
+// time-out.
+TEST_CASE("relay: flows that nobody holds after a loss of power are reset within a second and a half")
+{
+    auto fleet = makeFleet();
+    fleet.run(4s);
+    const auto flows = openFlows(fleet, 60, true);
+    for (std::size_t entry = 0; entry < 3; ++entry)
+        fleet.killEntry(entry);
+    for (std::size_t target = 0; target < 6; ++target) {
+        fleet.killProcess(target);
+        fleet.crashTarget(target);
+    }
+    fleet.run(700ms);
+    for (std::size_t entry = 0; entry < 3; ++entry)
+        fleet.startEntry(entry);
+    for (std::size_t target = 0; target < 6; ++target) {
+        fleet.startProcess(target);
+        fleet.startTarget(target, 2s);
+    }
+    for (const auto flow : flows)
+        fleet.request(flow);
+    const auto fresh = openFlows(fleet, 20);
+    fleet.run(1300ms);
+    CHECK(countReset(fleet, flows) == flows.size());
+    CHECK(countAnswered(fleet, fresh) == fresh.size());
+}
+
+TEST_CASE("relay: openings that come before the targets' first reports are served, not refused")
+{
+    auto fleet = makeFleet();
+    fleet.run(10ms);
+    const auto flows = openFlows(fleet, 10);
+    fleet.run(1s);
+    CHECK(countAnswered(fleet, flows) == flows.size());
+    CHECK(fleet.outcome().resetUnopened == 0);
+}
+
+TEST_CASE("relay: draining targets and failure domains out get no openings, open flows stay")
+{
+    auto fleet = makeFleet();
+    fleet.run(4s);
+    const auto flows = openFlows(fleet, 60, true);
+    fleet.drainTarget(0);
+    fleet.setDomainsOut({"b"});
+    fleet.run(1500ms);
+    const auto before = fleet.openingsTaken(0) + fleet.openingsTaken(1) + fleet.openingsTaken(4);
+    const auto later = openFlows(fleet, 100);
+    fleet.run(6s);
+    const auto after = openFlows(fleet, 100);
+    fleet.run(1s);
+    CHECK(fleet.openingsTaken(0) + fleet.openingsTaken(1) + fleet.openingsTaken(4) == before);
+    CHECK(countAnswered(fleet, later) == later.size());
+    CHECK(countAnswered(fleet, after) == after.size());
+    for (const auto flow : flows)
+        fleet.request(flow);
+    fleet.run(1s);
+    CHECK(countReset(fleet, flows) == 0);
+    fleet.setDomainsOut({});
+    fleet.run(1s);
+    openFlows(fleet, 100);
+    CHECK(fleet.openingsTaken(1) + fleet.openingsTaken(4) > before);
+    CHECK(listOf(fleet.violations()).empty());
+}
+
+TEST_CASE("relay: entries that cannot reach the store hear of failure domains from peers")
+{
+    auto fleet = makeFleet();
+    fleet.run(4s);
+    fleet.killEntry(2);
+    fleet.setDomainsOut({"b"});
+    fleet.run(500ms);
+    fleet.setStore(false);
+    fleet.startEntry(2);
+    fleet.run(1500ms);
+    fleet.useEntries({2});
+    const auto taken = fleet.openingsTaken(1) + fleet.openingsTaken(4);
+    const auto flows = openFlows(fleet, 60);
+    fleet.run(1s);
+    CHECK(countAnswered(fleet, flows) == flows.size());
+    CHECK(fleet.openingsTaken(1) + fleet.openingsTaken(4) == taken);
+}
+
+TEST_CASE("relay: entries that all restart while the store is away take the copy of a target's process")
+{
+    auto fleet = makeFleet();
+    fleet.run(4s);
+    fleet.setStore(false);
+    const auto flows = openFlows(fleet, 30, true);
+    for (std::size_t entry = 0; entry < 3; ++entry)
+        fleet.killEntry(entry);
+    fleet.run(300ms);
+    for (std::size_t entry = 0; entry < 3; ++entry)
+        fleet.startEntry(entry);
+    fleet.run(1s);
+    for (const auto flow : flows)
+        fleet.request(flow);
+    const auto fresh = openFlows(fleet, 30);
+    fleet.run(1s);
+    CHECK(countAnswered(fleet, flows) == flows.size());
+    CHECK(countAnswered(fleet, fresh) == fresh.size());
+}
+
+TEST_CASE("relay: flows of a dropped route are reset, flows of a route not known yet are not")
+{
+    const endpoint second{.ip = 0xc6120002, .port = 443};
+    auto fleet = makeFleet();
+    fleet.run(4s);
+    const auto flows = openFlows(fleet, 20, true);
+    fleet.setRoutes({{second, "main"}});
+    fleet.run(1s);
+    for (const auto flow : flows)
+        fleet.request(flow);
+    fleet.run(300ms);
+    CHECK(countReset(fleet, flows) == flows.size());
+}
+
+TEST_CASE("relay: an opening for an address without a route is reset at once")
+{
+    const endpoint other{.ip = 0xc6120009, .port = 443};
+    auto fleet = makeFleet();
+    fleet.setRoutes({{other, "main"}});
+    fleet.run(4s);
+    fleet.openFlow();
+    fleet.run(20ms);
+    CHECK(fleet.outcome().resetUnopened == 1);
+}
+
+TEST_CASE("relay: openings at a target that falls silent are offered to others before their copy")
+{
+    auto fleet = makeFleet();
+    fleet.run(4s);
+    fleet.silenceTarget(0, true);
+    fleet.silenceTarget(1, true);
+    const auto flows = openFlows(fleet, 30);
+    fleet.run(170ms);
+    CHECK(countAnswered(fleet, flows) >= flows.size() - 2);
+}
+
+// The load answered for: a burst well beyond the slots of single targets.
+TEST_CASE("relay: a burst is spread over the targets by their queues")
+{
+    auto fleet = makeFleet({.slots = 4});
+    fleet.run(4s);
+    std::vector<std::size_t> flows;
+    for (int i = 0; i < 24; ++i)
+        flows.push_back(fleet.openFlow());
+    fleet.run(2s);
+    CHECK(countAnswered(fleet, flows) == flows.size());
+    for (std::size_t target = 0; target < 6; ++target)
+        CHECK(fleet.openingsTaken(target) <= 8);
+}
+
+TEST_CASE("relay: cold targets get no more openings in any second than they bear")
+{
+    auto fleet = makeFleet({.targets = 2, .domains = {"a"}});
+    fleet.setRoutes({{relay_fleet::mainAddress(), "main"}}, 3);
+    fleet.run(4s);
+    fleet.crashTarget(0);
+    fleet.run(100ms);
+    fleet.startTarget(0, 3s);
+    fleet.run(300ms);
+    const auto before = fleet.openingsTaken(0);
+    for (int i = 0; i < 200; ++i) {
+        fleet.openFlow();
+        fleet.run(5ms);
+    }
+    CHECK(fleet.openingsTaken(0) - before <= 3);
+}
+
+namespace {
+
+// One run of faults in an order that the seed decides; returns the promises that were broken.
+std::string playFaults(std::uint64_t seed, bool logs = false)
+{
+    auto fleet
+        = makeFleet({.entries = 4, .targets = 8, .loss = 0.002, .seed = seed, .logs = logs});
+    std::mt19937_64 random(seed);
+    const auto pick = [&](std::size_t count) {
+        return std::uniform_int_distribution<std::size_t>(0, count - 1)(random);
+    };
+    const auto restartEntry = [&] {
+        const auto entry = pick(4);
+        fleet.killEntry(entry);
+        fleet.run(300ms);
+        fleet.startEntry(entry);
+    };
+    const auto restartProcess = [&] {
+        const auto target = pick(8);
+        fleet.killProcess(target);
+        fleet.run(300ms);
+        fleet.startProcess(target);
+    };
+    const auto replaceTarget = [&] {
+        const auto target = pick(8);
+        fleet.crashTarget(target);
+        fleet.run(200ms);
+        fleet.startTarget(target, 1s);
+    };
+    const auto moveDomain = [&] {
+        fleet.setDomainsOut(
+            pick(2) == 0 ? std::vector<std::string>{} : std::vector<std::string>{"b"});
+    };
+    const std::vector<std::function<void()>> faults{restartEntry, restartProcess, replaceTarget,
+        [&] { fleet.drainTarget(pick(8)); }, moveDomain, [&] { fleet.setStore(pick(2) == 0); },
+        [&] { fleet.addEntry(); }};
+    fleet.run(4s);
+    std::vector<std::size_t> flows;
+    for (int round = 0; round < 12; ++round) {
+        faults[pick(faults.size())]();
+        for (int i = 0; i < 15; ++i) {
+            flows.push_back(fleet.openFlow(true));
+            fleet.run(20ms);
+            fleet.request(flows[pick(flows.size())]);
+        }
+    }
+    fleet.run(2s);
+    return listOf(fleet.violations());
+}
+
+} // namespace
+
+TEST_CASE("relay: random faults break no promise")
+{
+    CHECK(rc::check("faults in any order", [](std::uint64_t seed) {
+        const auto broken = playFaults(seed);
+        if (!broken.empty())
+            RC_FAIL(broken);
+    }));
+}
+
+TEST_CASE("one run with logs", "[.logs]")
+{
+    const char *seed = std::getenv("SEED");
+    CHECK(playFaults(seed ? std::stoull(seed) : 0, true).empty());
+}
--- /dev/null
+++ b/src/libtoucanrelay/relay_decisions_test.cpp
@@ -0,0 +1,247 @@
+#include <catch2/catch.hpp>
+#include <toucan/event_log.h>
+#include <toucan/opening_gate.h>
+#include <toucan/ranking.h>
+#include <toucan/relay_packet.h>
+#include <toucan/relay_placement.h>
+
+using namespace toucan;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr opening_circumstances fine{.standing = target_standing::ready, .slots = 4};
+
+opening_verdict judgeWith(const std::function<void(opening_circumstances &)> &change)
+{
+    auto circumstances = fine;
+    change(circumstances);
+    return judgeOpening(circumstances);
+}
+
+std::vector<relay_member> makeMembers(std::size_t count)
+{
+    std::vector<relay_member> members;
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto name = "t" + std::to_string(i);
+        members.push_back({.name = name,
+            .nameHash = hashText(name),
+            .service = "main",
+            .domain = i % 2 == 0 ? "a" : "b",
+            .address = {.ip = static_cast<std::uint32_t>(i + 1), .port = 7000},
+            .standing = target_standing::ready,
+            .slots = 4});
+    }
+    return members;
+}
+
+std::vector<relay_member *> pointersTo(std::vector<relay_member> &members)
+{
+    std::vector<relay_member *> pointers;
+    for (auto &item : members)
+        pointers.push_back(&item);
+    return pointers;
+}
+
+target_liveness report(std::uint64_t started, std::uint64_t sequence, bool draining = false)
+{
+    return {.id = "i1",
+        .service = "main",
+        .startedMs = started,
+        .sequence = sequence,
+        .slots = 4,
+        .draining = draining};
+}
+
+} // namespace
+
+TEST_CASE("gate: each circumstance that forbids an opening has its verdict")
+{
+    using c = opening_circumstances;
+    CHECK(judgeOpening(fine) == opening_verdict::accepted);
+    CHECK(judgeWith([](c &x) { x.serviceMatches = false; }) == opening_verdict::wrong_service);
+    CHECK(judgeWith([](c &x) { x.standing = target_standing::unknown; })
+        == opening_verdict::standing_unknown);
+    CHECK(judgeWith([](c &x) { x.standing = target_standing::draining; })
+        == opening_verdict::draining);
+    CHECK(judgeWith([](c &x) { x.standing = target_standing::gone; }) == opening_verdict::draining);
+    CHECK(judgeWith([](c &x) { x.domainOut = true; }) == opening_verdict::domain_out);
+    CHECK(judgeWith([](c &x) { x.routeStale = true; }) == opening_verdict::route_stale);
+    CHECK(judgeWith([](c &x) {
+        x.standing = target_standing::cold;
+        x.coldAllowance = false;
+    }) == opening_verdict::cold);
+    CHECK(judgeWith([](c &x) {
+        x.flowLimit = 10;
+        x.flows = 10;
+    }) == opening_verdict::full);
+    CHECK(judgeWith([](c &x) { x.silent = true; }) == opening_verdict::silent);
+}
+
+TEST_CASE("gate: a busy target passes openings on only while others can be asked, an overloaded one always")
+{
+    using c = opening_circumstances;
+    CHECK(judgeWith([](c &x) {
+        x.waiting = 4;
+        x.hasAlternative = true;
+    }) == opening_verdict::busy);
+    CHECK(judgeWith([](c &x) { x.waiting = 4; }) == opening_verdict::accepted);
+    CHECK(judgeWith([](c &x) { x.waiting = 4 * waitingForEachSlot; })
+        == opening_verdict::overloaded);
+    CHECK(judgeWith([](c &x) {
+        x.standing = target_standing::cold;
+        x.waiting = 4 * waitingForEachColdSlot;
+    }) == opening_verdict::overloaded);
+}
+
+TEST_CASE("gate: openings are counted in a sliding second")
+{
+    opening_window window;
+    for (int i = 0; i < 5; ++i)
+        window.add(10s + i * 100ms);
+    CHECK(window.count(10s + 500ms) == 5);
+    CHECK(window.count(11s) == 4);
+    CHECK(window.count(11s + 450ms) == 0);
+}
+
+TEST_CASE("gate: the smoothed level follows the time that a value lasted")
+{
+    smoothed_level level(1s);
+    level.set(0s, 4);
+    CHECK(level.read(10s) > 3.9);
+    level.set(10s, 0);
+    CHECK(level.read(10s) > 3.9);
+    CHECK(level.read(11s) < 2);
+    CHECK(level.read(20s) < 0.1);
+}
+
+TEST_CASE("liveness: reports are ordered by the start of the lifetime, then by their number")
+{
+    liveness_record record;
+    CHECK(record.standing(1s, 4s) == target_standing::unknown);
+    CHECK(record.apply(1s, report(100, 5)) == liveness_outcome::applied);
+    CHECK(record.apply(1s, report(100, 5)) == liveness_outcome::late);
+    CHECK(record.apply(1s, report(100, 6, true)) == liveness_outcome::applied);
+    CHECK(record.standing(1s, 4s) == target_standing::draining);
+    const auto lifetime = record.lifetime();
+    CHECK(record.apply(2s, report(200, 1)) == liveness_outcome::new_lifetime);
+    CHECK(record.lifetime() != lifetime);
+    CHECK(record.standing(2s, 4s) == target_standing::ready);
+    CHECK(record.apply(2s, report(100, 7, true)) == liveness_outcome::late);
+    CHECK(record.standing(2s, 4s) == target_standing::ready);
+}
+
+TEST_CASE("liveness: silence, cold starts and good-byes show in the standing")
+{
+    liveness_record record;
+    auto cold = report(100, 1);
+    cold.coldFor = 2s;
+    record.apply(1s, cold);
+    CHECK(record.standing(2s, 4s) == target_standing::cold);
+    CHECK(record.standing(4s, 4s) == target_standing::ready);
+    CHECK(record.standing(6s, 4s) == target_standing::unknown);
+    CHECK(record.apply(7s, {.id = "another", .leaving = true}) == liveness_outcome::late);
+    CHECK(record.apply(7s, {.id = "i1", .leaving = true}) == liveness_outcome::applied);
+    CHECK(record.standing(7s, 4s) == target_standing::gone);
+}
+
+TEST_CASE("placement: only members that may get openings are chosen, and not those tried before")
+{
+    auto members = makeMembers(6);
+    members[0].standing = target_standing::draining;
+    members[1].lost = true;
+    members[2].suspectedSince = 5s;
+    members[3].standing = target_standing::cold;
+    const auto pointers = pointersTo(members);
+    const domains_out out{.revision = 1, .names = {}};
+    const std::vector tried{members[4].address};
+    const auto chosen
+        = placeOpening(pointers, {.flowHash = 7, .domain = "a", .out = out, .tried = tried});
+    REQUIRE(chosen.order.size() == 1);
+    CHECK(chosen.order.front() == &members[5]);
+    CHECK(chosen.eligible == 1);
+}
+
+TEST_CASE("placement: the own failure domain comes first until it is clearly more loaded")
+{
+    auto members = makeMembers(8);
+    const auto pointers = pointersTo(members);
+    const domains_out out;
+    const auto shareOfDomain = [&] {
+        int local = 0;
+        for (std::uint64_t hash = 0; hash < 200; ++hash)
+            local += placeOpening(pointers, {.flowHash = hash, .domain = "a", .out = out, .tried = {}})
+                         .order.front()
+                         ->domain
+                == "a";
+        return local;
+    };
+    CHECK(shareOfDomain() == 200);
+    for (auto &item : members)
+        item.load = item.domain == "a" ? 900 : 100;
+    CHECK(shareOfDomain() < 100);
+}
+
+TEST_CASE("placement: the search starts with the candidates that an opening would have had")
+{
+    auto members = makeMembers(12);
+    const auto pointers = pointersTo(members);
+    const domains_out out;
+    for (std::uint64_t hash = 0; hash < 100; ++hash) {
+        const auto chosen
+            = placeOpening(pointers, {.flowHash = hash, .domain = "b", .out = out, .tried = {}});
+        const auto order = searchOrder(pointers, hash, "b");
+        REQUIRE(order.size() == members.size());
+        for (const auto *candidate : chosen.order)
+            CHECK(std::ranges::find(order, candidate) - order.begin() < 4);
+    }
+}
+
+TEST_CASE("relay packets: headers survive the wire, malformed ones are refused")
+{
+    relay_header header{.kind = relay_kind::established,
+        .revision = 70000,
+        .entry = {.ip = 0x0a010203, .port = 7000},
+        .serviceTag = serviceTagOf("main"),
+        .search = 3};
+    for (std::uint32_t i = 0; i < maximumCandidates; ++i)
+        header.candidates.push_back({.ip = 0x0a020000 + i, .port = 7000});
+    byte_buffer datagram(maximumRelayHeader);
+    const auto size = encodeRelayHeader(header, datagram);
+    datagram.resize(size);
+    datagram.insert(datagram.end(), {1, 2, 3});
+    const auto packet = decodeRelayPacket(datagram);
+    REQUIRE(packet);
+    CHECK(packet->header.kind == header.kind);
+    CHECK(packet->header.revision == header.revision);
+    CHECK(packet->header.entry == header.entry);
+    CHECK(packet->header.serviceTag == header.serviceTag);
+    CHECK(packet->header.search == header.search);
+    CHECK(packet->header.candidates == header.candidates);
+    CHECK(packet->bytes.size() == 3);
+    for (std::size_t cut = 0; cut < size; ++cut)
+        CHECK_FALSE(decodeRelayPacket(std::span(datagram).first(cut)));
+}
+
+TEST_CASE("relay messages: messages survive the wire, others are refused")
+{
+    const target_report report{.member = "t1", .service = "main", .flows = 7, .domainsOut = {"b"}};
+    const auto read = decodeRelayMessage(encodeRelayMessage(report));
+    REQUIRE(valueOf(read));
+    CHECK(std::get<target_report>(*valueOf(read)) == report);
+    CHECK(errorOf(decodeRelayMessage(byte_buffer{1, 2, 3})));
+}
+
+TEST_CASE("event log: a token bucket allows a burst and then its rate")
+{
+    token_bucket bucket(10);
+    int burst = 0;
+    for (int i = 0; i < 100; ++i)
+        burst += bucket.take(1000s);
+    CHECK(burst == 10);
+    int later = 0;
+    for (int i = 0; i < 1000; ++i)
+        later += bucket.take(1000s + i * 1ms);
+    CHECK(later >= 9);
+    CHECK(later <= 10);
+}
--- a/src/libtoucanrelay/relay_entry.cpp
+++ b/src/libtoucanrelay/relay_entry.cpp
@@ -347,7 +347,7 @@
             .reason = std::string(reason),
             .revision = m_config ? m_config->revision : 0,
             .open = !head.isOpening()});
-    m_port.sendCaller(flow.caller, m_codec.makeReset(flow, head.acknowledged));
+    m_port.sendCaller(flow.caller, makeReset(m_codec, flow, head.acknowledged));
 }
 
 bool relay_entry::isLearning(instant now) const
--- a/src/libtoucanrelay/relay_target.cpp
+++ b/src/libtoucanrelay/relay_target.cpp
@@ -307,7 +307,11 @@
     }
     if (found == m_flows.end())
         return;
-    // The target does not hold the flow (any more); somebody else may.
+    if (found->second.state == flow_state::open) {
+        resetFlow(now, found, "the target does not hold the flow any more");
+        return;
+    }
+    // Somebody else may hold the flow.
     const relay_header header{.kind = relay_kind::established,
         .revision = found->second.revision,
         .entry = found->second.entry,
@@ -339,6 +343,7 @@
     const auto before = standing(now);
     const auto serviceBefore = service();
     const bool first = !m_liveness.latest();
+    const auto lastHeard = m_liveness.heard();
     const auto outcome = m_liveness.apply(now, report);
     const auto after = standing(now);
     if (first || before != after || outcome != liveness_outcome::applied)
@@ -355,7 +360,7 @@
     if (first && report.sequence <= 1)
         m_knowsAllFlows = true;
     if (outcome == liveness_outcome::new_lifetime) {
-        endLifetime(now, "the target started anew");
+        endLifetime(now, lastHeard, "the target started anew");
         m_knowsAllFlows = true;
     }
     if (report.leaving)
@@ -365,16 +370,29 @@
         sendReports(now, true);
 }
 
-void relay_target::endLifetime(instant now, std::string_view reason)
+// Flows opened since the ended lifetime was last heard may already belong to the next one: the target
+// itself tells, when their callers send again.
+void relay_target::endLifetime(instant now, instant lastHeard, std::string_view reason)
 {
     m_resetFlowsAt.reset();
-    m_unanswered.clear();
     m_silentSince.reset();
-    for (auto &[key, item] : m_flows) {
-        if (item.waitingSince)
-            setWaiting(now, item, false);
-        if (item.state != flow_state::open || (item.callerFinished && item.targetFinished))
+    for (auto place = m_flows.begin(); place != m_flows.end();) {
+        const auto each = place++;
+        if (each->second.opened >= lastHeard)
             continue;
+        std::erase_if(
+            m_unanswered, [&](const auto &waiting) { return waiting.second == each->first; });
+        if (each->second.state == flow_state::open)
+            resetFlow(now, each, reason);
+        else
+            erase(now, each, reason);
+    }
+}
+
+void relay_target::resetFlow(instant now, flow_map::iterator place, std::string_view reason)
+{
+    const auto &[key, item] = *place;
+    if (!item.callerFinished || !item.targetFinished) {
         m_resets.add();
         m_log.write(now,
             flow_reset{.caller = key.caller,
@@ -382,9 +400,9 @@
                 .reason = std::string(reason),
                 .revision = m_revision,
                 .open = true});
-        m_port.sendCaller(key.caller, m_codec.makeReset(key, item.callerAcknowledged));
+        m_port.sendCaller(key.caller, makeReset(m_codec, key, item.callerAcknowledged));
     }
-    m_flows.clear();
+    erase(now, place, reason);
 }
 
 target_standing relay_target::standing(instant now) const
@@ -578,7 +596,7 @@
 {
     checkUnanswered(now);
     if (m_resetFlowsAt && now >= *m_resetFlowsAt)
-        endLifetime(now, "the target ended");
+        endLifetime(now, now, "the target ended");
     sendReports(now, standing(now) != m_reportedStanding);
     if (now - m_lastSweep >= sweepInterval) {
         m_lastSweep = now;
