--- a/src/libtoucanlab/relay_fleet.cpp
+++ b/src/libtoucanlab/relay_fleet.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <toucan/lab/relay_fleet.h>
+#include <toucan/lab/segment_target.h>
 
 namespace toucan::lab {
 namespace {
@@ -12,7 +13,6 @@
 constexpr std::uint16_t peerPort = 7000;
 constexpr auto reportInterval = 1200ms;
 constexpr auto tick = 50ms;
-constexpr std::uint32_t payloadBytes = 100;
 // Retransmissions double from the first interval up to the longest.
 constexpr auto firstRetransmission = 200ms;
 constexpr int retransmissions = 4;
@@ -71,15 +71,6 @@
 
 struct relay_fleet::target_node : relay_port
 {
-    /// A flow at the target.
-    struct held_flow
-    {
-        std::uint32_t sequence = 0;
-        bool established = false;
-        std::uint32_t callerNext = 0;
-        std::uint32_t answered = 0;
-    };
-
     relay_fleet &fleet;
     std::size_t number;
     endpoint peer;
@@ -90,15 +81,13 @@
     metrics::registry metrics;
     event_log log{"target", 100'000};
     std::uint64_t starts = 0;
-    bool alive = false; ///< The target itself.
+    segment_target target;
     bool silent = false; ///< It takes packets and answers none.
     std::uint64_t lifetime = 0;
     std::uint64_t sequence = 0;
     bool draining = false;
     std::optional<instant> drainConfirmed;
     instant coldUntil{};
-    std::size_t taken = 0;
-    std::map<flow_key, held_flow> held;
 
     target_node(relay_fleet &owner, std::size_t index, std::string serviceName)
         : fleet(owner)
@@ -106,6 +95,12 @@
         , peer{.ip = targetNet + static_cast<std::uint32_t>(index), .port = peerPort}
         , domain(owner.m_options.domains[index % owner.m_options.domains.size()])
         , service(std::move(serviceName))
+        , target({.codec = owner.m_codec,
+              .work = owner.m_options.work,
+              .seed = owner.m_random(),
+              .send = [this](byte_buffer bytes) { answer(std::move(bytes)); },
+              .schedule = [this](auto delay, auto act) { fleet.after(delay, std::move(act)); },
+              .onOpening = [this](const flow_key &key) { checkOpening(key); }})
     { }
 
     void sendPeer(const endpoint &to, byte_view head, byte_view payload) override
@@ -120,10 +115,9 @@
     }
     void sendTarget(byte_view bytes) override
     {
-        const auto start = lifetime;
-        fleet.after(100us, [this, start, data = byte_buffer(bytes.begin(), bytes.end())] {
-            if (alive && lifetime == start && !silent)
-                onSegment(data);
+        fleet.after(100us, [this, start = lifetime, data = byte_buffer(bytes.begin(), bytes.end())] {
+            if (lifetime == start && !silent)
+                target.onSegment(data);
         });
     }
     void fetchConfig(const endpoint &from, std::uint64_t) override
@@ -137,19 +131,15 @@
         });
     }
 
-    void answer(const segment &head, byte_view payload)
+    void answer(byte_buffer bytes)
     {
-        auto bytes = fleet.m_codec.encode(head, payload);
         fleet.after(100us, [this, data = std::move(bytes)]() mutable {
             if (engine)
                 engine->onTargetBytes(fleet.m_now, data);
         });
     }
 
-    void onSegment(const byte_buffer &bytes);
-    void onOpening(const segment &head);
-    void onEstablished(const segment &head, const byte_buffer &bytes);
-    void reply(const flow_key &key, const held_flow &flow, std::uint32_t number);
+    void checkOpening(const flow_key &key);
 };
 
 void relay_fleet::entry_node::fetchConfig(const endpoint &from, std::uint64_t)
@@ -166,86 +156,16 @@
     });
 }
 
-void relay_fleet::target_node::onSegment(const byte_buffer &bytes)
-{
-    const auto head = fleet.m_codec.decode(bytes);
-    if (!head)
-        return;
-    if (head->isOpening())
-        onOpening(*head);
-    else
-        onEstablished(*head, bytes);
-}
-
-void relay_fleet::target_node::onOpening(const segment &head)
-{
-    const auto key = head.flowFromCaller();
-    auto place = held.find(key);
-    if (place == held.end()) {
-        ++taken;
-        if (drainConfirmed && fleet.m_now - *drainConfirmed > drainBound)
-            fleet.m_violations.push_back("an opening reached a draining target");
-        const auto out = fleet.m_outSince.find(domain);
-        if (out != fleet.m_outSince.end() && fleet.m_now - out->second > domainBound)
-            fleet.m_violations.push_back("an opening reached a failure domain out of service");
-        const auto *route = fleet.m_storeConfig->routeAt(key.service);
-        if (route && route->shares.front().service != service)
-            fleet.m_violations.push_back("an opening reached a target of another service");
-        place = held.emplace(key, held_flow{.sequence = static_cast<std::uint32_t>(fleet.m_random())})
-                    .first;
-    }
-    answer({.source = key.service,
-               .destination = key.caller,
-               .synchronize = true,
-               .acknowledge = true,
-               .sequence = place->second.sequence,
-               .acknowledged = head.sequence + 1},
-        {});
-}
-
-void relay_fleet::target_node::onEstablished(const segment &head, const byte_buffer &bytes)
-{
-    const auto key = head.flowFromCaller();
-    const auto place = held.find(key);
-    const bool mine = place != held.end()
-        && (place->second.established || head.acknowledged == place->second.sequence + 1);
-    if (!mine) {
-        auto returned = head;
-        returned.returned = true;
-        answer(returned, byte_view(bytes).last(head.length));
-        return;
-    }
-    auto &flow = place->second;
-    flow.established = true;
-    if (head.length == 0)
-        return;
-    if (head.sequence + head.length == flow.callerNext) {
-        // A retransmission: the answer was lost.
-        if (flow.answered > 0)
-            reply(key, flow, flow.answered - 1);
-        return;
-    }
-    flow.callerNext = head.sequence + head.length;
-    const auto start = lifetime;
-    fleet.after(fleet.m_options.work, [this, key, start] {
-        const auto still = held.find(key);
-        if (!alive || lifetime != start || still == held.end())
-            return;
-        reply(key, still->second, still->second.answered++);
-    });
-}
-
-void relay_fleet::target_node::reply(
-    const flow_key &key, const held_flow &flow, std::uint32_t number)
+void relay_fleet::target_node::checkOpening(const flow_key &key)
 {
-    const byte_buffer payload(payloadBytes, 'r');
-    answer({.source = key.service,
-               .destination = key.caller,
-               .acknowledge = true,
-               .sequence = flow.sequence + 1 + number * payloadBytes,
-               .acknowledged = flow.callerNext,
-               .length = payloadBytes},
-        payload);
+    if (drainConfirmed && fleet.m_now - *drainConfirmed > drainBound)
+        fleet.m_violations.push_back("an opening reached a draining target");
+    const auto out = fleet.m_outSince.find(domain);
+    if (out != fleet.m_outSince.end() && fleet.m_now - out->second > domainBound)
+        fleet.m_violations.push_back("an opening reached a failure domain out of service");
+    const auto *route = fleet.m_storeConfig->routeAt(key.service);
+    if (route && route->shares.front().service != service)
+        fleet.m_violations.push_back("an opening reached a target of another service");
 }
 
 relay_fleet::relay_fleet(relay_fleet_options options, const segment_codec &codec)
@@ -403,14 +323,14 @@
         ++m_outcome.unanswered;
         return;
     }
-    const byte_buffer payload(payloadBytes, 'q');
+    const byte_buffer payload(standInPayload, 'q');
     sendFromCaller(item,
         {.source = item.key.caller,
             .destination = item.key.service,
             .acknowledge = true,
-            .sequence = 1 + (number - 1) * payloadBytes,
+            .sequence = 1 + (number - 1) * standInPayload,
             .acknowledged = item.peerNext,
-            .length = payloadBytes},
+            .length = standInPayload},
         payload);
     after(firstRetransmission * (1 << tries),
         [this, flow, number, tries] { sendRequest(flow, number, tries + 1); });
@@ -442,8 +362,7 @@
 bool relay_fleet::isHeldByLiveTarget(const caller_flow &flow) const
 {
     return std::ranges::any_of(m_targets, [&](const auto &node) {
-        const auto held = node->held.find(flow.key);
-        return node->alive && node->engine && held != node->held.end() && held->second.established;
+        return node->engine && node->target.holds(flow.key);
     });
 }
 
@@ -470,8 +389,7 @@
 std::optional<std::size_t> relay_fleet::holder(std::size_t flow) const
 {
     const auto found = std::ranges::find_if(m_targets, [&](const auto &node) {
-        const auto held = node->held.find(m_flows[flow]->key);
-        return held != node->held.end() && held->second.established;
+        return node->target.holds(m_flows[flow]->key);
     });
     return found == m_targets.end() ? std::nullopt : std::optional((*found)->number);
 }
@@ -599,12 +517,10 @@
 void relay_fleet::startTarget(std::size_t target, std::chrono::milliseconds coldFor)
 {
     auto &node = *m_targets[target];
-    node.alive = true;
+    node.target.restart();
     node.silent = false;
     node.draining = false;
     node.drainConfirmed.reset();
-    node.held.clear();
-    node.taken = 0;
     node.sequence = 0;
     node.coldUntil = m_now + coldFor;
     const auto lifetime = ++node.lifetime;
@@ -614,7 +530,7 @@
 void relay_fleet::reportTarget(std::size_t target, std::uint64_t lifetime)
 {
     auto &node = *m_targets[target];
-    if (!node.alive || node.lifetime != lifetime)
+    if (!node.target.isRunning() || node.lifetime != lifetime)
         return;
     if (node.engine) {
         const auto cold = std::max(node.coldUntil - m_now, instant{});
@@ -636,8 +552,7 @@
 
 void relay_fleet::crashTarget(std::size_t target)
 {
-    m_targets[target]->alive = false;
-    m_targets[target]->held.clear();
+    m_targets[target]->target.stop();
 }
 
 void relay_fleet::drainTarget(std::size_t target)
@@ -652,7 +567,7 @@
 
 std::size_t relay_fleet::openingsTaken(std::size_t target) const
 {
-    return m_targets[target]->taken;
+    return m_targets[target]->target.openings();
 }
 
 // --- Store and links
