--- a/src/include/toucan/relay_target.h
+++ b/src/include/toucan/relay_target.h
@@ -78,7 +78,7 @@
         std::uint64_t serviceTag = 0;
         std::uint64_t revision = 0;
         std::uint64_t search = 0; ///< Of the header that came with the newest segment.
-        byte_buffer opening; ///< The opening, until the target answers it.
+        byte_buffer opening; ///< The opening or the probe, until the target answers it.
         instant opened{};
         instant lastPacket{};
         std::optional<std::uint32_t> targetSequence; ///< Of the target's answer to the opening.
@@ -96,6 +96,7 @@
     {
         instant heard{};
         instant reported{};
+        std::uint64_t boot = 0;
         std::uint64_t reports = 0;
     };
 
@@ -108,6 +109,10 @@
     void offerElsewhere(instant now, flow &item, byte_view opening);
     void noteCaller(instant now, flow &item, const segment &head);
     void noteTarget(instant now, flow_map::iterator place, const segment &head);
+    void keepProbe(instant now, flow_map::iterator place, byte_view bytes);
+    void passOnProbes(instant now);
+    static relay_header headerOf(const flow &item);
+    bool targetMayRun(instant now) const;
     bool isMine(const flow &item, const segment &head) const;
     void tellOwner(const flow_key &key, flow &item);
     void setWaiting(instant now, flow &item, bool waiting);
@@ -153,6 +158,7 @@
     std::uint64_t m_waiting = 0;
     std::uint64_t m_reportOrder = 0;
     std::vector<std::pair<instant, flow_key>> m_unanswered; ///< Openings, oldest first.
+    std::vector<std::pair<instant, flow_key>> m_probes; ///< Segments at the target, oldest first.
     std::optional<instant> m_silentSince; ///< The target answers no openings since then.
     instant m_lastTrial{};
     std::optional<instant> m_resetFlowsAt; ///< The target said good-bye; its flows end then.
--- a/src/libtoucanlab/relay_fleet_test.cpp
+++ b/src/libtoucanlab/relay_fleet_test.cpp
@@ -194,6 +194,34 @@
     CHECK(countAnswered(fleet, fresh) == fresh.size());
 }
 
+// Seen at the grown size: searches ended at processes whose targets did not come back.
+TEST_CASE("relay: a search goes on past a process whose target does not run")
+{
+    auto fleet = makeFleet({.targets = 12});
+    fleet.run(4s);
+    const auto flows = openFlows(fleet, 60, true);
+    fleet.useEntries({0});
+    fleet.killEntry(0);
+    for (const std::size_t target : {1, 4, 7}) {
+        fleet.crashTarget(target);
+        fleet.killProcess(target);
+    }
+    fleet.run(300ms);
+    fleet.startEntry(0);
+    for (const std::size_t target : {1, 4, 7})
+        fleet.startProcess(target);
+    fleet.run(1s);
+    std::vector<std::size_t> held;
+    std::ranges::copy_if(flows, std::back_inserter(held),
+        [&](std::size_t flow) { return fleet.holder(flow).has_value(); });
+    for (const auto flow : flows)
+        fleet.request(flow);
+    fleet.run(900ms);
+    CHECK(countAnswered(fleet, held) == held.size());
+    CHECK(countReset(fleet, flows) == flows.size() - held.size());
+    CHECK(listOf(fleet.violations()).empty());
+}
+
 TEST_CASE("relay: openings that come before the targets' first reports are served, not refused")
 {
     auto fleet = makeFleet();
--- a/src/libtoucanrelay/relay_entry.cpp
+++ b/src/libtoucanrelay/relay_entry.cpp
@@ -11,8 +11,8 @@
 // Targets report within this time of a start of everything: the platform's targets report about
 // each 1.2 s. Until then "no target" is not yet known to be true.
 constexpr auto learningTime = 3s;
-// A member reports each 250 ms or less often when there are many entries; after this, and this many
-// of its intervals, a new entry has heard of all that it can reach.
+// A member reports at once to an entry that it hears for the first time; without other entries to
+// name this one, it has reported after this many of its intervals.
 constexpr auto shortestLearning = 500ms;
 constexpr int learningIntervals = 2;
 // A caller's attempt to open a flow ends this long after its first opening, and the age of its copies.
@@ -326,15 +326,18 @@
     return conclusive;
 }
 
+// Members that other entries name are told of this one and report at once, and the process waits for
+// all of them. Without other entries the members' own intervals have to do.
 bool relay_entry::knowsMembers(instant now) const
 {
     instant longest = shortestLearning;
-    m_members.forEach([&](const relay_member &item) {
-        longest = std::max<instant>(longest, item.interval * learningIntervals);
-    });
-    // Without other entries to name the members, their first reports have to tell.
-    const auto since = m_introducedAt ? m_memberAddedAt : std::max(m_started, m_memberAddedAt);
-    return m_named.empty() && now - m_started >= longest && now - since >= longest / 2;
+    if (!m_introducedAt) {
+        m_members.forEach([&](const relay_member &item) {
+            longest = std::max<instant>(longest, item.interval * learningIntervals);
+        });
+    }
+    return m_named.empty() && now - m_started >= longest
+        && now - std::max(m_started, m_memberAddedAt) >= longest / 2;
 }
 
 void relay_entry::resetFlow(instant now, const segment &head, std::string_view reason)
--- a/src/libtoucanrelay/relay_target.cpp
+++ b/src/libtoucanrelay/relay_target.cpp
@@ -18,6 +18,9 @@
 constexpr auto entrySilence = 5s;
 // Targets report about each 1.2 s; three in a row may be lost.
 constexpr auto targetSilence = 4s;
+constexpr auto firstReportLimit = 2500ms;
+// Segments of unknown flows that wait for the target's word, at most 1.2 KB each.
+constexpr std::size_t mostProbes = 500;
 // Targets answer openings within a millisecond, also under load.
 constexpr auto openingAnswerLimit = 80ms;
 // Openings that are tried on a target that answers none.
@@ -151,7 +154,8 @@
     const auto key = head.flowFromCaller();
     const auto &header = packet.header;
     auto found = m_flows.find(key);
-    const bool foreign = found == m_flows.end() ? knowsAllFlows(now) : !isMine(found->second, head);
+    const bool foreign = found == m_flows.end() ? knowsAllFlows(now) || !targetMayRun(now)
+                                                : !isMine(found->second, head);
     if (foreign) {
         passOn(header, relay_kind::not_found, packet.bytes);
         return;
@@ -170,6 +174,7 @@
         item.revision = header.revision;
         item.search = header.search;
         item.callerAcknowledged = head.acknowledged;
+        keepProbe(now, found, packet.bytes);
     } else if (item.state == flow_state::offered) {
         item.state = flow_state::open;
         item.opening.clear();
@@ -183,6 +188,41 @@
     m_port.sendTarget(packet.bytes);
 }
 
+// A target that runs answers or returns the segment at once. One that does not must not end the
+// search, so the newest segment is kept until then.
+void relay_target::keepProbe(instant now, flow_map::iterator place, byte_view bytes)
+{
+    if (m_probes.size() >= mostProbes)
+        return;
+    place->second.opening.assign(bytes.begin(), bytes.end());
+    m_probes.emplace_back(now, place->first);
+}
+
+void relay_target::passOnProbes(instant now)
+{
+    const auto firstRecent = std::ranges::find_if(
+        m_probes, [&](const auto &probe) { return now - probe.first < openingAnswerLimit; });
+    for (auto each = m_probes.begin(); each != firstRecent; ++each) {
+        const auto found = m_flows.find(each->second);
+        if (found == m_flows.end() || found->second.state != flow_state::probing
+            || found->second.opening.empty())
+            continue;
+        passOn(headerOf(found->second), relay_kind::not_found, found->second.opening);
+        found->second.opening.clear();
+    }
+    m_probes.erase(m_probes.begin(), firstRecent);
+}
+
+relay_header relay_target::headerOf(const flow &item)
+{
+    return {.kind = relay_kind::established,
+        .revision = item.revision,
+        .entry = item.entry,
+        .serviceTag = item.serviceTag,
+        .search = item.search,
+        .candidates = item.candidates};
+}
+
 // The caller acknowledges the answer that it took to its opening; other targets' answers differ.
 bool relay_target::isMine(const flow &item, const segment &head) const
 {
@@ -280,6 +320,7 @@
     if (item.state == flow_state::probing) {
         // The answer shows that the target holds the flow.
         item.state = flow_state::open;
+        item.opening.clear();
         if (item.entry)
             tellOwner(place->first, item);
     }
@@ -312,12 +353,8 @@
         return;
     }
     // Somebody else may hold the flow.
-    const relay_header header{.kind = relay_kind::established,
-        .revision = found->second.revision,
-        .entry = found->second.entry,
-        .serviceTag = found->second.serviceTag,
-        .search = found->second.search,
-        .candidates = found->second.candidates};
+    const auto header = headerOf(found->second);
+    found->second.opening.clear();
     if (found->second.state != flow_state::probing)
         erase(now, found, "not held by the target");
     if (header.entry)
@@ -436,6 +473,14 @@
     return m_knowsAllFlows || now - m_started > m_options.flowLifetime;
 }
 
+// False when the target is known not to run: it would have reported by now, or it said good-bye.
+bool relay_target::targetMayRun(instant now) const
+{
+    if (!m_liveness.latest())
+        return now - m_started < firstReportLimit;
+    return standing(now) != target_standing::gone;
+}
+
 // --- A target that does not answer
 
 bool relay_target::isSilent(instant now)
@@ -487,8 +532,9 @@
 
 void relay_target::handle(instant now, const endpoint &from, const entry_notice &message)
 {
-    const bool isNew = !m_entries.contains(from);
     auto &entry = m_entries[from];
+    const bool isNew = entry.boot != message.boot;
+    entry.boot = message.boot;
     if (now - entry.heard > entrySilence)
         m_log.write(now,
             dependency_changed{.dependency = "entry",
@@ -519,8 +565,11 @@
         m_port.fetchConfig(from, message.revision);
     }
     onEntries(now, message.entries);
-    if (isNew)
+    if (isNew) {
+        // It knows nothing of this process yet.
+        m_entries[from].reported = {};
         sendReports(now, false);
+    }
     if (message.leaving)
         m_entries[from].heard = now - entrySilence;
 }
@@ -595,6 +644,7 @@
 void relay_target::onTick(instant now)
 {
     checkUnanswered(now);
+    passOnProbes(now);
     if (m_resetFlowsAt && now >= *m_resetFlowsAt)
         endLifetime(now, now, "the target ended");
     sendReports(now, standing(now) != m_reportedStanding);
