--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 	sh tools/check.sh $(BUILD)
 
 format: deps
-	git ls-files 'src/*.cpp' 'src/*.h' 'testsuite/*.cpp' 'testsuite/*.h' | grep -v generated | xargs clang-format -i
+	git ls-files 'src/*.cpp' 'src/*.h' 'testsuite/*.cpp' 'testsuite/*.h' 'platform/*.cpp' 'platform/*.h' | grep -v generated | xargs clang-format -i
 
 clean:
 	rm -rf $(BUILD)
--- a/src/include/toucan/event_log.h
+++ b/src/include/toucan/event_log.h
@@ -45,9 +45,8 @@
         if (!admit(now, fields_of<E>::name))
             return;
         nlohmann::ordered_json line;
-        forEachField<E>([&](const auto &spec) {
-            line[std::string(spec.name)] = value(event.*spec.member);
-        });
+        forEachField<E>(
+            [&](const auto &spec) { line[std::string(spec.name)] = value(event.*spec.member); });
         emit(fields_of<E>::name, std::move(line));
     }
 
--- a/src/include/toucan/opening_gate.h
+++ b/src/include/toucan/opening_gate.h
@@ -3,8 +3,8 @@
 /// Admission of new flows at the process beside a target: the last decision before the target, so
 /// that an entry with old knowledge cannot break a bound. Pure decisions and small counters.
 ///
-/// Load answered for: bursts of openings beyond a target's slots, and cold targets, which bear a few
-/// openings a second and fall over under more.
+/// Load answered for: bursts of openings beyond a target's slots, and cold targets, which bear a
+/// few openings a second and fall over under more.
 
 #include <deque>
 #include <string_view>
@@ -47,8 +47,8 @@
 };
 
 /// Requests that may wait for each slot before openings are refused: three rounds of requests take
-/// about as long as callers find acceptable, and targets queue more than that. Cold targets are about
-/// half as fast.
+/// about as long as callers find acceptable, and targets queue more than that. Cold targets are
+/// about half as fast.
 inline constexpr std::uint64_t waitingForEachSlot = 3;
 inline constexpr std::uint64_t waitingForEachColdSlot = 2;
 
--- a/src/include/toucan/platform_adapter.h
+++ b/src/include/toucan/platform_adapter.h
@@ -13,11 +13,13 @@
 
 /// The platform asks whether the process takes traffic.
 struct readiness_question
-{ };
+{
+};
 
 /// A request that the process does not know.
 struct unknown_request
-{ };
+{
+};
 
 /// A liveness report that cannot be used, and why.
 struct unreadable_report
--- a/src/include/toucan/platform_client.h
+++ b/src/include/toucan/platform_client.h
@@ -54,8 +54,7 @@
     /// Readers of answers. Throw nlohmann::json::exception when the answer is malformed.
     virtual object_list readList(std::string_view kind, const nlohmann::json &answer) const = 0;
     virtual object_list readChanges(std::string_view kind, const nlohmann::json &answer) const = 0;
-    virtual stored_object readObject(
-        std::string_view kind, const nlohmann::json &answer) const = 0;
+    virtual stored_object readObject(std::string_view kind, const nlohmann::json &answer) const = 0;
     /// The version that a write made.
     virtual std::uint64_t readVersion(const nlohmann::json &answer) const = 0;
 };
--- a/src/include/toucan/relay_entry.h
+++ b/src/include/toucan/relay_entry.h
@@ -1,7 +1,7 @@
 #pragma once
 
-/// All decisions of an entry that relays segments. Keeps a cache of owners of flows, which any entry
-/// can rebuild from packets; does no I/O. Used by one thread.
+/// All decisions of an entry that relays segments. Keeps a cache of owners of flows, which any
+/// entry can rebuild from packets; does no I/O. Used by one thread.
 
 #include <map>
 #include <toucan/event_log.h>
@@ -78,7 +78,7 @@
         bool established = false; ///< A segment other than an opening was seen.
         bool confirmed = false; ///< The owner said that it is.
         bool finishing = false; ///< The caller closes the flow.
-        std::uint16_t searches = 0; ///< Searches that found nobody.
+        std::uint16_t searches = 0; ///< Searches begun since the owner was last known.
         bool refusedOnce = false; ///< All candidates of an opening turned it away before.
         std::optional<instant> refusedSince; ///< When that happened first.
     };
@@ -102,8 +102,15 @@
         byte_view bytes);
     void onEstablished(
         instant now, const segment &head, const route_rule *route, std::span<std::uint8_t> bytes);
+    /// How far the search for a packet has come.
+    struct search_state
+    {
+        std::size_t asked = 0;
+        bool backwards = false;
+        bool doubtful = false;
+    };
     void search(instant now, const segment &head, const route_rule &route, cached_flow &cached,
-        std::size_t asked, byte_view bytes);
+        const search_state &state, byte_view bytes);
     std::vector<relay_member *> wholeSearchOrder(
         instant now, const route_rule &route, const flow_key &flow) const;
     bool searchIsConclusive(instant now, std::span<relay_member *const> order) const;
@@ -157,7 +164,8 @@
     std::unordered_set<endpoint> m_droppedRoutes; ///< Addresses that had a route before.
     member_table m_members;
     std::map<endpoint, entry_peer> m_entries;
-    std::map<endpoint, instant> m_named; ///< Members that entries named lately and are not heard yet.
+    std::map<endpoint, instant>
+        m_named; ///< Members that entries named lately and are not heard yet.
     std::optional<instant> m_introducedAt; ///< When an entry first named its members.
     std::unordered_map<flow_key, cached_flow> m_flows;
     std::map<flow_key, parked_opening> m_parked;
--- a/src/include/toucan/relay_members.h
+++ b/src/include/toucan/relay_members.h
@@ -33,10 +33,13 @@
     std::chrono::milliseconds interval{250}; ///< Time between its reports.
     instant heard{};
     instant suspectedSince{}; ///< An opening sent its way went unanswered; zero when none did.
+    instant refusedAt{}; ///< When it last turned an opening of this entry away.
     bool lost = false; ///< Silent for so long that nothing is sent its way.
 
     /// True while no report of it is missing: one may be late or lost.
-    bool isFresh(instant now) const { return now - heard < interval * 5 / 2; }
+    bool isFresh(instant now) const { return !lost && now - heard < interval * 5 / 2; }
+    /// True when no target runs there, so that no flow can be open there.
+    bool holdsNothing() const { return standing == target_standing::gone && flows == 0; }
     /// True when it is heard and answers.
     bool answers() const { return !lost && suspectedSince == instant{}; }
     /// Load with what was sent since the newest report, thousandths of a slot.
--- a/src/include/toucan/relay_packet.h
+++ b/src/include/toucan/relay_packet.h
@@ -30,6 +30,7 @@
     endpoint entry; ///< Entry that took the segment from the fabric.
     std::uint64_t serviceTag = 0; ///< serviceTagOf() the flow's service.
     std::uint64_t search = 0; ///< 1 + members asked before this list; 0 when nobody is searched.
+    bool doubtful = false; ///< A target on the way gave no word on whether it holds the flow.
     candidate_list candidates; ///< Who to pass the packet on to, in this order.
 };
 
--- a/src/include/toucan/relay_placement.h
+++ b/src/include/toucan/relay_placement.h
@@ -27,6 +27,7 @@
     std::string_view domain; ///< The entry's own failure domain.
     const domains_out &out;
     std::span<const endpoint> tried; ///< Members that got an earlier copy; left out.
+    instant now{};
 };
 
 /// Candidates in the order in which they are asked.
@@ -36,8 +37,12 @@
     std::size_t eligible = 0; ///< Members that could have been chosen.
 };
 
-/// True when the member may get openings at all.
-bool takesOpenings(const relay_member &item, const domains_out &out);
+/// A member that turned an opening away is not asked by the same entry for this long: requests take
+/// about as long, and entries that ask all the time cost their targets' VMs more than they gain.
+inline constexpr std::chrono::milliseconds refusalPause{60};
+
+/// True when the member may get openings now.
+bool takesOpenings(const relay_member &item, const domains_out &out, instant now);
 
 /// Chooses candidates for an opening.
 placement placeOpening(std::span<relay_member *const> members, const placement_request &request);
--- a/src/include/toucan/relay_process.h
+++ b/src/include/toucan/relay_process.h
@@ -141,7 +141,6 @@
 }
 
 /// Waits until one of the sockets is readable or the time is over.
-void waitForSockets(
-    std::span<const udp_socket *const> sockets, std::chrono::milliseconds longest);
+void waitForSockets(std::span<const udp_socket *const> sockets, std::chrono::milliseconds longest);
 
 } // namespace toucan
--- a/src/include/toucan/relay_target.h
+++ b/src/include/toucan/relay_target.h
@@ -24,6 +24,7 @@
     endpoint peer; ///< Own address for other processes.
     std::vector<endpoint> seeds; ///< Peer addresses of entries to start from.
     std::chrono::milliseconds flowLifetime{60000}; ///< Silence after which a flow is forgotten.
+    std::chrono::milliseconds reportInterval{1200}; ///< Time between two reports of the target.
     double coldOvershoot = 1; ///< Factor on the cold rate that must never be passed.
     double coldSlack = 0; ///< Openings in a second on top of that.
     bool firstStart = false; ///< No flow was open before this start.
@@ -78,6 +79,7 @@
         std::uint64_t serviceTag = 0;
         std::uint64_t revision = 0;
         std::uint64_t search = 0; ///< Of the header that came with the newest segment.
+        bool doubtful = false; ///< Of the same header.
         byte_buffer opening; ///< The opening or the probe, until the target answers it.
         instant opened{};
         instant lastPacket{};
@@ -101,8 +103,8 @@
     };
 
     void onOpening(instant now, const segment &head, const relay_packet &packet);
-    void onEstablished(instant now, const endpoint &from, const segment &head,
-        const relay_packet &packet);
+    void onEstablished(
+        instant now, const endpoint &from, const segment &head, const relay_packet &packet);
     void onReturned(instant now, const segment &head, std::span<std::uint8_t> bytes);
     opening_verdict judge(instant now, const relay_header &header);
     void passOn(const relay_header &header, relay_kind unclaimed, byte_view bytes);
@@ -112,7 +114,6 @@
     void keepProbe(instant now, flow_map::iterator place, byte_view bytes);
     void passOnProbes(instant now);
     static relay_header headerOf(const flow &item);
-    bool targetMayRun(instant now) const;
     bool isMine(const flow &item, const segment &head) const;
     void tellOwner(const flow_key &key, flow &item);
     void setWaiting(instant now, flow &item, bool waiting);
--- a/src/include/toucan/target_liveness.h
+++ b/src/include/toucan/target_liveness.h
@@ -16,7 +16,7 @@
     ready, ///< Takes new flows.
     cold, ///< Started lately and bears little.
     draining, ///< Finishes its flows and takes no new ones.
-    gone, ///< Said good-bye, or its lifetime ended.
+    gone, ///< Said good-bye, or none runs.
 };
 
 /// Name of a standing in logs.
--- a/src/libtoucanbase/event_log.cpp
+++ b/src/libtoucanbase/event_log.cpp
@@ -91,8 +91,8 @@
     if (silenced)
         return false;
     const std::lock_guard lock(m_mutex);
-    auto &state = m_kinds.try_emplace(kind, kind_state{token_bucket(m_linesPerSecond)})
-                      .first->second;
+    auto &state
+        = m_kinds.try_emplace(kind, kind_state{token_bucket(m_linesPerSecond)}).first->second;
     if (!state.bucket.take(now)) {
         ++state.leftOut;
         return false;
@@ -111,8 +111,8 @@
     nlohmann::ordered_json whole{{"event", kind},
         {"timeMs", std::chrono::duration_cast<std::chrono::milliseconds>(now).count()}};
     whole.update(line);
-    m_logger->info("{}",
-        whole.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace));
+    m_logger->info(
+        "{}", whole.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace));
 }
 
 } // namespace toucan
--- a/src/libtoucanbase/settings.cpp
+++ b/src/libtoucanbase/settings.cpp
@@ -319,10 +319,10 @@
     }
 }
 
-#define TOUCAN_SETTINGS(type) \
-    template int runWith(const std::string &, bool, const std::function<int(const type &)> &); \
-    template result<type> parse(std::string_view, std::string_view); \
-    template result<type> load(const std::string &); \
+#define TOUCAN_SETTINGS(type)                                                                      \
+    template int runWith(const std::string &, bool, const std::function<int(const type &)> &);     \
+    template result<type> parse(std::string_view, std::string_view);                               \
+    template result<type> load(const std::string &);                                               \
     template std::string example<type>();
 
 TOUCAN_SETTINGS(bridge_settings)
--- a/src/libtoucanlab/platform_stand_in.cpp
+++ b/src/libtoucanlab/platform_stand_in.cpp
@@ -100,8 +100,8 @@
         if (request.getMethod() == HTTPRequest::HTTP_GET)
             return m_platform.get(segments[2], segments[3]);
         if (query.contains("revision"))
-            return conflictAs409(m_platform.remove(
-                segments[2], segments[3], toNumber(query["revision"])));
+            return conflictAs409(
+                m_platform.remove(segments[2], segments[3], toNumber(query["revision"])));
         if (request.getMethod() == HTTPRequest::HTTP_DELETE)
             return m_platform.remove(segments[2], segments[3], expectedVersion(request));
         const auto parsed = json::parse(body, nullptr, false);
--- a/src/libtoucanlab/relay_fleet.cpp
+++ b/src/libtoucanlab/relay_fleet.cpp
@@ -115,10 +115,11 @@
     }
     void sendTarget(byte_view bytes) override
     {
-        fleet.after(100us, [this, start = lifetime, data = byte_buffer(bytes.begin(), bytes.end())] {
-            if (lifetime == start && !silent)
-                target.onSegment(data);
-        });
+        fleet.after(
+            100us, [this, start = lifetime, data = byte_buffer(bytes.begin(), bytes.end())] {
+                if (lifetime == start && !silent)
+                    target.onSegment(data);
+            });
     }
     void fetchConfig(const endpoint &from, std::uint64_t) override
     {
@@ -241,13 +242,15 @@
 
 relay_fleet::entry_node *relay_fleet::entryAt(const endpoint &peer)
 {
-    const auto found = std::ranges::find(m_entries, peer, [](const auto &node) { return node->peer; });
+    const auto found
+        = std::ranges::find(m_entries, peer, [](const auto &node) { return node->peer; });
     return found == m_entries.end() ? nullptr : found->get();
 }
 
 relay_fleet::target_node *relay_fleet::targetAt(const endpoint &peer)
 {
-    const auto found = std::ranges::find(m_targets, peer, [](const auto &node) { return node->peer; });
+    const auto found
+        = std::ranges::find(m_targets, peer, [](const auto &node) { return node->peer; });
     return found == m_targets.end() ? nullptr : found->get();
 }
 
@@ -361,9 +364,8 @@
 
 bool relay_fleet::isHeldByLiveTarget(const caller_flow &flow) const
 {
-    return std::ranges::any_of(m_targets, [&](const auto &node) {
-        return node->engine && node->target.holds(flow.key);
-    });
+    return std::ranges::any_of(
+        m_targets, [&](const auto &node) { return node->engine && node->target.holds(flow.key); });
 }
 
 void relay_fleet::onCallerReset(caller_flow &flow)
@@ -373,7 +375,8 @@
     flow.reset = true;
     ++(flow.open ? m_outcome.resetOpen : m_outcome.resetUnopened);
     if (isHeldByLiveTarget(flow) && m_storeConfig->routeAt(flow.key.service))
-        m_violations.push_back("flow " + std::to_string(flow.number) + " was reset while its target holds it");
+        m_violations.push_back(
+            "flow " + std::to_string(flow.number) + " was reset while its target holds it");
 }
 
 bool relay_fleet::wasAnswered(std::size_t flow) const
@@ -388,9 +391,8 @@
 
 std::optional<std::size_t> relay_fleet::holder(std::size_t flow) const
 {
-    const auto found = std::ranges::find_if(m_targets, [&](const auto &node) {
-        return node->target.holds(m_flows[flow]->key);
-    });
+    const auto found = std::ranges::find_if(
+        m_targets, [&](const auto &node) { return node->target.holds(m_flows[flow]->key); });
     return found == m_targets.end() ? std::nullopt : std::optional((*found)->number);
 }
 
@@ -581,8 +583,7 @@
         after(5ms, [this, number = entry->number] { publish(*m_entries[number]); });
 }
 
-void relay_fleet::setRoutes(
-    std::vector<std::pair<endpoint, std::string>> routes, double coldRate)
+void relay_fleet::setRoutes(std::vector<std::pair<endpoint, std::string>> routes, double coldRate)
 {
     boost::intrusive_ptr<relay_config> config(new relay_config);
     config->revision = ++m_storeRevision;
--- a/src/libtoucanlab/relay_fleet_test.cpp
+++ b/src/libtoucanlab/relay_fleet_test.cpp
@@ -168,7 +168,8 @@
 
 // After a loss of power nobody remembers the flows; the callers' next try must not wait for a
 // time-out.
-TEST_CASE("relay: flows that nobody holds after a loss of power are reset within a second and a half")
+TEST_CASE(
+    "relay: flows that nobody holds after a loss of power are reset within a second and a half")
 {
     auto fleet = makeFleet();
     fleet.run(4s);
@@ -277,7 +278,8 @@
     CHECK(fleet.openingsTaken(1) + fleet.openingsTaken(4) == taken);
 }
 
-TEST_CASE("relay: entries that all restart while the store is away take the copy of a target's process")
+TEST_CASE(
+    "relay: entries that all restart while the store is away take the copy of a target's process")
 {
     auto fleet = makeFleet();
     fleet.run(4s);
@@ -369,8 +371,7 @@
 // One run of faults in an order that the seed decides; returns the promises that were broken.
 std::string playFaults(std::uint64_t seed, bool logs = false)
 {
-    auto fleet
-        = makeFleet({.entries = 4, .targets = 8, .loss = 0.002, .seed = seed, .logs = logs});
+    auto fleet = makeFleet({.entries = 4, .targets = 8, .loss = 0.002, .seed = seed, .logs = logs});
     std::mt19937_64 random(seed);
     const auto pick = [&](std::size_t count) {
         return std::uniform_int_distribution<std::size_t>(0, count - 1)(random);
--- a/src/libtoucanlab/segment_target.cpp
+++ b/src/libtoucanlab/segment_target.cpp
@@ -30,8 +30,8 @@
 void segment_target::onOpening(const segment &head)
 {
     const auto key = head.flowFromCaller();
-    const auto [place, isNew] = m_held.try_emplace(
-        key, held_flow{.sequence = static_cast<std::uint32_t>(m_random())});
+    const auto [place, isNew]
+        = m_held.try_emplace(key, held_flow{.sequence = static_cast<std::uint32_t>(m_random())});
     if (isNew) {
         ++m_openings;
         m_options.onOpening(key);
--- a/src/libtoucanlab/store_follower_test.cpp
+++ b/src/libtoucanlab/store_follower_test.cpp
@@ -44,8 +44,8 @@
     }
     void start()
     {
-        follower.emplace(access(), "config",
-            [this](std::uint64_t, const store_follower::snapshot &objects) {
+        follower.emplace(
+            access(), "config", [this](std::uint64_t, const store_follower::snapshot &objects) {
                 const std::lock_guard lock(mutex);
                 const auto found = objects.find("main");
                 value = found == objects.end() ? std::nullopt
@@ -117,8 +117,8 @@
     std::mutex mutex;
     std::condition_variable changed;
     std::vector<endpoint> listed;
-    const entry_registration registration(store.access(), "entries", {.name = "e1", .peer = *address},
-        [&](std::vector<endpoint> peers) {
+    const entry_registration registration(store.access(), "entries",
+        {.name = "e1", .peer = *address}, [&](std::vector<endpoint> peers) {
             const std::lock_guard lock(mutex);
             listed = std::move(peers);
             changed.notify_all();
--- a/src/libtoucannet/control_link.cpp
+++ b/src/libtoucannet/control_link.cpp
@@ -44,10 +44,9 @@
     server.set_max_message_size(maximumMessage);
     server.init_asio(&context);
     server.set_reuse_addr(true);
-    server.set_message_handler([this, &server](const websocketpp::connection_hdl &link,
-                                   const server_type::message_ptr &message) {
-        answerMessage(server, link, message);
-    });
+    server.set_message_handler(
+        [this, &server](const websocketpp::connection_hdl &link,
+            const server_type::message_ptr &message) { answerMessage(server, link, message); });
     server.set_http_handler(
         [this, &server](const websocketpp::connection_hdl &link) { answerHttp(server, link); });
     websocketpp::lib::error_code failure;
@@ -72,8 +71,8 @@
     server_type &server, const websocketpp::connection_hdl &link) const
 {
     const auto connection = server.get_con_from_hdl(link);
-    const auto answer = onHttp({connection->get_request().get_method(),
-        connection->get_resource(), connection->get_request_body()});
+    const auto answer = onHttp({connection->get_request().get_method(), connection->get_resource(),
+        connection->get_request_body()});
     connection->set_body(answer.body);
     connection->append_header("Content-Type", answer.contentType);
     connection->append_header("Connection", "close");
--- a/src/libtoucannet/entity_tag_dialect.cpp
+++ b/src/libtoucannet/entity_tag_dialect.cpp
@@ -28,8 +28,8 @@
         return {.method = HTTPRequest::HTTP_GET, .path = "/v1/objects"};
     }
 
-    platform_request watch(std::string_view, std::uint64_t version,
-        std::chrono::milliseconds wait) const override
+    platform_request watch(
+        std::string_view, std::uint64_t version, std::chrono::milliseconds wait) const override
     {
         return {.method = HTTPRequest::HTTP_GET,
             .path = "/v1/changes?after=" + std::to_string(version)
--- a/src/libtoucannet/entry_directory.cpp
+++ b/src/libtoucannet/entry_directory.cpp
@@ -94,8 +94,7 @@
     }
 }
 
-directory_lookup::directory_lookup(
-    store_access access, std::string kind, directory_handler onList)
+directory_lookup::directory_lookup(store_access access, std::string kind, directory_handler onList)
     : m_store(access)
     , m_kind(std::move(kind))
     , m_handler(std::move(onList))
--- a/src/libtoucannet/node.cpp
+++ b/src/libtoucannet/node.cpp
@@ -101,8 +101,7 @@
             return {.body = status.read().dump(2) + '\n'};
         return notFound();
     };
-    return std::make_unique<control_server>(
-        std::vector{listenAddress(address)}, onRequest, onHttp);
+    return std::make_unique<control_server>(std::vector{listenAddress(address)}, onRequest, onHttp);
 }
 
 http_response notFound()
--- a/src/libtoucannet/platform_client.cpp
+++ b/src/libtoucannet/platform_client.cpp
@@ -60,8 +60,8 @@
     }
 };
 
-platform_client::platform_client(const endpoint &address, std::chrono::milliseconds timeout,
-    const platform_dialect &dialect)
+platform_client::platform_client(
+    const endpoint &address, std::chrono::milliseconds timeout, const platform_dialect &dialect)
     : m_address(address)
     , m_timeout(timeout)
     , m_dialect(dialect)
@@ -202,8 +202,7 @@
     }
 }
 
-result<std::uint64_t> platform_client::write(
-    const platform_request &request, std::string_view path)
+result<std::uint64_t> platform_client::write(const platform_request &request, std::string_view path)
 {
     const auto outcome = call(request, m_timeout);
     const auto *answer = valueOf(outcome);
--- a/src/libtoucannet/relay_process.cpp
+++ b/src/libtoucannet/relay_process.cpp
@@ -167,8 +167,7 @@
     return peers;
 }
 
-void waitForSockets(
-    std::span<const udp_socket *const> sockets, std::chrono::milliseconds longest)
+void waitForSockets(std::span<const udp_socket *const> sockets, std::chrono::milliseconds longest)
 {
     std::vector<pollfd> waiting;
     for (const auto *socket : sockets)
--- a/src/libtoucannet/store_follower.cpp
+++ b/src/libtoucannet/store_follower.cpp
@@ -133,10 +133,8 @@
     if (std::exchange(m_lost, true))
         return;
     m_store.log.write(monotonicNow(),
-        dependency_changed{.dependency = "store",
-            .name = m_kind,
-            .state = "lost",
-            .reason = failure.detail});
+        dependency_changed{
+            .dependency = "store", .name = m_kind, .state = "lost", .reason = failure.detail});
 }
 
 } // namespace toucan
--- a/src/libtoucanrelay/opening_gate.cpp
+++ b/src/libtoucanrelay/opening_gate.cpp
@@ -8,7 +8,8 @@
 std::string_view toString(opening_verdict verdict)
 {
     constexpr std::array<std::string_view, 11> names{"accepted", "standing unknown", "draining",
-        "domain out", "wrong service", "route stale", "cold", "full", "busy", "overloaded", "target silent"};
+        "domain out", "wrong service", "route stale", "cold", "full", "busy", "overloaded",
+        "target silent"};
     return names[static_cast<std::size_t>(verdict)];
 }
 
@@ -33,8 +34,8 @@
         return opening_verdict::silent;
     if (now.hasAlternative && now.slots != 0 && now.waiting >= now.slots)
         return opening_verdict::busy;
-    const auto bearable = now.standing == target_standing::cold ? waitingForEachColdSlot
-                                                                : waitingForEachSlot;
+    const auto bearable
+        = now.standing == target_standing::cold ? waitingForEachColdSlot : waitingForEachSlot;
     if (now.slots != 0 && now.waiting >= now.slots * bearable)
         return opening_verdict::overloaded;
     return opening_verdict::accepted;
--- a/src/libtoucanrelay/relay_decisions_test.cpp
+++ b/src/libtoucanrelay/relay_decisions_test.cpp
@@ -78,7 +78,8 @@
     CHECK(judgeWith([](c &x) { x.silent = true; }) == opening_verdict::silent);
 }
 
-TEST_CASE("gate: a busy target passes openings on only while others can be asked, an overloaded one always")
+TEST_CASE("gate: a busy target passes openings on only while others can be asked, an overloaded "
+          "one always")
 {
     using c = opening_circumstances;
     CHECK(judgeWith([](c &x) {
@@ -86,8 +87,8 @@
         x.hasAlternative = true;
     }) == opening_verdict::busy);
     CHECK(judgeWith([](c &x) { x.waiting = 4; }) == opening_verdict::accepted);
-    CHECK(judgeWith([](c &x) { x.waiting = 4 * waitingForEachSlot; })
-        == opening_verdict::overloaded);
+    CHECK(
+        judgeWith([](c &x) { x.waiting = 4 * waitingForEachSlot; }) == opening_verdict::overloaded);
     CHECK(judgeWith([](c &x) {
         x.standing = target_standing::cold;
         x.waiting = 4 * waitingForEachColdSlot;
@@ -155,13 +156,29 @@
     const auto pointers = pointersTo(members);
     const domains_out out{.revision = 1, .names = {}};
     const std::vector tried{members[4].address};
-    const auto chosen
-        = placeOpening(pointers, {.flowHash = 7, .domain = "a", .out = out, .tried = tried});
+    const auto chosen = placeOpening(
+        pointers, {.flowHash = 7, .domain = "a", .out = out, .tried = tried, .now = 100s});
     REQUIRE(chosen.order.size() == 1);
     CHECK(chosen.order.front() == &members[5]);
     CHECK(chosen.eligible == 1);
 }
 
+// The load answered for: more openings than all targets bear, from many entries.
+TEST_CASE("placement: a member that refused is not asked again for a moment")
+{
+    auto members = makeMembers(1);
+    members[0].refusedAt = 10s;
+    const auto pointers = pointersTo(members);
+    const domains_out out;
+    const auto at = [&](instant now) {
+        return placeOpening(
+            pointers, {.flowHash = 7, .domain = "a", .out = out, .tried = {}, .now = now})
+            .order.size();
+    };
+    CHECK(at(10s + refusalPause / 2) == 0);
+    CHECK(at(10s + refusalPause) == 1);
+}
+
 TEST_CASE("placement: the own failure domain comes first until it is clearly more loaded")
 {
     auto members = makeMembers(8);
@@ -170,7 +187,8 @@
     const auto shareOfDomain = [&] {
         int local = 0;
         for (std::uint64_t hash = 0; hash < 200; ++hash)
-            local += placeOpening(pointers, {.flowHash = hash, .domain = "a", .out = out, .tried = {}})
+            local += placeOpening(pointers,
+                         {.flowHash = hash, .domain = "a", .out = out, .tried = {}, .now = 100s})
                          .order.front()
                          ->domain
                 == "a";
@@ -188,8 +206,8 @@
     const auto pointers = pointersTo(members);
     const domains_out out;
     for (std::uint64_t hash = 0; hash < 100; ++hash) {
-        const auto chosen
-            = placeOpening(pointers, {.flowHash = hash, .domain = "b", .out = out, .tried = {}});
+        const auto chosen = placeOpening(
+            pointers, {.flowHash = hash, .domain = "b", .out = out, .tried = {}, .now = 100s});
         const auto order = searchOrder(pointers, hash, "b");
         REQUIRE(order.size() == members.size());
         for (const auto *candidate : chosen.order)
--- a/src/libtoucanrelay/relay_entry.cpp
+++ b/src/libtoucanrelay/relay_entry.cpp
@@ -15,7 +15,8 @@
 // name this one, it has reported after this many of its intervals.
 constexpr auto shortestLearning = 500ms;
 constexpr int learningIntervals = 2;
-// A caller's attempt to open a flow ends this long after its first opening, and the age of its copies.
+// A caller's attempt to open a flow ends this long after its first opening, and the age of its
+// copies.
 constexpr auto attemptTime = 1400ms;
 constexpr std::array copyAges{instant(0ms), instant(200ms), instant(600ms)};
 // Targets answer openings within a few milliseconds, also across failure domains.
@@ -50,6 +51,8 @@
 constexpr auto fetchInterval = 300ms;
 // Members that one search asks. Beyond that it would cost more than the caller's next try.
 constexpr std::size_t mostSearched = 96;
+// Tells searches that go backwards in the number that travels with them.
+constexpr std::uint64_t backwardsMark = 1U << 15U;
 // Copies of the configuration that target processes of one failure domain keep.
 constexpr std::size_t copiesPerDomain = 2;
 // The fabric asks each 0.5 s and needs two misses, both answered late at worst.
@@ -121,8 +124,7 @@
 
 // Keeps an opening for the short time in which the process learns what it needs, instead of leaving
 // it to the caller's next copy, which may come much later or not at all.
-void relay_entry::park(
-    instant now, const segment &head, byte_view bytes)
+void relay_entry::park(instant now, const segment &head, byte_view bytes)
 {
     const auto age = copyAges[std::min<std::size_t>(head.copy, copyAges.size() - 1)];
     if (m_parked.size() >= mostParked && !m_parked.contains(head.flowFromCaller())) {
@@ -154,7 +156,8 @@
     cached.lastPacket = now;
     if (cached.established && cached.owner) {
         // A late copy: the owner answers it again.
-        auto header = headerFor(relay_kind::opening, route.serviceFor(hashFlow(head.flowFromCaller())));
+        auto header
+            = headerFor(relay_kind::opening, route.serviceFor(hashFlow(head.flowFromCaller())));
         forward(cached.owner, header, bytes);
         return;
     }
@@ -176,14 +179,17 @@
     member->suspectedSince = now;
 }
 
-void relay_entry::place(instant now, const segment &head, const route_rule &route,
-    cached_flow &cached, byte_view bytes)
+void relay_entry::place(
+    instant now, const segment &head, const route_rule &route, cached_flow &cached, byte_view bytes)
 {
     const auto hash = hashFlow(head.flowFromCaller());
     const auto &service = route.serviceFor(hash);
     const auto members = m_members.membersOf(service);
-    placement_request request{
-        .flowHash = hash, .domain = m_options.domain, .out = m_domains, .tried = {cached.tried.data(), cached.tried.size()}};
+    placement_request request{.flowHash = hash,
+        .domain = m_options.domain,
+        .out = m_domains,
+        .tried = {cached.tried.data(), cached.tried.size()},
+        .now = now};
     auto chosen = placeOpening(members, request);
     if (chosen.order.empty()) {
         cached.tried.clear();
@@ -235,7 +241,9 @@
     cached.finishing = cached.finishing || head.finish || head.reset;
     auto *owner = cached.owner ? m_members.at(cached.owner) : nullptr;
     if (!cached.owner || (owner && owner->lost)) {
-        search(now, head, *route, cached, 0, bytes);
+        // Each further search goes the other way round: one that gets no answer ended at a process
+        // that has just gone down.
+        search(now, head, *route, cached, {.backwards = cached.searches++ % 2 == 1}, bytes);
         return;
     }
     auto header = headerFor(relay_kind::established, route->serviceFor(hashFlow(flow)));
@@ -271,17 +279,22 @@
         if (order.size() >= mostSearched)
             break;
     }
-    // A search ends unanswered at a process that is down; such ones come last.
-    std::ranges::stable_partition(
-        order, [&](const relay_member *item) { return item->isFresh(now); });
+    // A search ends unanswered at a process that is down, and waits at one whose target is; both
+    // come last.
+    std::ranges::stable_partition(order, [&](const relay_member *item) {
+        return item->isFresh(now) && item->standing != target_standing::unknown;
+    });
     return order;
 }
 
-// Asks the members behind the first `asked` ones of the search order.
+// Asks the members behind those of the search order that were asked.
 void relay_entry::search(instant now, const segment &head, const route_rule &route,
-    cached_flow &cached, std::size_t asked, byte_view bytes)
+    cached_flow &cached, const search_state &state, byte_view bytes)
 {
-    const auto order = wholeSearchOrder(now, route, head.flowFromCaller());
+    const auto asked = state.asked;
+    auto order = wholeSearchOrder(now, route, head.flowFromCaller());
+    if (state.backwards)
+        std::ranges::reverse(order);
     cached.owner = {};
     cached.tried.clear();
     cached.confirmed = false;
@@ -292,19 +305,18 @@
         return;
     }
     if (asked >= order.size()) {
-        ++cached.searches;
         m_notFound.add();
         logSearch(now, head, "not found", {}, order.size(), cached);
-        if (searchIsConclusive(now, order)) {
+        if (!state.doubtful && searchIsConclusive(now, order)) {
             resetFlow(now, head, "no target holds the flow");
             m_flows.erase(head.flowFromCaller());
         }
         return;
     }
     auto header = headerFor(relay_kind::established, order[asked]->service);
-    header.search = asked + 1;
-    for (auto *member :
-        order | std::views::drop(asked + 1) | std::views::take(maximumCandidates))
+    header.search = asked + 1 + (state.backwards ? backwardsMark : 0);
+    header.doubtful = state.doubtful;
+    for (auto *member : order | std::views::drop(asked + 1) | std::views::take(maximumCandidates))
         header.candidates.push_back(member->address);
     m_searches.add();
     logSearch(now, head, "asked", order[asked]->name, header.candidates.size() + 1, cached);
@@ -319,15 +331,13 @@
         return false;
     bool conclusive = true;
     m_members.forEach([&](const relay_member &item) {
-        const bool holdsNothing = item.standing == target_standing::gone
-            || (item.standing == target_standing::unknown && item.flows == 0);
-        conclusive &= !item.lost || holdsNothing || now - item.heard > memberGone;
+        conclusive &= !item.lost || item.holdsNothing() || now - item.heard > memberGone;
     });
     return conclusive;
 }
 
-// Members that other entries name are told of this one and report at once, and the process waits for
-// all of them. Without other entries the members' own intervals have to do.
+// Members that other entries name are told of this one and report at once, and the process waits
+// for all of them. Without other entries the members' own intervals have to do.
 bool relay_entry::knowsMembers(instant now) const
 {
     instant longest = shortestLearning;
@@ -420,11 +430,16 @@
         return;
     auto &cached = found->second;
     cached.owner = {};
+    for (const auto &address : cached.tried) {
+        if (auto *member = m_members.at(address))
+            member->refusedAt = now;
+    }
     const auto &service = route->serviceFor(hashFlow(head.flowFromCaller()));
     const placement_request request{.flowHash = hashFlow(head.flowFromCaller()),
         .domain = m_options.domain,
         .out = m_domains,
-        .tried = {cached.tried.data(), cached.tried.size()}};
+        .tried = {cached.tried.data(), cached.tried.size()},
+        .now = now};
     // One more round with others; then every target that could be asked has said no.
     if (!std::exchange(cached.refusedOnce, true)
         && !placeOpening(m_members.membersOf(service), request).order.empty()) {
@@ -455,13 +470,17 @@
         return;
     // Each packet is searched for on its own; the header says how far its search has come. The
     // owner in the cache may be known again meanwhile.
-    const auto asked = header.search == 0 ? 0 : header.search + maximumCandidates;
+    const bool backwards = header.search >= backwardsMark;
+    const auto place = backwards ? header.search - backwardsMark : header.search;
+    const auto asked = place == 0 ? 0 : place + maximumCandidates;
     if (header.search != 0 && found->second.owner) {
-        forward(found->second.owner, headerFor(relay_kind::established, route->serviceFor(
-            hashFlow(head.flowFromCaller()))), bytes);
+        forward(found->second.owner,
+            headerFor(relay_kind::established, route->serviceFor(hashFlow(head.flowFromCaller()))),
+            bytes);
         return;
     }
-    search(now, head, *route, found->second, asked, bytes);
+    search(now, head, *route, found->second,
+        {.asked = asked, .backwards = backwards, .doubtful = header.doubtful}, bytes);
 }
 
 void relay_entry::handle(instant now, const endpoint &from, const flow_owner &message)
@@ -498,7 +517,8 @@
         retryParked(now);
     }
     noteRevision(now, from, message.copyRevision);
-    onDomains(now, {.revision = message.domainsRevision, .names = message.domainsOut}, "target process");
+    onDomains(
+        now, {.revision = message.domainsRevision, .names = message.domainsOut}, "target process");
     const auto *member = m_members.at(from);
     if (message.wantsNotice && member)
         tellMember(now, *member);
@@ -600,9 +620,8 @@
     if (!changed)
         return;
     m_log.write(now,
-        domains_changed{.revision = domains.revision,
-            .source = std::string(source),
-            .out = domains.names});
+        domains_changed{
+            .revision = domains.revision, .source = std::string(source), .out = domains.names});
     // Target processes refuse openings by this; they are told at once.
     m_members.forEach([&](const relay_member &item) { tellMember(now, item); });
     m_lastNotices = {};
@@ -694,8 +713,7 @@
     if (now - m_lastNotices >= noticeInterval) {
         m_lastNotices = now;
         sendNotices(now);
-        std::erase_if(
-            m_named, [&](const auto &item) { return now - item.second > namedLifetime; });
+        std::erase_if(m_named, [&](const auto &item) { return now - item.second > namedLifetime; });
         std::erase_if(m_entries, [&](const auto &item) {
             const bool isSeed
                 = std::ranges::find(m_options.seeds, item.first) != m_options.seeds.end();
--- a/src/libtoucanrelay/relay_members.cpp
+++ b/src/libtoucanrelay/relay_members.cpp
@@ -82,7 +82,7 @@
     item->openedSince = 0;
     item->heard = now;
     item->suspectedSince = {};
-    item->lost = false;
+    item->lost = report.leaving;
     if (moved)
         rebuildIndex();
     auto after = belief(*item);
@@ -94,9 +94,9 @@
 std::vector<member_change> member_table::onTick(instant now)
 {
     std::vector<member_change> changes;
-    if (std::erase_if(m_members, [&](const auto &item) {
-            return now - item.second->heard > forgetAfter;
-        }) > 0)
+    if (std::erase_if(
+            m_members, [&](const auto &item) { return now - item.second->heard > forgetAfter; })
+        > 0)
         rebuildIndex();
     forEach([&](relay_member &item) {
         // Three reports may be lost before silence means anything.
@@ -132,8 +132,8 @@
 
 std::size_t member_table::aliveCount() const
 {
-    return static_cast<std::size_t>(std::ranges::count_if(
-        m_members, [](const auto &item) { return !item.second->lost; }));
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_members, [](const auto &item) { return !item.second->lost; }));
 }
 
 } // namespace toucan
--- a/src/libtoucanrelay/relay_packet.cpp
+++ b/src/libtoucanrelay/relay_packet.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // A header is a flat CBOR array of numbers: these, then the candidates.
-constexpr std::size_t fixedFields = 5;
+constexpr std::size_t fixedFields = 6;
 constexpr std::size_t mostFields = fixedFields + maximumCandidates;
 constexpr std::uint8_t cborArrayBase = 0x80;
 constexpr std::uint64_t serviceTagMask = 0xffffffff;
@@ -59,8 +59,8 @@
 
 std::size_t encodeRelayHeader(const relay_header &header, std::span<std::uint8_t> out)
 {
-    std::size_t size = cbor_encode_array_start(
-        fixedFields + header.candidates.size(), out.data(), out.size());
+    std::size_t size
+        = cbor_encode_array_start(fixedFields + header.candidates.size(), out.data(), out.size());
     const auto append = [&](std::uint64_t value) {
         size += cbor_encode_uint(value, out.data() + size, out.size() - size);
     };
@@ -69,6 +69,7 @@
     append(packEndpoint(header.entry));
     append(header.serviceTag);
     append(header.search);
+    append(header.doubtful ? 1 : 0);
     for (const auto &candidate : header.candidates)
         append(packEndpoint(candidate));
     return size;
@@ -97,7 +98,8 @@
                             .revision = numbers[1],
                             .entry = unpackEndpoint(numbers[2]),
                             .serviceTag = numbers[3],
-                            .search = numbers[4]},
+                            .search = numbers[4],
+                            .doubtful = numbers[5] != 0},
         .bytes = datagram.subspan(offset)};
     for (std::size_t i = fixedFields; i < numbers.size(); ++i)
         packet.header.candidates.push_back(unpackEndpoint(numbers[i]));
--- a/src/libtoucanrelay/relay_placement.cpp
+++ b/src/libtoucanrelay/relay_placement.cpp
@@ -48,9 +48,9 @@
 
 } // namespace
 
-bool takesOpenings(const relay_member &item, const domains_out &out)
+bool takesOpenings(const relay_member &item, const domains_out &out, instant now)
 {
-    if (!item.answers() || out.contains(item.domain))
+    if (!item.answers() || out.contains(item.domain) || now - item.refusedAt < refusalPause)
         return false;
     if (item.standing == target_standing::cold)
         return item.openedSince < item.openRate;
@@ -60,7 +60,7 @@
 placement placeOpening(std::span<relay_member *const> members, const placement_request &request)
 {
     const auto accept = [&](const relay_member &item) {
-        return takesOpenings(item, request.out)
+        return takesOpenings(item, request.out, request.now)
             && std::ranges::find(request.tried, item.address) == request.tried.end();
     };
     const auto ranked = rank(members, request.flowHash, accept);
@@ -77,8 +77,8 @@
 std::vector<relay_member *> searchOrder(
     std::span<relay_member *const> members, std::uint64_t flowHash, std::string_view domain)
 {
-    const auto ranked
-        = rank(members, flowHash, [](const relay_member &item) { return !item.lost; });
+    const auto ranked = rank(members, flowHash,
+        [](const relay_member &item) { return !item.lost && !item.holdsNothing(); });
     auto order = likelyOwners(ranked, domain);
     for (const bool local : {true, false}) {
         for (const auto &item : ranked) {
--- a/src/libtoucanrelay/relay_target.cpp
+++ b/src/libtoucanrelay/relay_target.cpp
@@ -18,11 +18,12 @@
 constexpr auto entrySilence = 5s;
 // Targets report about each 1.2 s; three in a row may be lost.
 constexpr auto targetSilence = 4s;
-constexpr auto firstReportLimit = 2500ms;
 // Segments of unknown flows that wait for the target's word, at most 1.2 KB each.
 constexpr std::size_t mostProbes = 500;
 // Targets answer openings within a millisecond, also under load.
 constexpr auto openingAnswerLimit = 80ms;
+// What it returns comes as fast, and a search has many others to ask.
+constexpr auto probeAnswerLimit = 20ms;
 // Openings that are tried on a target that answers none.
 constexpr auto trialInterval = 250ms;
 // An entry hears of a configuration within a second; the platform's shortest bound is three.
@@ -154,16 +155,17 @@
     const auto key = head.flowFromCaller();
     const auto &header = packet.header;
     auto found = m_flows.find(key);
-    const bool foreign = found == m_flows.end() ? knowsAllFlows(now) || !targetMayRun(now)
-                                                : !isMine(found->second, head);
+    const bool foreign = found == m_flows.end()
+        ? knowsAllFlows(now) || standing(now) == target_standing::gone
+        : !isMine(found->second, head);
     if (foreign) {
         passOn(header, relay_kind::not_found, packet.bytes);
         return;
     }
     if (found == m_flows.end()) {
         found = m_flows
-                    .emplace(key,
-                        flow{.state = flow_state::probing, .opened = now, .lastPacket = now})
+                    .emplace(
+                        key, flow{.state = flow_state::probing, .opened = now, .lastPacket = now})
                     .first;
     }
     auto &item = found->second;
@@ -173,6 +175,7 @@
         item.serviceTag = header.serviceTag;
         item.revision = header.revision;
         item.search = header.search;
+        item.doubtful = header.doubtful;
         item.callerAcknowledged = head.acknowledged;
         keepProbe(now, found, packet.bytes);
     } else if (item.state == flow_state::offered) {
@@ -188,8 +191,8 @@
     m_port.sendTarget(packet.bytes);
 }
 
-// A target that runs answers or returns the segment at once. One that does not must not end the
-// search, so the newest segment is kept until then.
+// A target that does not run must not end the search, so the newest segment is kept until there is
+// a word of it.
 void relay_target::keepProbe(instant now, flow_map::iterator place, byte_view bytes)
 {
     if (m_probes.size() >= mostProbes)
@@ -201,13 +204,16 @@
 void relay_target::passOnProbes(instant now)
 {
     const auto firstRecent = std::ranges::find_if(
-        m_probes, [&](const auto &probe) { return now - probe.first < openingAnswerLimit; });
+        m_probes, [&](const auto &probe) { return now - probe.first < probeAnswerLimit; });
     for (auto each = m_probes.begin(); each != firstRecent; ++each) {
         const auto found = m_flows.find(each->second);
         if (found == m_flows.end() || found->second.state != flow_state::probing
             || found->second.opening.empty())
             continue;
-        passOn(headerOf(found->second), relay_kind::not_found, found->second.opening);
+        // Targets need not acknowledge at once, so their silence is no word against the flow.
+        auto header = headerOf(found->second);
+        header.doubtful = true;
+        passOn(header, relay_kind::not_found, found->second.opening);
         found->second.opening.clear();
     }
     m_probes.erase(m_probes.begin(), firstRecent);
@@ -220,6 +226,7 @@
         .entry = item.entry,
         .serviceTag = item.serviceTag,
         .search = item.search,
+        .doubtful = item.doubtful,
         .candidates = item.candidates};
 }
 
@@ -264,8 +271,8 @@
         item.waitingSince = now;
         ++m_waiting;
     } else {
-        const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(
-            now - *item.waitingSince);
+        const auto took
+            = std::chrono::duration_cast<std::chrono::milliseconds>(now - *item.waitingSince);
         item.slowest = std::max(item.slowest, took);
         m_firstAnswer.add(static_cast<double>(took.count()));
         item.waitingSince.reset();
@@ -402,13 +409,12 @@
     }
     if (report.leaving)
         m_resetFlowsAt = now + exitDelay;
-    if (before != after || serviceBefore != service()
-        || outcome == liveness_outcome::new_lifetime)
+    if (before != after || serviceBefore != service() || outcome == liveness_outcome::new_lifetime)
         sendReports(now, true);
 }
 
-// Flows opened since the ended lifetime was last heard may already belong to the next one: the target
-// itself tells, when their callers send again.
+// Flows opened since the ended lifetime was last heard may already belong to the next one: the
+// target itself tells, when their callers send again.
 void relay_target::endLifetime(instant now, instant lastHeard, std::string_view reason)
 {
     m_resetFlowsAt.reset();
@@ -444,6 +450,9 @@
 
 target_standing relay_target::standing(instant now) const
 {
+    // A target that runs has reported by then.
+    if (!m_liveness.latest() && now - m_started >= m_options.reportInterval * 5 / 4)
+        return target_standing::gone;
     const auto known = m_liveness.standing(now, targetSilence);
     return m_leaving && (known == target_standing::ready || known == target_standing::cold)
         ? target_standing::unknown
@@ -473,14 +482,6 @@
     return m_knowsAllFlows || now - m_started > m_options.flowLifetime;
 }
 
-// False when the target is known not to run: it would have reported by now, or it said good-bye.
-bool relay_target::targetMayRun(instant now) const
-{
-    if (!m_liveness.latest())
-        return now - m_started < firstReportLimit;
-    return standing(now) != target_standing::gone;
-}
-
 // --- A target that does not answer
 
 bool relay_target::isSilent(instant now)
@@ -610,9 +611,10 @@
         .slots = slots,
         .flows = heldFlows(),
         .waiting = m_waiting,
-        .load = static_cast<std::uint64_t>(
-            m_load.read(now) * thousand / static_cast<double>(slots)),
+        .load
+        = static_cast<std::uint64_t>(m_load.read(now) * thousand / static_cast<double>(slots)),
         .openRate = coldLimit(),
+        .leaving = m_leaving,
         .intervalMs = static_cast<std::uint64_t>(interval.count()),
         .copyRevision = m_copyRevision,
         .domainsRevision = m_domains.revision,
@@ -688,8 +690,8 @@
         flow_ended{.caller = place->first.caller,
             .service = place->first.service,
             .outcome = std::string(outcome),
-            .ageMs = static_cast<std::uint64_t>(
-                duration_cast<milliseconds>(now - item.opened).count()),
+            .ageMs
+            = static_cast<std::uint64_t>(duration_cast<milliseconds>(now - item.opened).count()),
             .requests = item.requests,
             .slowestMs = static_cast<std::uint64_t>(item.slowest.count())});
     m_flows.erase(place);
--- a/src/libtoucanrelay/target_liveness.cpp
+++ b/src/libtoucanrelay/target_liveness.cpp
@@ -27,22 +27,20 @@
         m_heard = now;
         return liveness_outcome::applied;
     }
-    const bool same = m_latest && m_latest->id == report.id
-        && m_latest->startedMs == report.startedMs;
+    const bool same
+        = m_latest && m_latest->id == report.id && m_latest->startedMs == report.startedMs;
     if (m_latest
-        && (same ? report.sequence <= m_latest->sequence
-                 : report.startedMs < m_latest->startedMs))
+        && (same ? report.sequence <= m_latest->sequence : report.startedMs < m_latest->startedMs))
         return liveness_outcome::late;
-    const auto outcome = same || !m_latest ? liveness_outcome::applied
-                                           : liveness_outcome::new_lifetime;
+    const auto outcome
+        = same || !m_latest ? liveness_outcome::applied : liveness_outcome::new_lifetime;
     m_latest = report;
     m_heard = now;
     m_coldUntil = now + report.coldFor;
     return outcome;
 }
 
-target_standing liveness_record::standing(
-    instant now, std::chrono::milliseconds silenceLimit) const
+target_standing liveness_record::standing(instant now, std::chrono::milliseconds silenceLimit) const
 {
     if (!m_latest)
         return target_standing::unknown;
--- a/src/toucanbridge/entry_relay_server.cpp
+++ b/src/toucanbridge/entry_relay_server.cpp
@@ -23,8 +23,8 @@
 
 } // namespace
 
-entry_relay_server::entry_relay_server(const entry_relay_settings &settings, std::string fileName,
-    const platform_adapter &adapter)
+entry_relay_server::entry_relay_server(
+    const entry_relay_settings &settings, std::string fileName, const platform_adapter &adapter)
     : m_settings(settings)
     , m_adapter(adapter)
     , m_log("entry", settings.logRate)
@@ -57,8 +57,7 @@
             .boot = m_boot,
             .peer = m_settings.peer});
     loop();
-    m_log.write(monotonicNow(),
-        process_stopping{.stage = "ended", .flows = m_engine.flowCount()});
+    m_log.write(monotonicNow(), process_stopping{.stage = "ended", .flows = m_engine.flowCount()});
     return 0;
 }
 
@@ -150,8 +149,7 @@
             reloadSettings(now, cause);
         if (node::stopRequested() && !std::exchange(leaving, true)) {
             m_engine.startLeaving(now);
-            m_log.write(now,
-                process_stopping{.stage = "signalled", .flows = m_engine.flowCount()});
+            m_log.write(now, process_stopping{.stage = "signalled", .flows = m_engine.flowCount()});
         }
     }
 }
@@ -166,8 +164,8 @@
     while (m_callers->receive(m_buffer))
         ++discarded;
     m_log.write(now,
-        clock_jumped{.pausedMs = static_cast<std::uint64_t>(paused.count()),
-            .discarded = discarded});
+        clock_jumped{
+            .pausedMs = static_cast<std::uint64_t>(paused.count()), .discarded = discarded});
     return true;
 }
 
--- a/src/toucanbridge/main.cpp
+++ b/src/toucanbridge/main.cpp
@@ -107,7 +107,8 @@
     if (words[0] == "status")
         return toucan::runStatusCommand(*options);
     return toucan::reportError(
-        {error_kind::usage, words[0] + ": unknown command; expected serve, relay, record or status"},
+        {error_kind::usage,
+            words[0] + ": unknown command; expected serve, relay, record or status"},
         *options);
 }
 
@@ -121,10 +122,10 @@
     parser.add_options()("words", "command and its words",
         cxxopts::value<std::vector<std::string>>()->default_value(""))("config",
         "settings file (INI) of serve and relay",
-        cxxopts::value<std::string>())("check", "check the settings and exit")("example",
-        "with serve and relay: print annotated settings and exit")("platform", "address of the platform",
-        cxxopts::value<std::string>()->default_value("127.0.0.1:8001"))("peer",
-        "control links to read from while the platform is down",
+        cxxopts::value<std::string>())("check", "check the settings and exit")(
+        "example", "with serve and relay: print annotated settings and exit")("platform",
+        "address of the platform", cxxopts::value<std::string>()->default_value("127.0.0.1:8001"))(
+        "peer", "control links to read from while the platform is down",
         cxxopts::value<std::vector<std::string>>()->default_value(""))(
         "output", "plain or json", cxxopts::value<std::string>()->default_value("plain"))("wait",
         "time to wait until it is in force everywhere, for example 4s",
--- a/src/toucantarget/main.cpp
+++ b/src/toucantarget/main.cpp
@@ -42,9 +42,9 @@
     options.positional_help("[relay]");
     options.add_options()("command",
         "relay: relay the segments of a stream transport instead of owning CoAP requests",
-        cxxopts::value<std::string>()->default_value(""))("config", "settings file (INI)", cxxopts::value<std::string>())(
-        "check", "check the settings and exit")("example", "print annotated settings and exit")(
-        "help", "print this help and exit");
+        cxxopts::value<std::string>()->default_value(""))("config", "settings file (INI)",
+        cxxopts::value<std::string>())("check", "check the settings and exit")(
+        "example", "print annotated settings and exit")("help", "print this help and exit");
     options.parse_positional({"command"});
     try {
         const auto given = options.parse(argc, argv);
--- a/src/toucantarget/target_relay_server.cpp
+++ b/src/toucantarget/target_relay_server.cpp
@@ -22,6 +22,7 @@
         .peer = settings.peer,
         .seeds = seedPeers(settings.seeds, settings.peer),
         .flowLifetime = settings.flowLifetime,
+        .reportInterval = settings.reportInterval,
         .coldOvershoot = settings.coldOvershoot,
         .coldSlack = settings.coldSlack,
         .firstStart = settings.firstStart == "true",
@@ -30,8 +31,8 @@
 
 } // namespace
 
-target_relay_server::target_relay_server(const target_relay_settings &settings,
-    std::string fileName, const platform_adapter &adapter)
+target_relay_server::target_relay_server(
+    const target_relay_settings &settings, std::string fileName, const platform_adapter &adapter)
     : m_settings(settings)
     , m_adapter(adapter)
     , m_log("target", settings.logRate)
@@ -65,8 +66,7 @@
             .boot = m_boot,
             .peer = m_settings.peer});
     loop();
-    m_log.write(monotonicNow(),
-        process_stopping{.stage = "ended", .flows = m_engine.flowCount()});
+    m_log.write(monotonicNow(), process_stopping{.stage = "ended", .flows = m_engine.flowCount()});
     return 0;
 }
 
@@ -115,14 +115,12 @@
         for (const auto &event : m_mailbox.take())
             std::visit([&](const auto &item) { handle(now, item); }, event);
         if (!discardAfterPause(now)) {
-            readBatch(*m_outbound, m_buffer,
-                [&](const endpoint &, std::span<std::uint8_t> bytes) {
-                    m_engine.onTargetBytes(now, bytes);
-                });
-            readBatch(*m_peers, m_buffer,
-                [&](const endpoint &from, std::span<std::uint8_t> bytes) {
-                    m_engine.onPeerBytes(now, from, bytes);
-                });
+            readBatch(*m_outbound, m_buffer, [&](const endpoint &, std::span<std::uint8_t> bytes) {
+                m_engine.onTargetBytes(now, bytes);
+            });
+            readBatch(*m_peers, m_buffer, [&](const endpoint &from, std::span<std::uint8_t> bytes) {
+                m_engine.onPeerBytes(now, from, bytes);
+            });
         }
         m_engine.onTick(now);
         lookUpEntries(now);
@@ -131,8 +129,7 @@
         if (node::stopRequested() && !leavingSince) {
             leavingSince = now;
             m_engine.startLeaving(now);
-            m_log.write(now,
-                process_stopping{.stage = "signalled", .flows = m_engine.flowCount()});
+            m_log.write(now, process_stopping{.stage = "signalled", .flows = m_engine.flowCount()});
         }
     }
 }
@@ -147,8 +144,8 @@
     while (m_peers->receive(m_buffer))
         ++discarded;
     m_log.write(now,
-        clock_jumped{.pausedMs = static_cast<std::uint64_t>(paused.count()),
-            .discarded = discarded});
+        clock_jumped{
+            .pausedMs = static_cast<std::uint64_t>(paused.count()), .discarded = discarded});
     return true;
 }
 
@@ -162,12 +159,11 @@
     if (now - m_entriesHeard < (m_lookup ? instant(lookupInterval) : instant(lookupAfter)))
         return;
     m_entriesHeard = now;
-    m_lookup = std::make_unique<directory_lookup>(
-        store_access{.address = m_settings.platform,
-            .timeout = m_settings.platformTimeout,
-            .dialect = m_adapter.objects,
-            .metrics = m_metrics,
-            .log = m_log},
+    m_lookup = std::make_unique<directory_lookup>(store_access{.address = m_settings.platform,
+                                                      .timeout = m_settings.platformTimeout,
+                                                      .dialect = m_adapter.objects,
+                                                      .metrics = m_metrics,
+                                                      .log = m_log},
         std::string(m_adapter.kinds.entries),
         [this](std::vector<endpoint> peers) { m_mailbox.put(entries_event{std::move(peers)}); });
 }
