--- a/src/include/toucan/event_log.h
+++ b/src/include/toucan/event_log.h
@@ -47,7 +47,7 @@
         nlohmann::ordered_json line;
         forEachField<E>(
             [&](const auto &spec) { line[std::string(spec.name)] = value(event.*spec.member); });
-        emit(fields_of<E>::name, std::move(line));
+        emit(fields_of<E>::name, line);
     }
 
     /// Turns the log off, for tests.
@@ -69,7 +69,7 @@
     }
 
     bool admit(instant now, std::string_view kind);
-    void emit(std::string_view kind, nlohmann::ordered_json line);
+    void emit(std::string_view kind, const nlohmann::ordered_json &line);
 
     std::shared_ptr<spdlog::logger> m_logger;
     double m_linesPerSecond;
--- a/src/include/toucan/lab/relay_fleet.h
+++ b/src/include/toucan/lab/relay_fleet.h
@@ -79,7 +79,8 @@
 
     /// The store: whether entries reach it, routes, failure domains out of service.
     void setStore(bool reachable);
-    void setRoutes(std::vector<std::pair<endpoint, std::string>> routes, double coldRate = 0);
+    void setRoutes(
+        const std::vector<std::pair<endpoint, std::string>> &routes, double coldRate = 0);
     void setDomainsOut(std::vector<std::string> names);
     /// Cuts or heals the link between an entry and a target's process.
     void setCut(std::size_t entry, std::size_t target, bool cut);
--- a/src/include/toucan/relay_target.h
+++ b/src/include/toucan/relay_target.h
@@ -166,7 +166,6 @@
     bool m_knowsAllFlows = false;
     bool m_leaving = false;
     instant m_started;
-    instant m_lastReport{};
     instant m_lastSweep{};
     instant m_lastCopyFetch{};
     target_standing m_reportedStanding = target_standing::unknown;
--- a/src/libtoucanbase/event_log.cpp
+++ b/src/libtoucanbase/event_log.cpp
@@ -105,7 +105,7 @@
     return true;
 }
 
-void event_log::emit(std::string_view kind, nlohmann::ordered_json line)
+void event_log::emit(std::string_view kind, const nlohmann::ordered_json &line)
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
     nlohmann::ordered_json whole{{"event", kind},
--- a/src/libtoucanlab/relay_fleet.cpp
+++ b/src/libtoucanlab/relay_fleet.cpp
@@ -583,7 +583,8 @@
         after(5ms, [this, number = entry->number] { publish(*m_entries[number]); });
 }
 
-void relay_fleet::setRoutes(std::vector<std::pair<endpoint, std::string>> routes, double coldRate)
+void relay_fleet::setRoutes(
+    const std::vector<std::pair<endpoint, std::string>> &routes, double coldRate)
 {
     boost::intrusive_ptr<relay_config> config(new relay_config);
     config->revision = ++m_storeRevision;
--- a/src/libtoucanlab/relay_fleet_test.cpp
+++ b/src/libtoucanlab/relay_fleet_test.cpp
@@ -340,9 +340,8 @@
 {
     auto fleet = makeFleet({.slots = 4});
     fleet.run(4s);
-    std::vector<std::size_t> flows;
-    for (int i = 0; i < 24; ++i)
-        flows.push_back(fleet.openFlow());
+    std::vector<std::size_t> flows(24);
+    std::ranges::generate(flows, [&] { return fleet.openFlow(); });
     fleet.run(2s);
     CHECK(countAnswered(fleet, flows) == flows.size());
     for (std::size_t target = 0; target < 6; ++target)
--- a/src/libtoucanrelay/relay_decisions_test.cpp
+++ b/src/libtoucanrelay/relay_decisions_test.cpp
@@ -37,9 +37,8 @@
 
 std::vector<relay_member *> pointersTo(std::vector<relay_member> &members)
 {
-    std::vector<relay_member *> pointers;
-    for (auto &item : members)
-        pointers.push_back(&item);
+    std::vector<relay_member *> pointers(members.size());
+    std::ranges::transform(members, pointers.begin(), [](auto &item) { return &item; });
     return pointers;
 }
 
--- a/src/libtoucanrelay/relay_entry.cpp
+++ b/src/libtoucanrelay/relay_entry.cpp
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <ranges>
 #include <toucan/ranking.h>
 #include <toucan/relay_entry.h>
 
@@ -207,7 +206,7 @@
         return;
     }
     auto header = headerFor(relay_kind::opening, service);
-    for (auto *other : chosen.order | std::views::drop(1))
+    for (const auto *other : std::span(chosen.order.data(), chosen.order.size()).subspan(1))
         header.candidates.push_back(other->address);
     auto *first = chosen.order.front();
     logOpening(now, head, "placed", first, chosen.eligible);
@@ -267,7 +266,8 @@
     const auto hash = hashFlow(flow);
     const auto &current = route.serviceFor(hash);
     auto services = sharesOf(route);
-    std::ranges::stable_partition(services, [&](const auto &name) { return name == current; });
+    std::stable_partition(
+        services.begin(), services.end(), [&](const auto &name) { return name == current; });
     for (const auto &name : m_members.services()) {
         if (std::ranges::find(services, name) == services.end())
             services.emplace_back(name);
@@ -281,7 +281,7 @@
     }
     // A search ends unanswered at a process that is down, and waits at one whose target is; both
     // come last.
-    std::ranges::stable_partition(order, [&](const relay_member *item) {
+    std::stable_partition(order.begin(), order.end(), [&](const relay_member *item) {
         return item->isFresh(now) && item->standing != target_standing::unknown;
     });
     return order;
@@ -316,7 +316,8 @@
     auto header = headerFor(relay_kind::established, order[asked]->service);
     header.search = asked + 1 + (state.backwards ? backwardsMark : 0);
     header.doubtful = state.doubtful;
-    for (auto *member : order | std::views::drop(asked + 1) | std::views::take(maximumCandidates))
+    const auto behind = std::span(order).subspan(asked + 1);
+    for (const auto *member : behind.first(std::min(behind.size(), maximumCandidates)))
         header.candidates.push_back(member->address);
     m_searches.add();
     logSearch(now, head, "asked", order[asked]->name, header.candidates.size() + 1, cached);
@@ -701,8 +702,9 @@
     const auto offset = due.size() > noticesPerRound
         ? static_cast<std::size_t>(now / noticeInterval) * noticesPerRound % due.size()
         : 0;
-    std::ranges::rotate(due, due.begin() + static_cast<std::ptrdiff_t>(offset));
-    for (const auto &address : due | std::views::take(noticesPerRound))
+    std::rotate(due.begin(), due.begin() + static_cast<std::ptrdiff_t>(offset), due.end());
+    due.resize(std::min(due.size(), noticesPerRound));
+    for (const auto &address : due)
         tellEntry(now, address, isLearning(now) || m_entries[address].heard + entrySilence <= now);
 }
 
--- a/src/libtoucanrelay/relay_placement.cpp
+++ b/src/libtoucanrelay/relay_placement.cpp
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <ranges>
 #include <toucan/ranking.h>
 #include <toucan/relay_placement.h>
 
@@ -33,13 +32,14 @@
 
 // The first ranks of the own domain, then those of all domains, without repeats.
 std::vector<relay_member *> likelyOwners(
-    const std::vector<ranked_member> &ranked, std::string_view domain)
+    std::span<const ranked_member> ranked, std::string_view domain)
 {
     std::vector<relay_member *> likely;
-    const auto isLocal = [&](const ranked_member &item) { return item.member->domain == domain; };
-    for (const auto &item : ranked | std::views::filter(isLocal) | std::views::take(comparedRanks))
-        likely.push_back(item.member);
-    for (const auto &item : ranked | std::views::take(comparedRanks)) {
+    for (const auto &item : ranked) {
+        if (item.member->domain == domain && likely.size() < comparedRanks)
+            likely.push_back(item.member);
+    }
+    for (const auto &item : ranked.first(std::min(comparedRanks, ranked.size()))) {
         if (std::ranges::find(likely, item.member) == likely.end())
             likely.push_back(item.member);
     }
@@ -69,8 +69,8 @@
         return item->expectedLoad() + (item->domain == request.domain ? 0 : otherDomainPenalty);
     });
     placement result{.eligible = ranked.size()};
-    for (auto *item : likely | std::views::take(maximumPlaces))
-        result.order.push_back(item);
+    likely.resize(std::min(likely.size(), maximumPlaces));
+    result.order.assign(likely.begin(), likely.end());
     return result;
 }
 
--- a/src/libtoucanrelay/relay_target.cpp
+++ b/src/libtoucanrelay/relay_target.cpp
@@ -65,15 +65,12 @@
 {
     if (const auto packet = decodeRelayPacket(bytes)) {
         const auto head = m_codec.decode(packet->bytes);
-        if (!head) {
-            m_malformed.add();
-        } else if (packet->header.kind == relay_kind::opening) {
+        if (head && packet->header.kind == relay_kind::opening)
             onOpening(now, *head, *packet);
-        } else if (packet->header.kind == relay_kind::established) {
+        else if (head && packet->header.kind == relay_kind::established)
             onEstablished(now, from, *head, *packet);
-        } else {
+        else
             m_malformed.add();
-        }
         return;
     }
     const auto message = decodeRelayMessage(bytes);
