--- a/src/libtoucanrelay/relay_entry.cpp
+++ b/src/libtoucanrelay/relay_entry.cpp
@@ -282,7 +282,8 @@
     // A search ends unanswered at a process that is down, and waits at one whose target is; both
     // come last.
     std::stable_partition(order.begin(), order.end(), [&](const relay_member *item) {
-        return item->isFresh(now) && item->standing != target_standing::unknown;
+        return item->isFresh(now) && item->standing != target_standing::unknown
+            && !item->holdsNothing();
     });
     return order;
 }
--- a/src/libtoucanrelay/relay_placement.cpp
+++ b/src/libtoucanrelay/relay_placement.cpp
@@ -77,8 +77,8 @@
 std::vector<relay_member *> searchOrder(
     std::span<relay_member *const> members, std::uint64_t flowHash, std::string_view domain)
 {
-    const auto ranked = rank(members, flowHash,
-        [](const relay_member &item) { return !item.lost && !item.holdsNothing(); });
+    const auto ranked
+        = rank(members, flowHash, [](const relay_member &item) { return !item.lost; });
     auto order = likelyOwners(ranked, domain);
     for (const bool local : {true, false}) {
         for (const auto &item : ranked) {
--- a/src/libtoucanrelay/relay_target.cpp
+++ b/src/libtoucanrelay/relay_target.cpp
@@ -152,9 +152,9 @@
     const auto key = head.flowFromCaller();
     const auto &header = packet.header;
     auto found = m_flows.find(key);
-    const bool foreign = found == m_flows.end()
-        ? knowsAllFlows(now) || standing(now) == target_standing::gone
-        : !isMine(found->second, head);
+    const bool isKnown = found != m_flows.end() && found->second.state != flow_state::probing;
+    const bool foreign = isKnown ? !isMine(found->second, head)
+                                 : knowsAllFlows(now) || standing(now) == target_standing::gone;
     if (foreign) {
         passOn(header, relay_kind::not_found, packet.bytes);
         return;
@@ -352,10 +352,6 @@
     }
     if (found == m_flows.end())
         return;
-    if (found->second.state == flow_state::open) {
-        resetFlow(now, found, "the target does not hold the flow any more");
-        return;
-    }
     // Somebody else may hold the flow.
     const auto header = headerOf(found->second);
     found->second.opening.clear();
