--- a/src/libtoucannet/platform_client.cpp
+++ b/src/libtoucannet/platform_client.cpp
@@ -92,8 +92,13 @@
 {
     const std::lock_guard lock(m_mutex);
     m_cancelled = true;
-    if (m_session)
-        m_session->abort();
+    try {
+        if (m_session)
+            m_session->abort();
+    } catch (const Poco::Net::InvalidSocketException &) {
+        // Not connected yet: the call under way ends with its own time limit.
+        return;
+    }
 }
 
 result<platform_client::response> platform_client::call(
