Let a stop come while the store's client connects

A mark is looked at once the connection is open, and an abort of a connection that is not open yet does not throw.

--- a/src/include/toucan/platform_client.h
+++ b/src/include/toucan/platform_client.h
@@ -96,6 +96,7 @@
     };
     class session;
     bool openSession();
+    bool isCancelled();
     void closeSession();
     result<response> call(const platform_request &request, std::chrono::milliseconds timeout);
     result<response> attempt(const platform_request &request, std::chrono::milliseconds timeout);
--- a/src/libtoucannet/platform_client.cpp
+++ b/src/libtoucannet/platform_client.cpp
@@ -88,6 +88,12 @@
     m_session.reset();
 }
 
+bool platform_client::isCancelled()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_cancelled;
+}
+
 void platform_client::cancel()
 {
     const std::lock_guard lock(m_mutex);
@@ -95,8 +101,8 @@
     try {
         if (m_session)
             m_session->abort();
-    } catch (const Poco::Net::InvalidSocketException &) {
-        // Not connected yet: the call under way ends with its own time limit.
+    } catch (const Poco::Exception &) {
+        // Not connected yet: the call under way sees the mark once it is.
         return;
     }
 }
@@ -135,6 +141,8 @@
             head.set(request.conditionName, request.conditionValue);
         m_session->sendRequest(head) << request.body;
         sent = true;
+        if (isCancelled())
+            return error{error_kind::write_uncertain, "the call was cancelled"};
         HTTPResponse answer;
         std::string body;
         Poco::StreamCopier::copyToString(m_session->receiveResponse(answer), body);
