--- a/src/include/toucan/relay_target.h
+++ b/src/include/toucan/relay_target.h
@@ -113,6 +113,7 @@
     void noteTarget(instant now, flow_map::iterator place, const segment &head);
     void keepProbe(instant now, flow_map::iterator place, byte_view bytes);
     void passOnProbes(instant now);
+    void passOnProbe(flow_map::iterator place);
     static relay_header headerOf(const flow &item);
     bool isMine(const flow &item, const segment &head) const;
     void tellOwner(const flow_key &key, flow &item);
--- /dev/null
+++ b/src/libtoucanrelay/relay_engines_test.cpp
@@ -0,0 +1,268 @@
+#include <catch2/catch.hpp>
+#include <platform/adapter.h>
+#include <toucan/relay_entry.h>
+#include <toucan/relay_target.h>
+
+using namespace toucan;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr endpoint caller{.ip = 0x64400001, .port = 40001};
+constexpr endpoint service{.ip = 0xc6120001, .port = 443};
+constexpr endpoint entryAddress{.ip = 0x0a010001, .port = 7000};
+constexpr endpoint processAddress{.ip = 0x0a020001, .port = 7000};
+constexpr endpoint otherProcess{.ip = 0x0a020002, .port = 7000};
+
+struct recording_port : relay_port
+{
+    std::vector<std::pair<endpoint, byte_buffer>> toPeers;
+    std::vector<byte_buffer> toCallers;
+    std::vector<byte_buffer> toTarget;
+
+    void sendPeer(const endpoint &to, byte_view head, byte_view payload) override
+    {
+        byte_buffer bytes(head.begin(), head.end());
+        bytes.insert(bytes.end(), payload.begin(), payload.end());
+        toPeers.emplace_back(to, std::move(bytes));
+    }
+    void sendCaller(const endpoint &, byte_view bytes) override
+    {
+        toCallers.emplace_back(bytes.begin(), bytes.end());
+    }
+    void sendTarget(byte_view bytes) override { toTarget.emplace_back(bytes.begin(), bytes.end()); }
+    void fetchConfig(const endpoint &, std::uint64_t) override { }
+
+    // Kinds and recipients of the forwarded segments since the last call; messages are left out.
+    std::vector<std::pair<relay_kind, endpoint>> takePackets()
+    {
+        std::vector<std::pair<relay_kind, endpoint>> packets;
+        for (auto &[to, bytes] : std::exchange(toPeers, {})) {
+            if (const auto packet = decodeRelayPacket(bytes))
+                packets.emplace_back(packet->header.kind, to);
+        }
+        return packets;
+    }
+};
+
+struct bench
+{
+    const segment_codec &codec = platform::segments();
+    recording_port port;
+    metrics::registry metrics;
+    event_log log{"test", 0};
+    instant now = 1000s;
+
+    bench() { event_log::silence(); }
+
+    byte_buffer packet(const relay_header &header, const segment &head) const
+    {
+        const auto segment = codec.encode(head, byte_buffer(head.length, 'q'));
+        byte_buffer bytes(maximumRelayHeader);
+        bytes.resize(encodeRelayHeader(header, bytes));
+        bytes.insert(bytes.end(), segment.begin(), segment.end());
+        return bytes;
+    }
+};
+
+constexpr segment opening{.source = caller, .destination = service, .synchronize = true};
+
+segment request(std::uint32_t acknowledged)
+{
+    return {.source = caller,
+        .destination = service,
+        .acknowledge = true,
+        .sequence = 1,
+        .acknowledged = acknowledged,
+        .length = 100};
+}
+
+/// A target process whose target is ready and has taken an opening with sequence number 5000.
+struct target_bench : bench
+{
+    static constexpr std::uint32_t sequence = 5000;
+    relay_target engine;
+
+    target_bench()
+        : engine({.name = "t1", .domain = "a", .service = "main", .peer = processAddress}, codec,
+            port, metrics, log, now)
+    {
+        engine.onLiveness(
+            now, {.id = "i1", .service = "main", .startedMs = 1, .sequence = 1, .slots = 4});
+        auto bytes = packet({.kind = relay_kind::opening,
+                                .entry = entryAddress,
+                                .serviceTag = serviceTagOf("main")},
+            opening);
+        engine.onPeerBytes(now, entryAddress, bytes);
+        auto answer = codec.encode({.source = service,
+                                       .destination = caller,
+                                       .synchronize = true,
+                                       .acknowledge = true,
+                                       .sequence = sequence,
+                                       .acknowledged = 1},
+            {});
+        engine.onTargetBytes(now, answer);
+        port = {};
+    }
+
+    void sendRequest(std::uint32_t acknowledged)
+    {
+        auto bytes = packet(
+            {.kind = relay_kind::established, .entry = entryAddress}, request(acknowledged));
+        engine.onPeerBytes(now, entryAddress, bytes);
+    }
+};
+
+target_report reportOf(const std::string &name, target_standing standing, std::uint64_t flows)
+{
+    return {.member = name,
+        .service = "main",
+        .domain = "a",
+        .boot = 1,
+        .lifetime = 1,
+        .order = 1,
+        .standing = static_cast<std::uint64_t>(standing),
+        .slots = 4,
+        .flows = flows};
+}
+
+/// An entry with one route that has long heard of one member.
+struct entry_bench : bench
+{
+    relay_entry engine;
+
+    entry_bench()
+        : engine(
+            {.name = "e1", .domain = "a", .peer = entryAddress}, codec, port, metrics, log, now)
+    {
+        boost::intrusive_ptr<relay_config> config(new relay_config);
+        config->revision = 1;
+        config->index[service] = 0;
+        config->routes.push_back(
+            {.name = "route", .address = service, .shares = {{.service = "main"}}});
+        engine.onConfig(now, config, "test");
+    }
+
+    void report(const target_report &message, const endpoint &from = processAddress)
+    {
+        auto bytes = encodeRelayMessage(message);
+        engine.onPeerBytes(now, from, bytes);
+    }
+    // Every member that was asked answers that its target does not hold the flow.
+    void denyAll()
+    {
+        for (auto &[to, bytes] : std::exchange(port.toPeers, {})) {
+            auto packet = decodeRelayPacket(bytes);
+            if (!packet)
+                continue;
+            packet->header.kind = relay_kind::not_found;
+            packet->header.candidates.clear();
+            auto reply = this->packet(packet->header, *codec.decode(packet->bytes));
+            engine.onPeerBytes(now, to, reply);
+        }
+    }
+    void pass(std::chrono::milliseconds time)
+    {
+        now += time;
+        engine.onTick(now);
+        port = {};
+    }
+    void sendRequest()
+    {
+        auto bytes = codec.encode(request(1), byte_buffer(100, 'q'));
+        engine.onCallerBytes(now, bytes);
+    }
+};
+
+} // namespace
+
+TEST_CASE("target process: the caller's acknowledgement tells which of two targets it chose")
+{
+    target_bench chosen;
+    chosen.sendRequest(target_bench::sequence + 1);
+    CHECK(chosen.port.toTarget.size() == 1);
+    CHECK(chosen.port.takePackets().empty());
+
+    for (const std::uint32_t other : {~0U, 1U, 700U, 1U << 19U, 1U << 31U}) {
+        target_bench notChosen;
+        notChosen.sendRequest(target_bench::sequence + 1 + other);
+        INFO("off by " << other);
+        CHECK(notChosen.port.toTarget.empty());
+        const auto packets = notChosen.port.takePackets();
+        REQUIRE(packets.size() == 1);
+        CHECK(packets.front().first == relay_kind::not_found);
+    }
+}
+
+TEST_CASE("target process: a segment that the target returns is searched for, the flow not reset")
+{
+    target_bench fleet;
+    fleet.sendRequest(target_bench::sequence + 1);
+    auto returned = request(target_bench::sequence + 1);
+    returned.returned = true;
+    auto bytes = fleet.codec.encode(returned, byte_buffer(100, 'q'));
+    fleet.engine.onTargetBytes(fleet.now, bytes);
+    CHECK(fleet.port.toCallers.empty());
+    const auto packets = fleet.port.takePackets();
+    REQUIRE(packets.size() == 1);
+    CHECK(packets.front() == std::pair(relay_kind::not_found, entryAddress));
+}
+
+// Seen where a target was about to start: it answered a segment of another target's flow so.
+TEST_CASE("target process: a reset by a target that was only asked is no answer to the caller")
+{
+    bench fleet;
+    relay_target engine({.name = "t1", .domain = "a", .service = "main", .peer = processAddress},
+        fleet.codec, fleet.port, fleet.metrics, fleet.log, fleet.now);
+    auto asked = fleet.packet(
+        {.kind = relay_kind::established, .entry = entryAddress, .search = 1}, request(1));
+    engine.onPeerBytes(fleet.now, entryAddress, asked);
+    REQUIRE(fleet.port.toTarget.size() == 1);
+    fleet.port = {};
+    auto answer = fleet.codec.encode(
+        {.source = service, .destination = caller, .reset = true, .sequence = 1}, {});
+    engine.onTargetBytes(fleet.now, answer);
+    CHECK(fleet.port.toCallers.empty());
+    REQUIRE(fleet.port.toPeers.size() == 1);
+    const auto packets = fleet.port.takePackets();
+    REQUIRE(packets.size() == 1);
+    CHECK(packets.front() == std::pair(relay_kind::not_found, entryAddress));
+}
+
+// Reports are older than what they tell of: the flow may have opened since.
+TEST_CASE("entry: a search asks members that reported no flows")
+{
+    for (const auto standing : {target_standing::gone, target_standing::ready}) {
+        entry_bench fleet;
+        fleet.report(reportOf("t1", standing, 0));
+        fleet.pass(600ms);
+        fleet.sendRequest();
+        const auto packets = fleet.port.takePackets();
+        REQUIRE(packets.size() == 1);
+        CHECK(packets.front() == std::pair(relay_kind::established, processAddress));
+        CHECK(fleet.port.toCallers.empty());
+    }
+}
+
+TEST_CASE("entry: a flow is not reset while a member that may hold it has just fallen silent")
+{
+    entry_bench fleet;
+    fleet.report(reportOf("t1", target_standing::gone, 0));
+    fleet.report(reportOf("t2", target_standing::ready, 3), otherProcess);
+    fleet.pass(600ms);
+    auto leaving = reportOf("t1", target_standing::gone, 0);
+    leaving.order = 2;
+    leaving.leaving = true;
+    fleet.report(leaving);
+    fleet.sendRequest();
+    fleet.denyAll();
+    CHECK(fleet.port.toCallers.empty());
+    fleet.pass(3500ms);
+    auto alive = reportOf("t2", target_standing::ready, 3);
+    alive.order = 2;
+    fleet.report(alive, otherProcess);
+    fleet.pass(600ms);
+    fleet.sendRequest();
+    fleet.denyAll();
+    CHECK(fleet.port.toCallers.size() == 1);
+}
--- a/src/libtoucanrelay/relay_entry.cpp
+++ b/src/libtoucanrelay/relay_entry.cpp
@@ -326,14 +326,14 @@
 }
 
 // Every target that could hold the flow was asked and said no: the process has known its members
-// for long enough, none was left out, and the silent ones hold nothing or are gone.
+// for long enough, none was left out, and the silent ones are gone.
 bool relay_entry::searchIsConclusive(instant now, std::span<relay_member *const> order) const
 {
     if (!knowsMembers(now) || order.size() >= mostSearched)
         return false;
     bool conclusive = true;
     m_members.forEach([&](const relay_member &item) {
-        conclusive &= !item.lost || item.holdsNothing() || now - item.heard > memberGone;
+        conclusive &= !item.lost || now - item.heard > memberGone;
     });
     return conclusive;
 }
--- a/src/libtoucanrelay/relay_target.cpp
+++ b/src/libtoucanrelay/relay_target.cpp
@@ -208,14 +208,20 @@
             || found->second.opening.empty())
             continue;
         // Targets need not acknowledge at once, so their silence is no word against the flow.
-        auto header = headerOf(found->second);
-        header.doubtful = true;
-        passOn(header, relay_kind::not_found, found->second.opening);
-        found->second.opening.clear();
+        found->second.doubtful = true;
+        passOnProbe(found);
     }
     m_probes.erase(m_probes.begin(), firstRecent);
 }
 
+void relay_target::passOnProbe(flow_map::iterator place)
+{
+    auto &item = place->second;
+    if (!item.opening.empty())
+        passOn(headerOf(item), relay_kind::not_found, item.opening);
+    item.opening.clear();
+}
+
 relay_header relay_target::headerOf(const flow &item)
 {
     return {.kind = relay_kind::established,
@@ -228,11 +234,12 @@
 }
 
 // The caller acknowledges the answer that it took to its opening; other targets' answers differ.
+// A target sends no data before that, so the number is exact.
 bool relay_target::isMine(const flow &item, const segment &head) const
 {
     if (item.state != flow_state::offered)
         return true;
-    return item.targetSequence && head.acknowledged - *item.targetSequence < sequenceWindow;
+    return item.targetSequence && head.acknowledged == *item.targetSequence + 1;
 }
 
 void relay_target::tellOwner(const flow_key &key, flow &item)
@@ -300,6 +307,11 @@
     }
     const auto key = head->flowFromTarget();
     auto found = m_flows.find(key);
+    if (head->reset && found != m_flows.end() && found->second.state == flow_state::probing) {
+        // The target was only asked whether it holds the flow, and another one may hold it.
+        passOnProbe(found);
+        return;
+    }
     if (found == m_flows.end()) {
         // Opened before this process started, or already forgotten.
         found = m_flows
