--- a/src/libtoucanrelay/relay_engines_test.cpp
+++ b/src/libtoucanrelay/relay_engines_test.cpp
@@ -229,6 +229,56 @@
     CHECK(packets.front() == std::pair(relay_kind::not_found, entryAddress));
 }
 
+// Load answered for: callers that gave up after an outage. Their requests do not run any more and
+// must not keep others out.
+TEST_CASE("target process: requests of flows that ended without an answer wait no longer")
+{
+    enum class ending { targetFinishes, callerResets, targetResets };
+    for (const auto how : {ending::targetFinishes, ending::callerResets, ending::targetResets}) {
+        bench fleet;
+        relay_target engine(
+            {.name = "t1", .domain = "a", .service = "main", .peer = processAddress}, fleet.codec,
+            fleet.port, fleet.metrics, fleet.log, fleet.now);
+        engine.onLiveness(
+            fleet.now, {.id = "i1", .service = "main", .startedMs = 1, .sequence = 1, .slots = 1});
+        const auto fromCaller = [&](relay_kind kind, segment head, std::uint16_t port) {
+            head.source.port = port;
+            auto bytes = fleet.packet(
+                {.kind = kind, .entry = entryAddress, .serviceTag = serviceTagOf("main")}, head);
+            engine.onPeerBytes(fleet.now, entryAddress, bytes);
+        };
+        const auto fromTarget = [&](segment head, std::uint16_t port) {
+            head.source = service;
+            head.destination = {.ip = caller.ip, .port = port};
+            auto bytes = fleet.codec.encode(head, {});
+            engine.onTargetBytes(fleet.now, bytes);
+        };
+        const auto open = [&](std::uint16_t port) {
+            fromCaller(relay_kind::opening, opening, port);
+            fromTarget({.synchronize = true, .acknowledge = true, .sequence = 9}, port);
+            fromCaller(relay_kind::established, request(10), port);
+        };
+        for (std::uint16_t port = 1; port <= waitingForEachSlot; ++port) {
+            open(port);
+            auto end = request(10);
+            end.length = 0;
+            end.finish = how == ending::targetFinishes;
+            end.reset = how == ending::callerResets;
+            if (how != ending::targetResets)
+                fromCaller(relay_kind::established, end, port);
+            if (how != ending::callerResets)
+                fromTarget({.acknowledge = true,
+                               .finish = how == ending::targetFinishes,
+                               .reset = how == ending::targetResets},
+                    port);
+        }
+        fleet.port = {};
+        fromCaller(relay_kind::opening, opening, 100);
+        INFO("ending " << static_cast<int>(how));
+        CHECK(fleet.port.toTarget.size() == 1);
+    }
+}
+
 // Reports are older than what they tell of: the flow may have opened since.
 TEST_CASE("entry: a search asks members that reported no flows")
 {
--- a/src/libtoucanrelay/relay_target.cpp
+++ b/src/libtoucanrelay/relay_target.cpp
@@ -254,6 +254,9 @@
     item.lastPacket = now;
     item.callerAcknowledged = head.acknowledged;
     item.callerFinished = item.callerFinished || head.finish || head.reset;
+    // Targets drop the requests of callers that are gone.
+    if (head.reset)
+        setWaiting(now, item, false);
     if (head.length == 0)
         return;
     const auto end = head.sequence + head.length;
@@ -340,7 +343,8 @@
         if (item.entry)
             tellOwner(place->first, item);
     }
-    if (head.length > 0 || head.reset)
+    // An end without data means that the request will not be answered.
+    if (head.length > 0 || head.finish || head.reset)
         setWaiting(now, item, false);
     item.targetFinished = item.targetFinished || head.finish;
     if (head.reset)
