Soak the relay programs; wait longer for processes that stop for planned work

The soak runs the real programs as processes between stand-ins (store, fabric, callers, targets, a switch for datagrams, a TCP relay to the store for each VM) and checks the platform's rules from what callers and targets see. Members that announced their stop are waited for 15 s now; the engine test fails without that.

New setting vm.listen, so that a switch can stand between the programs.

--- a/src/include/toucan/relay_members.h
+++ b/src/include/toucan/relay_members.h
@@ -35,6 +35,7 @@
     instant suspectedSince{}; ///< An opening sent its way went unanswered; zero when none did.
     instant refusedAt{}; ///< When it last turned an opening of this entry away.
     bool lost = false; ///< Silent for so long that nothing is sent its way.
+    bool leaving = false; ///< Its process said that it stops, maybe to start again.
 
     /// True while no report of it is missing: one may be late or lost.
     bool isFresh(instant now) const { return !lost && now - heard < interval * 5 / 2; }
--- /dev/null
+++ b/src/include/toucan/relay_program.h
@@ -0,0 +1,164 @@
+#pragma once
+
+/// What the programs round both relay engines have in common: settings that change, the socket for
+/// other processes, the configuration that peers may fetch, control links and pauses of the VM.
+
+#include <toucan/log.h>
+#include <toucan/metrics.h>
+#include <toucan/relay_port.h>
+#include <toucan/relay_process.h>
+#include <toucan/settings.h>
+
+namespace toucan {
+
+/// Base of a program whose settings are `T`. Everything but the control server's handlers and the
+/// fetcher's runs on the traffic thread.
+template <class T>
+class relay_program : protected relay_port
+{
+protected:
+    relay_program(
+        const T &settings, std::string fileName, const platform_adapter &adapter, std::string part)
+        : m_settings(settings)
+        , m_adapter(adapter)
+        , m_log(part, settings.logRate)
+        , m_part(std::move(part))
+        , m_boot(node::randomNumber())
+        , m_watch(std::move(fileName))
+    { }
+
+    /// A socket to open and its address.
+    struct binding
+    {
+        std::optional<udp_socket> &socket;
+        endpoint address;
+    };
+
+    /// Opens the socket for other processes and those given; an exit status when one fails.
+    std::optional<int> bindSockets(std::span<const binding> others)
+    {
+        std::vector<binding> all(others.begin(), others.end());
+        all.push_back({m_peers, m_settings.listen ? m_settings.listen : m_settings.peer});
+        for (auto &[socket, address] : all) {
+            auto bound = udp_socket::bind(address);
+            if (const auto *failure = errorOf(bound)) {
+                log::part(m_part)->error("A socket cannot be bound. {}", failure->detail);
+                return answerFor(failure->kind).exitCode;
+            }
+            socket.emplace(std::get<udp_socket>(std::move(bound)));
+        }
+        return std::nullopt;
+    }
+
+    /// Calls onConfig(config, source) on a thread of its own for each fetched configuration.
+    void startFetcher(config_fetcher::handler onConfig)
+    {
+        m_fetcher = std::make_unique<config_fetcher>(m_adapter, m_log, std::move(onConfig));
+    }
+
+    /// Serves control links, metrics and what `question` answers.
+    std::unique_ptr<control_server> serveControl(
+        std::function<http_response(const platform_question &)> answer)
+    {
+        std::vector addresses{
+            node::listenAddress(m_settings.control), node::listenAddress(m_settings.readiness)};
+        if (m_settings.reports)
+            addresses.push_back(node::listenAddress(m_settings.reports));
+        return std::make_unique<control_server>(
+            addresses,
+            [this](const std::vector<std::uint8_t> &request) { return m_shelf.answer(request); },
+            [this, answer = std::move(answer)](const http_request &request) {
+                if (request.method == "GET" && request.path == "/metrics")
+                    return http_response{.body = m_metrics.text()};
+                return answer(m_adapter.readQuestion(request));
+            });
+    }
+
+    void logStart()
+    {
+        m_log.write(monotonicNow(),
+            process_started{.name = m_settings.name,
+                .domain = m_settings.domain,
+                .boot = m_boot,
+                .peer = m_settings.peer});
+    }
+    void logStop(std::string_view stage, std::size_t flows)
+    {
+        m_log.write(monotonicNow(), process_stopping{.stage = std::string(stage), .flows = flows});
+    }
+
+    /// After a pause of the VM, drops what waits in `socket`: it was sent under conditions that are
+    /// gone. True when there was a pause.
+    bool discardAfterPause(instant now, udp_socket &socket)
+    {
+        const auto paused = m_pauses.check();
+        if (paused == instant{})
+            return false;
+        std::uint64_t discarded = 0;
+        while (socket.receive(m_buffer))
+            ++discarded;
+        m_log.write(now,
+            clock_jumped{
+                .pausedMs = static_cast<std::uint64_t>(paused.count()), .discarded = discarded});
+        return true;
+    }
+
+    /// Reads the settings file again when it changed or a signal asks for it. Only the seeds take
+    /// effect while the program runs.
+    template <class E>
+    void watchSettings(instant now, E &engine)
+    {
+        const auto cause = m_watch.changed(now);
+        if (cause.empty())
+            return;
+        const auto loaded = settings::load<T>(m_watch.fileName());
+        std::string outcome = "applied";
+        if (const auto *failure = errorOf(loaded)) {
+            outcome = failure->detail;
+        } else if (*valueOf(loaded) == m_settings) {
+            outcome = "unchanged";
+        } else {
+            m_settings.seeds = valueOf(loaded)->seeds;
+            engine.setSeeds(seedPeers(m_settings.seeds, m_settings.peer));
+        }
+        m_log.write(
+            now, settings_reloaded{.cause = std::string(cause), .outcome = std::move(outcome)});
+    }
+
+    /// How the store is reached.
+    store_access storeAccess()
+    {
+        return {.address = m_settings.platform,
+            .timeout = m_settings.platformTimeout,
+            .dialect = m_adapter.objects,
+            .metrics = m_metrics,
+            .log = m_log};
+    }
+
+    void sendPeer(const endpoint &to, byte_view head, byte_view payload) override
+    {
+        m_peers->send(to, head, payload);
+    }
+    void fetchConfig(const endpoint &peer, std::uint64_t) override
+    {
+        const auto known = m_shelf.get();
+        m_fetcher->request(
+            {.ip = peer.ip, .port = m_settings.control.port}, known ? known->revision : 0);
+    }
+
+    T m_settings;
+    const platform_adapter &m_adapter;
+    metrics::registry m_metrics;
+    event_log m_log;
+    std::string m_part;
+    std::uint64_t m_boot;
+    relay_mailbox m_mailbox;
+    config_shelf m_shelf;
+    std::optional<udp_socket> m_peers;
+    settings_watch m_watch;
+    pause_detector m_pauses;
+    std::unique_ptr<config_fetcher> m_fetcher;
+    std::array<std::uint8_t, maximumSegment> m_buffer{};
+};
+
+} // namespace toucan
--- a/src/libtoucanrelay/relay_entry.cpp
+++ b/src/libtoucanrelay/relay_entry.cpp
@@ -30,6 +30,9 @@
 // A member silent for longer is gone for its callers: none waits longer for an answer, and a killed
 // process is back sooner.
 constexpr auto memberGone = 4s;
+// A process that is stopped for planned work starts again within this; its target serves on and
+// still holds its flows.
+constexpr auto plannedStopTime = 15s;
 // Entries tell each other their revisions this often; a configuration has seconds to be in force.
 constexpr auto noticeInterval = 500ms;
 // Entries that are told in one round.
@@ -333,7 +336,8 @@
         return false;
     bool conclusive = true;
     m_members.forEach([&](const relay_member &item) {
-        conclusive &= !item.lost || now - item.heard > memberGone;
+        const instant limit = item.leaving ? plannedStopTime : memberGone;
+        conclusive &= !item.lost || now - item.heard > limit;
     });
     return conclusive;
 }
--- a/src/libtoucanrelay/relay_members.cpp
+++ b/src/libtoucanrelay/relay_members.cpp
@@ -83,6 +83,7 @@
     item->heard = now;
     item->suspectedSince = {};
     item->lost = report.leaving;
+    item->leaving = report.leaving;
     if (moved)
         rebuildIndex();
     auto after = belief(*item);
--- a/src/toucanbridge/entry_relay_server.cpp
+++ b/src/toucanbridge/entry_relay_server.cpp
@@ -1,7 +1,5 @@
 #include "entry_relay_server.h"
 
-#include <toucan/log.h>
-
 namespace toucan {
 namespace {
 
@@ -25,49 +23,30 @@
 
 entry_relay_server::entry_relay_server(
     const entry_relay_settings &settings, std::string fileName, const platform_adapter &adapter)
-    : m_settings(settings)
-    , m_adapter(adapter)
-    , m_log("entry", settings.logRate)
-    , m_boot(node::randomNumber())
-    , m_watch(std::move(fileName))
+    : relay_program(settings, std::move(fileName), adapter, "entry")
     , m_engine(engineOptions(settings, m_boot), adapter.segments, *this, m_metrics, m_log,
           monotonicNow())
 { }
 
 int entry_relay_server::run()
 {
-    for (auto &[socket, address] :
-        {std::pair(&m_callers, m_settings.callers), std::pair(&m_peers, m_settings.peer)}) {
-        auto bound = udp_socket::bind(address);
-        if (const auto *failure = errorOf(bound)) {
-            log::part("entry")->error("A socket cannot be bound. {}", failure->detail);
-            return answerFor(failure->kind).exitCode;
-        }
-        socket->emplace(std::get<udp_socket>(std::move(bound)));
-    }
-    m_fetcher = std::make_unique<config_fetcher>(
-        m_adapter, m_log, [this](const relay_config_ptr &config, const endpoint &from) {
-            takeConfig(config, toString(from));
-        });
-    const auto control = serveControl();
+    if (const auto failed = bindSockets(std::array{binding{m_callers, m_settings.callers}}))
+        return *failed;
+    startFetcher([this](const relay_config_ptr &config, const endpoint &from) {
+        takeConfig(config, toString(from));
+    });
+    const auto control
+        = serveControl([this](const platform_question &question) { return answer(question); });
     startStore();
-    m_log.write(monotonicNow(),
-        process_started{.name = m_settings.name,
-            .domain = m_settings.domain,
-            .boot = m_boot,
-            .peer = m_settings.peer});
+    logStart();
     loop();
-    m_log.write(monotonicNow(), process_stopping{.stage = "ended", .flows = m_engine.flowCount()});
+    logStop("ended", m_engine.flowCount());
     return 0;
 }
 
 void entry_relay_server::startStore()
 {
-    const store_access store{.address = m_settings.platform,
-        .timeout = m_settings.platformTimeout,
-        .dialect = m_adapter.objects,
-        .metrics = m_metrics,
-        .log = m_log};
+    const auto store = storeAccess();
     const auto &kinds = m_adapter.kinds;
     m_configFollower = std::make_unique<store_follower>(store, std::string(kinds.config),
         [this](std::uint64_t, const store_follower::snapshot &objects) {
@@ -103,28 +82,13 @@
     m_mailbox.put(config_event{.config = config, .source = std::move(source)});
 }
 
-std::unique_ptr<control_server> entry_relay_server::serveControl()
-{
-    std::vector addresses{
-        node::listenAddress(m_settings.control), node::listenAddress(m_settings.readiness)};
-    if (m_settings.reports)
-        addresses.push_back(node::listenAddress(m_settings.reports));
-    return std::make_unique<control_server>(
-        addresses,
-        [this](const std::vector<std::uint8_t> &request) { return m_shelf.answer(request); },
-        [this](const http_request &request) { return answer(request); });
-}
-
-http_response entry_relay_server::answer(const http_request &request)
+http_response entry_relay_server::answer(const platform_question &question) const
 {
     constexpr int unavailable = 503;
-    if (request.method == "GET" && request.path == "/metrics")
-        return {.body = m_metrics.text()};
-    const auto question = m_adapter.readQuestion(request);
-    if (std::holds_alternative<readiness_question>(question))
-        return m_ready ? http_response{.body = "ready\n"}
-                       : http_response{.status = unavailable, .body = "not ready\n"};
-    return node::notFound();
+    if (!std::holds_alternative<readiness_question>(question))
+        return node::notFound();
+    return m_ready ? http_response{.body = "ready\n"}
+                   : http_response{.status = unavailable, .body = "not ready\n"};
 }
 
 void entry_relay_server::loop()
@@ -133,7 +97,7 @@
     while (!m_engine.mayExit(monotonicNow())) {
         waitForSockets(std::array<const udp_socket *, 2>{&*m_callers, &*m_peers}, pollInterval);
         const auto now = monotonicNow();
-        if (!discardAfterPause(now)) {
+        if (!discardAfterPause(now, *m_callers)) {
             readBatch(*m_peers, m_buffer, [&](const endpoint &from, std::span<std::uint8_t> bytes) {
                 m_engine.onPeerBytes(now, from, bytes);
             });
@@ -145,45 +109,14 @@
             std::visit([&](const auto &item) { handle(now, item); }, event);
         m_engine.onTick(now);
         m_ready = m_engine.isReady(now);
-        if (const auto cause = m_watch.changed(now); !cause.empty())
-            reloadSettings(now, cause);
+        watchSettings(now, m_engine);
         if (node::stopRequested() && !std::exchange(leaving, true)) {
             m_engine.startLeaving(now);
-            m_log.write(now, process_stopping{.stage = "signalled", .flows = m_engine.flowCount()});
+            logStop("signalled", m_engine.flowCount());
         }
     }
 }
 
-// What waits in a socket after a pause of the VM was sent under conditions that are gone.
-bool entry_relay_server::discardAfterPause(instant now)
-{
-    const auto paused = m_pauses.check();
-    if (paused == 0ms)
-        return false;
-    std::uint64_t discarded = 0;
-    while (m_callers->receive(m_buffer))
-        ++discarded;
-    m_log.write(now,
-        clock_jumped{
-            .pausedMs = static_cast<std::uint64_t>(paused.count()), .discarded = discarded});
-    return true;
-}
-
-void entry_relay_server::reloadSettings(instant now, std::string_view cause)
-{
-    const auto loaded = settings::load<entry_relay_settings>(m_watch.fileName());
-    std::string outcome = "applied";
-    if (const auto *failure = errorOf(loaded)) {
-        outcome = failure->detail;
-    } else if (*valueOf(loaded) == m_settings) {
-        outcome = "unchanged";
-    } else {
-        m_settings.seeds = valueOf(loaded)->seeds;
-        m_engine.setSeeds(seedPeers(m_settings.seeds, m_settings.peer));
-    }
-    m_log.write(now, settings_reloaded{.cause = std::string(cause), .outcome = std::move(outcome)});
-}
-
 void entry_relay_server::handle(instant now, const config_event &event)
 {
     m_engine.onConfig(now, event.config, event.source);
@@ -204,11 +137,6 @@
     // Targets report to the process beside them.
 }
 
-void entry_relay_server::sendPeer(const endpoint &to, byte_view head, byte_view payload)
-{
-    m_peers->send(to, head, payload);
-}
-
 void entry_relay_server::sendCaller(const endpoint &caller, byte_view bytes)
 {
     m_callers->send({.ip = caller.ip, .port = m_settings.callers.port}, bytes);
@@ -216,11 +144,4 @@
 
 void entry_relay_server::sendTarget(byte_view) { }
 
-void entry_relay_server::fetchConfig(const endpoint &peer, std::uint64_t)
-{
-    const auto known = m_shelf.get();
-    m_fetcher->request(
-        {.ip = peer.ip, .port = m_settings.control.port}, known ? known->revision : 0);
-}
-
 } // namespace toucan
--- a/src/toucanbridge/entry_relay_server.h
+++ b/src/toucanbridge/entry_relay_server.h
@@ -2,13 +2,12 @@
 
 #include <toucan/entry_directory.h>
 #include <toucan/relay_entry.h>
-#include <toucan/relay_process.h>
-#include <toucan/settings.h>
+#include <toucan/relay_program.h>
 
 namespace toucan {
 
 /// The program round a relay_entry: sockets, store, control links.
-class entry_relay_server : private relay_port
+class entry_relay_server : private relay_program<entry_relay_settings>
 {
 public:
     entry_relay_server(const entry_relay_settings &settings, std::string fileName,
@@ -18,41 +17,24 @@
     int run();
 
 private:
-    void sendPeer(const endpoint &to, byte_view head, byte_view payload) override;
     void sendCaller(const endpoint &caller, byte_view bytes) override;
     void sendTarget(byte_view bytes) override;
-    void fetchConfig(const endpoint &peer, std::uint64_t revision) override;
 
     void startStore();
     void takeConfig(const relay_config_ptr &config, std::string source);
-    std::unique_ptr<control_server> serveControl();
-    http_response answer(const http_request &request);
+    http_response answer(const platform_question &question) const;
     void loop();
-    bool discardAfterPause(instant now);
-    void reloadSettings(instant now, std::string_view cause);
     void handle(instant now, const config_event &event);
     void handle(instant now, const domains_event &event);
     void handle(instant now, const entries_event &event);
     void handle(instant now, const target_liveness &event);
 
-    entry_relay_settings m_settings;
-    const platform_adapter &m_adapter;
-    metrics::registry m_metrics;
-    event_log m_log;
-    std::uint64_t m_boot;
-    relay_mailbox m_mailbox;
-    config_shelf m_shelf;
     std::atomic<bool> m_ready = false;
     std::optional<udp_socket> m_callers;
-    std::optional<udp_socket> m_peers;
-    settings_watch m_watch;
-    pause_detector m_pauses;
     relay_entry m_engine;
-    std::unique_ptr<config_fetcher> m_fetcher;
     std::unique_ptr<store_follower> m_configFollower;
     std::unique_ptr<store_follower> m_domainsFollower;
     std::unique_ptr<entry_registration> m_registration;
-    std::array<std::uint8_t, maximumSegment> m_buffer{};
 };
 
 } // namespace toucan
--- a/src/toucanlab/lab_commands.h
+++ b/src/toucanlab/lab_commands.h
@@ -18,4 +18,7 @@
 /// Measures an entry beside a bare relay in one run.
 int runRelayBenchmark(const std::string &programs);
 
+/// Runs soaks with `count` seeds from `seed` on; returns 0 when none broke a rule.
+int runSoaks(const std::string &programs, std::uint64_t seed, std::uint64_t count);
+
 } // namespace toucan::lab
--- a/src/toucanlab/main.cpp
+++ b/src/toucanlab/main.cpp
@@ -7,11 +7,11 @@
 {
     cxxopts::Options parser("toucanlab",
         "Stand-ins for the systems round the load balancer, and experiments with them.");
-    parser.positional_help("platform|fabric|switch|target|relay|run|slopes|relay-benchmark");
+    parser.positional_help("platform|fabric|switch|target|relay|run|slopes|relay-benchmark|soak");
     parser.add_options()(
         "command", "what to run", cxxopts::value<std::string>()->default_value(""))("scenario",
         "with run: scenario file", cxxopts::value<std::string>()->default_value(""))("programs",
-        "with run: folder of the programs", cxxopts::value<std::string>()->default_value("."))(
+        "with run and soak: folder of the programs", cxxopts::value<std::string>()->default_value("."))(
         "json", "with run: machine-readable summary")(
         "listen", "address to listen on", cxxopts::value<std::string>()->default_value(""))(
         "admin", "address of the admin link", cxxopts::value<std::string>()->default_value(""))(
@@ -29,7 +29,9 @@
         "health-lies", "target: the health endpoint always says ready")("log",
         "target: log of requests run",
         cxxopts::value<std::string>()->default_value(""))("seed", "seed of all random choices",
-        cxxopts::value<std::uint64_t>()->default_value("1"))("help", "print this help");
+        cxxopts::value<std::uint64_t>()->default_value("1"))(
+        "count", "soak: number of seeds", cxxopts::value<std::uint64_t>()->default_value("1"))(
+        "help", "print this help");
     parser.parse_positional({"command"});
     try {
         const auto given = parser.parse(argc, argv);
@@ -41,6 +43,9 @@
             return toucan::lab::runSlopes();
         if (command == "relay-benchmark")
             return toucan::lab::runRelayBenchmark(given["programs"].as<std::string>());
+        if (command == "soak")
+            return toucan::lab::runSoaks(given["programs"].as<std::string>(),
+                given["seed"].as<std::uint64_t>(), given["count"].as<std::uint64_t>());
         if (const auto status = toucan::lab::runStandIn(command, given))
             return *status;
         std::cout << parser.help();
--- a/src/toucantarget/target_relay_server.cpp
+++ b/src/toucantarget/target_relay_server.cpp
@@ -1,7 +1,5 @@
 #include "target_relay_server.h"
 
-#include <toucan/log.h>
-
 namespace toucan {
 namespace {
 
@@ -33,61 +31,31 @@
 
 target_relay_server::target_relay_server(
     const target_relay_settings &settings, std::string fileName, const platform_adapter &adapter)
-    : m_settings(settings)
-    , m_adapter(adapter)
-    , m_log("target", settings.logRate)
-    , m_boot(node::randomNumber())
-    , m_watch(std::move(fileName))
+    : relay_program(settings, std::move(fileName), adapter, "target")
     , m_engine(engineOptions(settings, m_boot), adapter.segments, *this, m_metrics, m_log,
           monotonicNow())
 { }
 
 int target_relay_server::run()
 {
-    for (auto &[socket, address] :
-        {std::pair(&m_peers, m_settings.peer), std::pair(&m_outbound, m_settings.outbound)}) {
-        auto bound = udp_socket::bind(address);
-        if (const auto *failure = errorOf(bound)) {
-            log::part("target")->error("A socket cannot be bound. {}", failure->detail);
-            return answerFor(failure->kind).exitCode;
-        }
-        socket->emplace(std::get<udp_socket>(std::move(bound)));
-    }
-    m_fetcher = std::make_unique<config_fetcher>(
-        m_adapter, m_log, [this](const relay_config_ptr &config, const endpoint &from) {
-            m_shelf.put(config);
-            m_mailbox.put(config_event{.config = config, .source = toString(from)});
-        });
-    const auto control = serveControl();
+    if (const auto failed = bindSockets(std::array{binding{m_outbound, m_settings.outbound}}))
+        return *failed;
+    startFetcher([this](const relay_config_ptr &config, const endpoint &from) {
+        m_shelf.put(config);
+        m_mailbox.put(config_event{.config = config, .source = toString(from)});
+    });
+    const auto control
+        = serveControl([this](const platform_question &question) { return answer(question); });
     m_entriesHeard = monotonicNow();
-    m_log.write(monotonicNow(),
-        process_started{.name = m_settings.name,
-            .domain = m_settings.domain,
-            .boot = m_boot,
-            .peer = m_settings.peer});
+    logStart();
     loop();
-    m_log.write(monotonicNow(), process_stopping{.stage = "ended", .flows = m_engine.flowCount()});
+    logStop("ended", m_engine.flowCount());
     return 0;
 }
 
-std::unique_ptr<control_server> target_relay_server::serveControl()
-{
-    std::vector addresses{
-        node::listenAddress(m_settings.control), node::listenAddress(m_settings.readiness)};
-    if (m_settings.reports)
-        addresses.push_back(node::listenAddress(m_settings.reports));
-    return std::make_unique<control_server>(
-        addresses,
-        [this](const std::vector<std::uint8_t> &request) { return m_shelf.answer(request); },
-        [this](const http_request &request) { return answer(request); });
-}
-
-http_response target_relay_server::answer(const http_request &request)
+http_response target_relay_server::answer(const platform_question &question)
 {
     constexpr int badRequest = 400;
-    if (request.method == "GET" && request.path == "/metrics")
-        return {.body = m_metrics.text()};
-    const auto question = m_adapter.readQuestion(request);
     if (std::holds_alternative<readiness_question>(question))
         return {.body = "ready\n"};
     if (const auto *report = std::get_if<target_liveness>(&question))
@@ -114,7 +82,7 @@
         // A report comes first: what it forbids must not be let through with the same batch.
         for (const auto &event : m_mailbox.take())
             std::visit([&](const auto &item) { handle(now, item); }, event);
-        if (!discardAfterPause(now)) {
+        if (!discardAfterPause(now, *m_peers)) {
             readBatch(*m_outbound, m_buffer, [&](const endpoint &, std::span<std::uint8_t> bytes) {
                 m_engine.onTargetBytes(now, bytes);
             });
@@ -124,31 +92,15 @@
         }
         m_engine.onTick(now);
         lookUpEntries(now);
-        if (const auto cause = m_watch.changed(now); !cause.empty())
-            reloadSettings(now, cause);
+        watchSettings(now, m_engine);
         if (node::stopRequested() && !leavingSince) {
             leavingSince = now;
             m_engine.startLeaving(now);
-            m_log.write(now, process_stopping{.stage = "signalled", .flows = m_engine.flowCount()});
+            logStop("signalled", m_engine.flowCount());
         }
     }
 }
 
-// What other processes sent during a pause of the VM was decided under conditions that are gone.
-bool target_relay_server::discardAfterPause(instant now)
-{
-    const auto paused = m_pauses.check();
-    if (paused == 0ms)
-        return false;
-    std::uint64_t discarded = 0;
-    while (m_peers->receive(m_buffer))
-        ++discarded;
-    m_log.write(now,
-        clock_jumped{
-            .pausedMs = static_cast<std::uint64_t>(paused.count()), .discarded = discarded});
-    return true;
-}
-
 void target_relay_server::lookUpEntries(instant now)
 {
     if (m_engine.hearsEntries(now)) {
@@ -159,30 +111,11 @@
     if (now - m_entriesHeard < (m_lookup ? instant(lookupInterval) : instant(lookupAfter)))
         return;
     m_entriesHeard = now;
-    m_lookup = std::make_unique<directory_lookup>(store_access{.address = m_settings.platform,
-                                                      .timeout = m_settings.platformTimeout,
-                                                      .dialect = m_adapter.objects,
-                                                      .metrics = m_metrics,
-                                                      .log = m_log},
+    m_lookup = std::make_unique<directory_lookup>(storeAccess(),
         std::string(m_adapter.kinds.entries),
         [this](std::vector<endpoint> peers) { m_mailbox.put(entries_event{std::move(peers)}); });
 }
 
-void target_relay_server::reloadSettings(instant now, std::string_view cause)
-{
-    const auto loaded = settings::load<target_relay_settings>(m_watch.fileName());
-    std::string outcome = "applied";
-    if (const auto *failure = errorOf(loaded)) {
-        outcome = failure->detail;
-    } else if (*valueOf(loaded) == m_settings) {
-        outcome = "unchanged";
-    } else {
-        m_settings.seeds = valueOf(loaded)->seeds;
-        m_engine.setSeeds(seedPeers(m_settings.seeds, m_settings.peer));
-    }
-    m_log.write(now, settings_reloaded{.cause = std::string(cause), .outcome = std::move(outcome)});
-}
-
 void target_relay_server::handle(instant now, const config_event &event)
 {
     m_engine.setCopyRevision(event.config->revision);
@@ -208,11 +141,6 @@
     m_engine.onLiveness(now, event);
 }
 
-void target_relay_server::sendPeer(const endpoint &to, byte_view head, byte_view payload)
-{
-    m_peers->send(to, head, payload);
-}
-
 void target_relay_server::sendCaller(const endpoint &caller, byte_view bytes)
 {
     m_peers->send({.ip = caller.ip, .port = m_settings.callers.port}, bytes);
@@ -223,11 +151,4 @@
     m_outbound->send(m_settings.target, bytes);
 }
 
-void target_relay_server::fetchConfig(const endpoint &peer, std::uint64_t)
-{
-    const auto known = m_shelf.get();
-    m_fetcher->request(
-        {.ip = peer.ip, .port = m_settings.control.port}, known ? known->revision : 0);
-}
-
 } // namespace toucan
