--- a/src/include/toucan/relay_entry.h
+++ b/src/include/toucan/relay_entry.h
@@ -24,6 +24,7 @@
     std::vector<endpoint> seeds; ///< Peer addresses of entries to start from.
     std::chrono::milliseconds flowLifetime{60000}; ///< Silence after which a flow is forgotten.
     std::chrono::milliseconds grace{6000}; ///< Time between a stop signal and the kill.
+    placement_policy place = placeByLoad; ///< How candidates for an opening are chosen.
     std::uint64_t boot = 0; ///< Random number of this start.
 };
 
--- a/src/include/toucan/relay_placement.h
+++ b/src/include/toucan/relay_placement.h
@@ -44,8 +44,16 @@
 /// True when the member may get openings now.
 bool takesOpenings(const relay_member &item, const domains_out &out, instant now);
 
-/// Chooses candidates for an opening.
-placement placeOpening(std::span<relay_member *const> members, const placement_request &request);
+/// Chooses candidates for an opening by their load.
+placement placeByLoad(std::span<relay_member *const> members, const placement_request &request);
+/// Chooses candidates by the flow's rendezvous order alone; to measure the other one against.
+placement placeByHash(std::span<relay_member *const> members, const placement_request &request);
+
+/// A way to choose candidates.
+using placement_policy
+    = placement (*)(std::span<relay_member *const> members, const placement_request &request);
+/// The policy that settings call `name`: "load" or "hash"; nullptr for others.
+placement_policy placementNamed(std::string_view name);
 
 /// Members that may hold a flow, most likely first. Members that are silent are left out.
 std::vector<relay_member *> searchOrder(
--- /dev/null
+++ b/src/libtoucanrelay/flow_trail.cpp
@@ -0,0 +1,200 @@
+#include <algorithm>
+#include <array>
+#include <fmt/format.h>
+#include <optional>
+#include <set>
+#include <sstream>
+#include <toucan/flow_trail.h>
+
+namespace toucan {
+namespace {
+
+using json = nlohmann::ordered_json;
+
+// Changes of state this long before the flow's first line may explain it: targets report within
+// 1.2 s, and members count as lost after four missing reports.
+constexpr std::uint64_t contextBeforeMs = 5000;
+constexpr std::uint64_t contextAfterMs = 1000;
+// Events that tell of a VM's state rather than of a flow.
+constexpr std::array<std::string_view, 10> stateEvents{"process_started", "process_stopping",
+    "settings_reloaded", "dependency_changed", "configuration_changed", "domains_changed",
+    "member_changed", "liveness_report", "clock_jumped", "lines_left_out"};
+
+std::string textOf(const json &value)
+{
+    return value.is_string() ? value.get<std::string>() : value.dump();
+}
+
+std::string field(const trail_line &line, const char *name)
+{
+    const auto found = line.fields.find(name);
+    return found == line.fields.end() ? "" : textOf(*found);
+}
+
+std::uint64_t number(const trail_line &line, const char *name)
+{
+    const auto found = line.fields.find(name);
+    return found != line.fields.end() && found->is_number_unsigned() ? found->get<std::uint64_t>()
+                                                                     : 0;
+}
+
+std::vector<std::string> wordsOf(const std::string &text)
+{
+    std::istringstream stream(text);
+    std::vector<std::string> words;
+    for (std::string word; stream >> word;)
+        words.push_back(std::move(word));
+    return words;
+}
+
+std::optional<trail_line> parse(const std::string &text, const std::string &vm)
+{
+    const auto begin = text.find('{');
+    if (begin == std::string::npos)
+        return std::nullopt;
+    const auto words = wordsOf(text.substr(0, begin));
+    auto fields = json::parse(
+        text.begin() + static_cast<std::ptrdiff_t>(begin), text.end(), nullptr, false);
+    if (words.empty() || !fields.is_object() || !fields.contains("event"))
+        return std::nullopt;
+    trail_line line{.vm = words.size() > 1 ? words[words.size() - 2] : vm,
+        .part = words.back(),
+        .event = textOf(fields["event"])};
+    if (fields.contains("timeMs") && fields["timeMs"].is_number_unsigned())
+        line.timeMs = fields["timeMs"].get<std::uint64_t>();
+    fields.erase("event");
+    fields.erase("timeMs");
+    line.fields = std::move(fields);
+    return line;
+}
+
+void sortByTime(std::vector<trail_line> &lines)
+{
+    std::stable_sort(lines.begin(), lines.end(),
+        [](const auto &left, const auto &right) { return left.timeMs < right.timeMs; });
+}
+
+// VMs that wrote a line of the path or are named in one.
+std::set<std::string> vmsOf(const std::vector<trail_line> &path)
+{
+    std::set<std::string> names;
+    for (const auto &line : path) {
+        names.insert(line.vm);
+        if (const auto target = field(line, "target"); !target.empty())
+            names.insert(target);
+    }
+    return names;
+}
+
+std::string describeRefusals(const std::vector<trail_line> &path)
+{
+    std::string text;
+    for (const auto &line : path) {
+        const auto outcome = field(line, "outcome");
+        if (line.event != "opening_decided" || line.part != "target" || outcome == "accepted")
+            continue;
+        text += fmt::format("{}{} said {} with {} requests waiting", text.empty() ? "" : "; ",
+            line.vm, outcome, number(line, "load"));
+    }
+    return text.empty() ? "no verdict of a target is in the logs" : text;
+}
+
+// What one line alone says of the flow's end; empty when it says nothing.
+std::string findingOf(const trail_line &line, const std::vector<trail_line> &path)
+{
+    const auto reason = field(line, "reason");
+    if (line.event == "flow_reset") {
+        auto text = fmt::format(
+            "{} reset the flow: {} (configuration {})", line.vm, reason, number(line, "revision"));
+        if (reason.starts_with("refused"))
+            text += ". " + describeRefusals(path);
+        return text;
+    }
+    if (line.event == "flow_searched" && field(line, "outcome") == "not found")
+        return fmt::format(
+            "{} asked {} members and none held the flow", line.vm, number(line, "asked"));
+    if (line.event == "flow_ended")
+        return fmt::format("{} saw the flow end ({}) after {} ms, {} requests, the slowest answer "
+                           "after {} ms",
+            line.vm, field(line, "outcome"), number(line, "ageMs"), number(line, "requests"),
+            number(line, "slowestMs"));
+    if (line.event == "opening_decided" && number(line, "copy") > 0)
+        return fmt::format("{} saw copy {} of the opening: earlier ones went unanswered", line.vm,
+            number(line, "copy"));
+    if (line.event == "opening_decided" && field(line, "outcome").starts_with("parked"))
+        return fmt::format("{} held the opening back ({})", line.vm, field(line, "outcome"));
+    return {};
+}
+
+std::vector<std::string> findingsOf(const flow_trail &trail)
+{
+    std::vector<std::string> findings;
+    const auto add = [&](std::string text) {
+        if (!text.empty() && std::ranges::find(findings, text) == findings.end())
+            findings.push_back(std::move(text));
+    };
+    for (const auto &line : trail.path)
+        add(findingOf(line, trail.path));
+    const bool accepted = std::ranges::any_of(trail.path, [](const trail_line &line) {
+        return line.event == "opening_decided" && field(line, "outcome") == "accepted";
+    });
+    if (!trail.path.empty() && !accepted)
+        add("no target accepted the opening, or its line was left out");
+    for (const auto &line : trail.context) {
+        if (line.event == "lines_left_out")
+            add(fmt::format("{} left out {} lines of the kind {}: the path may have gaps", line.vm,
+                number(line, "count"), field(line, "kind")));
+    }
+    return findings;
+}
+
+} // namespace
+
+void trail_reader::read(std::istream &lines, const std::string &vm)
+{
+    const auto quoted = '"' + m_caller + '"';
+    for (std::string text; std::getline(lines, text);) {
+        const bool names = text.find(quoted) != std::string::npos;
+        const bool tells = std::ranges::any_of(stateEvents,
+            [&](std::string_view event) { return text.find(event) != std::string::npos; });
+        m_count += text.find("\"event\"") != std::string::npos;
+        if (!names && !tells)
+            continue;
+        if (auto line = parse(text, vm))
+            (names ? m_path : m_states).push_back(std::move(*line));
+    }
+}
+
+flow_trail trail_reader::trail() const
+{
+    flow_trail result{.path = m_path};
+    sortByTime(result.path);
+    if (result.path.empty())
+        return result;
+    const auto names = vmsOf(result.path);
+    const auto first = result.path.front().timeMs;
+    const auto last = result.path.back().timeMs;
+    std::ranges::copy_if(m_states, std::back_inserter(result.context), [&](const trail_line &line) {
+        const auto member = field(line, "member");
+        return names.contains(line.vm) && line.timeMs + contextBeforeMs >= first
+            && line.timeMs <= last + contextAfterMs && (member.empty() || names.contains(member));
+    });
+    sortByTime(result.context);
+    result.findings = findingsOf(result);
+    return result;
+}
+
+std::string describe(const trail_line &line, std::uint64_t start)
+{
+    constexpr double thousand = 1000;
+    const auto since = (static_cast<double>(line.timeMs) - static_cast<double>(start)) / thousand;
+    auto text
+        = fmt::format("{:>+9.3f} s  {:<20} {:<7} {:<22}", since, line.vm, line.part, line.event);
+    for (const auto &[name, value] : line.fields.items()) {
+        if (name != "caller")
+            text += fmt::format(" {}={}", name, textOf(value));
+    }
+    return text;
+}
+
+} // namespace toucan
--- /dev/null
+++ b/src/libtoucanrelay/flow_trail_test.cpp
@@ -0,0 +1,61 @@
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <sstream>
+#include <toucan/flow_trail.h>
+
+using namespace toucan;
+
+namespace {
+
+flow_trail readRecorded(const std::string &name, const std::string &caller)
+{
+    std::ifstream file(std::string(TOUCAN_SOURCES "/testsuite/recorded/") + name);
+    REQUIRE(file);
+    trail_reader reader(caller);
+    reader.read(file, "?");
+    return reader.trail();
+}
+
+bool finds(const flow_trail &trail, std::string_view text)
+{
+    return std::ranges::any_of(
+        trail.findings, [&](const auto &line) { return line.find(text) != std::string::npos; });
+}
+
+} // namespace
+
+TEST_CASE("trail: a recorded flow that met a target before its start is explained")
+{
+    const auto trail = readRecorded("reset-by-asked-target.log", "100.65.0.184:1056");
+    REQUIRE(trail.path.size() == 10);
+    CHECK(trail.path.front().vm == "edge-colombo-b-6");
+    CHECK(std::ranges::is_sorted(trail.path, {}, &trail_line::timeMs));
+    CHECK(finds(trail, "side-colombo-a-15 saw the flow end (reset by target)"));
+    CHECK(std::ranges::any_of(trail.context, [](const auto &line) {
+        return line.vm == "side-colombo-a-15" && line.event == "liveness_report";
+    }));
+}
+
+TEST_CASE("trail: a recorded refusal names the targets' verdicts and what was left out")
+{
+    const auto trail = readRecorded("refused-by-all.log", "100.64.0.20:1057");
+    CHECK(finds(trail, "edge-austin-a-5 reset the flow: refused by all targets asked"));
+    CHECK(finds(trail, "side-austin-a-6 said overloaded with 14 requests waiting"));
+    CHECK(finds(trail, "no target accepted the opening"));
+}
+
+TEST_CASE("trail: lines without a VM take the file's name, and unreadable lines are skipped")
+{
+    std::istringstream lines(R"(nonsense "1.2.3.4:5"
+entry {"event":"flow_reset","timeMs":7,"caller":"1.2.3.4:5","reason":"no route has the address"}
+entry {"event":"flow_reset","timeMs":5,"caller":"1.2.3.4:55","reason":"other"}
+entry {"event":"flow_reset","timeMs":7,"caller":"1.2.3.4:5")");
+    trail_reader reader("1.2.3.4:5");
+    reader.read(lines, "e1");
+    const auto trail = reader.trail();
+    REQUIRE(trail.path.size() == 1);
+    CHECK(trail.path.front().vm == "e1");
+    CHECK(finds(trail, "e1 reset the flow: no route has the address"));
+    CHECK(describe(trail.path.front(), 7).find("reason=no route has the address")
+        != std::string::npos);
+}
--- a/src/libtoucanrelay/relay_decisions_test.cpp
+++ b/src/libtoucanrelay/relay_decisions_test.cpp
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <set>
 #include <toucan/event_log.h>
 #include <toucan/opening_gate.h>
 #include <toucan/ranking.h>
@@ -155,7 +156,7 @@
     const auto pointers = pointersTo(members);
     const domains_out out{.revision = 1, .names = {}};
     const std::vector tried{members[4].address};
-    const auto chosen = placeOpening(
+    const auto chosen = placeByLoad(
         pointers, {.flowHash = 7, .domain = "a", .out = out, .tried = tried, .now = 100s});
     REQUIRE(chosen.order.size() == 1);
     CHECK(chosen.order.front() == &members[5]);
@@ -170,7 +171,7 @@
     const auto pointers = pointersTo(members);
     const domains_out out;
     const auto at = [&](instant now) {
-        return placeOpening(
+        return placeByLoad(
             pointers, {.flowHash = 7, .domain = "a", .out = out, .tried = {}, .now = now})
             .order.size();
     };
@@ -186,7 +187,7 @@
     const auto shareOfDomain = [&] {
         int local = 0;
         for (std::uint64_t hash = 0; hash < 200; ++hash)
-            local += placeOpening(pointers,
+            local += placeByLoad(pointers,
                          {.flowHash = hash, .domain = "a", .out = out, .tried = {}, .now = 100s})
                          .order.front()
                          ->domain
@@ -199,13 +200,35 @@
     CHECK(shareOfDomain() < 100);
 }
 
+TEST_CASE("placement: the plain policy goes by the flow's hash, whatever the load")
+{
+    auto members = makeMembers(8);
+    const auto pointers = pointersTo(members);
+    const domains_out out;
+    const auto first = [&](std::uint64_t hash) {
+        return placementNamed("hash")(
+            pointers, {.flowHash = hash, .domain = "a", .out = out, .tried = {}, .now = 100s})
+            .order.front();
+    };
+    std::set<relay_member *> chosen;
+    for (std::uint64_t hash = 0; hash < 200; ++hash) {
+        auto *before = first(hash);
+        before->load = 5000;
+        CHECK(first(hash) == before);
+        chosen.insert(before);
+    }
+    CHECK(chosen.size() == members.size());
+    CHECK(placementNamed("load") == placeByLoad);
+    CHECK(placementNamed("other") == nullptr);
+}
+
 TEST_CASE("placement: the search starts with the candidates that an opening would have had")
 {
     auto members = makeMembers(12);
     const auto pointers = pointersTo(members);
     const domains_out out;
     for (std::uint64_t hash = 0; hash < 100; ++hash) {
-        const auto chosen = placeOpening(
+        const auto chosen = placeByLoad(
             pointers, {.flowHash = hash, .domain = "b", .out = out, .tried = {}, .now = 100s});
         const auto order = searchOrder(pointers, hash, "b");
         REQUIRE(order.size() == members.size());
--- a/src/libtoucanrelay/relay_engines_test.cpp
+++ b/src/libtoucanrelay/relay_engines_test.cpp
@@ -327,3 +327,46 @@
         CHECK(isResetAfter(12s));
     }
 }
+
+// Load answered for: overloaded targets, whose entries try refused openings again for a moment. A
+// caller that was told to go away is gone.
+TEST_CASE("entry: an opening is not tried again after its caller was reset")
+{
+    entry_bench fleet;
+    fleet.pass(4s);
+    fleet.report(reportOf("t1", target_standing::ready, 0));
+    const auto open = [&](std::uint32_t copy) {
+        auto head = opening;
+        head.copy = copy;
+        auto bytes = fleet.codec.encode(head, {});
+        fleet.engine.onCallerBytes(fleet.now, bytes);
+    };
+    // The refusals of an opening and of its copy come late.
+    open(0);
+    fleet.now += 200ms;
+    auto alive = reportOf("t1", target_standing::ready, 0);
+    alive.order = 2;
+    fleet.report(alive);
+    open(1);
+    auto refusals = std::exchange(fleet.port.toPeers, {});
+    REQUIRE(refusals.size() == 2);
+    const auto refuse = [&](byte_buffer &bytes) {
+        auto packet = decodeRelayPacket(bytes);
+        packet->header.kind = relay_kind::refused_opening;
+        packet->header.candidates.clear();
+        auto reply = fleet.packet(packet->header, *fleet.codec.decode(packet->bytes));
+        fleet.engine.onPeerBytes(fleet.now, processAddress, reply);
+    };
+    refuse(refusals[0].second);
+    CHECK(fleet.port.toCallers.empty());
+    fleet.now += 250ms;
+    refuse(refusals[1].second);
+    // The refusal is followed by another try at once, which is refused as well.
+    for (auto &[to, bytes] : std::exchange(fleet.port.toPeers, {}))
+        refuse(bytes);
+    REQUIRE(fleet.port.toCallers.size() == 1);
+    fleet.port = {};
+    fleet.now += 100ms;
+    fleet.engine.onTick(fleet.now);
+    CHECK(fleet.port.takePackets().empty());
+}
--- a/src/libtoucanrelay/relay_entry.cpp
+++ b/src/libtoucanrelay/relay_entry.cpp
@@ -192,11 +192,11 @@
         .out = m_domains,
         .tried = {cached.tried.data(), cached.tried.size()},
         .now = now};
-    auto chosen = placeOpening(members, request);
+    auto chosen = m_options.place(members, request);
     if (chosen.order.empty()) {
         cached.tried.clear();
         request.tried = {};
-        chosen = placeOpening(members, request);
+        chosen = m_options.place(members, request);
     }
     if (chosen.order.empty()) {
         if (isLearning(now) || mayBecomeReady(service)) {
@@ -359,6 +359,7 @@
 void relay_entry::resetFlow(instant now, const segment &head, std::string_view reason)
 {
     const auto flow = head.flowFromCaller();
+    m_parked.erase(flow);
     m_resets.add();
     m_log.write(now,
         flow_reset{.caller = flow.caller,
@@ -448,7 +449,7 @@
         .now = now};
     // One more round with others; then every target that could be asked has said no.
     if (!std::exchange(cached.refusedOnce, true)
-        && !placeOpening(m_members.membersOf(service), request).order.empty()) {
+        && !m_options.place(m_members.membersOf(service), request).order.empty()) {
         place(now, head, *route, cached, bytes);
         return;
     }
--- a/src/libtoucanrelay/relay_placement.cpp
+++ b/src/libtoucanrelay/relay_placement.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <array>
 #include <toucan/ranking.h>
 #include <toucan/relay_placement.h>
 
@@ -46,6 +47,15 @@
     return likely;
 }
 
+std::vector<ranked_member> rankCandidates(
+    std::span<relay_member *const> members, const placement_request &request)
+{
+    return rank(members, request.flowHash, [&](const relay_member &item) {
+        return takesOpenings(item, request.out, request.now)
+            && std::ranges::find(request.tried, item.address) == request.tried.end();
+    });
+}
+
 } // namespace
 
 bool takesOpenings(const relay_member &item, const domains_out &out, instant now)
@@ -57,13 +67,9 @@
     return item.standing == target_standing::ready;
 }
 
-placement placeOpening(std::span<relay_member *const> members, const placement_request &request)
+placement placeByLoad(std::span<relay_member *const> members, const placement_request &request)
 {
-    const auto accept = [&](const relay_member &item) {
-        return takesOpenings(item, request.out, request.now)
-            && std::ranges::find(request.tried, item.address) == request.tried.end();
-    };
-    const auto ranked = rank(members, request.flowHash, accept);
+    const auto ranked = rankCandidates(members, request);
     auto likely = likelyOwners(ranked, request.domain);
     std::ranges::stable_sort(likely, {}, [&](const relay_member *item) {
         return item->expectedLoad() + (item->domain == request.domain ? 0 : otherDomainPenalty);
@@ -74,6 +80,24 @@
     return result;
 }
 
+placement placeByHash(std::span<relay_member *const> members, const placement_request &request)
+{
+    const auto ranked = rankCandidates(members, request);
+    placement result{.eligible = ranked.size()};
+    std::ranges::transform(std::span(ranked).first(std::min(maximumPlaces, ranked.size())),
+        std::back_inserter(result.order), &ranked_member::member);
+    return result;
+}
+
+placement_policy placementNamed(std::string_view name)
+{
+    constexpr std::array<std::pair<std::string_view, placement_policy>, 2> policies{
+        {{"load", placeByLoad}, {"hash", placeByHash}}};
+    const auto *const found
+        = std::ranges::find(policies, name, &std::pair<std::string_view, placement_policy>::first);
+    return found == policies.end() ? nullptr : found->second;
+}
+
 std::vector<relay_member *> searchOrder(
     std::span<relay_member *const> members, std::uint64_t flowHash, std::string_view domain)
 {
--- a/src/toucanbridge/commands.h
+++ b/src/toucanbridge/commands.h
@@ -29,6 +29,9 @@
 /// `status`; returns the exit status.
 int runStatusCommand(const command_options &options);
 
+/// `explain CALLER [FILE...]`: one flow's path through all processes, from their logs.
+int runExplainCommand(std::span<const std::string> words, const command_options &options);
+
 /// Waits until `version` is in force everywhere, at most options.wait, and says where it is not.
 int waitUntilInForce(std::uint64_t version, const command_options &options);
 
--- a/src/toucanbridge/entry_relay_server.cpp
+++ b/src/toucanbridge/entry_relay_server.cpp
@@ -16,6 +16,7 @@
         .seeds = seedPeers(settings.seeds, settings.peer),
         .flowLifetime = settings.flowLifetime,
         .grace = settings.grace,
+        .place = placementNamed(settings.placement),
         .boot = boot};
 }
 
--- a/src/toucanbridge/main.cpp
+++ b/src/toucanbridge/main.cpp
@@ -90,6 +90,9 @@
                   "  record withdraw KIND NAME              withdraw a record\n"
                   "  record show [KIND [NAME]]              read records\n"
                   "  status                                 what is in force, where, and who lags\n"
+                  "  explain CALLER [FILE ...]              a flow's path and end, from the logs "
+                  "of\n"
+                  "                                         all processes or standard input\n"
                   "\nExit status:\n"
                   << toucan::exitStatusHelp();
         return given.count("help") != 0 ? 0 : toucan::answerFor(error_kind::usage).exitCode;
@@ -106,9 +109,11 @@
         return toucan::runRecordCommand(std::span(words).subspan(1), *options);
     if (words[0] == "status")
         return toucan::runStatusCommand(*options);
+    if (words[0] == "explain")
+        return toucan::runExplainCommand(std::span(words).subspan(1), *options);
     return toucan::reportError(
         {error_kind::usage,
-            words[0] + ": unknown command; expected serve, relay, record or status"},
+            words[0] + ": unknown command; expected serve, relay, record, status or explain"},
         *options);
 }
 
