--- a/src/include/toucan/relay_entry.h
+++ b/src/include/toucan/relay_entry.h
@@ -144,6 +144,7 @@
     void answerEntry(instant now, const endpoint &to);
     void tellMember(instant now, const relay_member &member);
     void sendNotices(instant now);
+    void tendPeers(instant now);
     bool shouldKeepCopy(const relay_member &member) const;
     void noteRevision(instant now, const endpoint &from, std::uint64_t revision);
     void sweepFlows(instant now);
--- a/src/libtoucanrelay/relay_target.cpp
+++ b/src/libtoucanrelay/relay_target.cpp
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <toucan/ranking.h>
 #include <toucan/relay_target.h>
 
 namespace toucan {
@@ -7,29 +6,14 @@
 
 using namespace std::chrono_literals;
 
-// Reports to few entries come this often; with more entries, less often, so that the process sends
-// at most 32 a second.
-constexpr auto reportInterval = 250ms;
-constexpr auto intervalForEachEntry = 31ms;
-// Every this many reports an entry is asked for its notice, and twice this many at a start.
-constexpr std::uint64_t noticeEvery = 4;
 // Entries that stay unheard are reported to for this long, and seeds always.
 constexpr auto entryForget = 60s;
-constexpr auto entrySilence = 5s;
-// Targets report about each 1.2 s; three in a row may be lost.
-constexpr auto targetSilence = 4s;
 // Segments of unknown flows that wait for the target's word, at most 1.2 KB each.
 constexpr std::size_t mostProbes = 500;
-// Targets answer openings within a millisecond, also under load.
-constexpr auto openingAnswerLimit = 80ms;
 // What it returns comes as fast, and a search has many others to ask.
 constexpr auto probeAnswerLimit = 20ms;
-// Openings that are tried on a target that answers none.
-constexpr auto trialInterval = 250ms;
 // An entry hears of a configuration within a second; the platform's shortest bound is three.
 constexpr auto staleRouteLimit = 1500ms;
-// Between a target's good-bye and its end.
-constexpr auto exitDelay = 500ms;
 // Retransmissions of a closed flow's last segments.
 constexpr auto closedLifetime = 4s;
 // A target turns a segment away within a millisecond; retransmissions come 200 ms apart at first.
@@ -38,7 +22,6 @@
 constexpr auto loadMemory = 1s;
 // Data of one flow that can be under way: 16 packets of 1,200 bytes, with room to spare.
 constexpr std::uint32_t sequenceWindow = 1U << 20U;
-constexpr auto copyFetchInterval = 700ms;
 
 } // namespace
 
@@ -59,8 +42,6 @@
     , m_started(now)
 { }
 
-// --- From entries and other target processes
-
 void relay_target::onPeerBytes(instant now, const endpoint &from, std::span<std::uint8_t> bytes)
 {
     if (const auto packet = decodeRelayPacket(bytes)) {
@@ -288,8 +269,6 @@
     m_load.set(now, static_cast<double>(m_waiting));
 }
 
-// --- From the target
-
 void relay_target::onTargetBytes(instant now, std::span<std::uint8_t> bytes)
 {
     const auto head = m_codec.decode(bytes);
@@ -389,269 +368,12 @@
     item.candidates.clear();
 }
 
-// --- Lifetimes
-
-void relay_target::onLiveness(instant now, const target_liveness &report)
-{
-    const auto before = standing(now);
-    const auto serviceBefore = service();
-    const bool first = !m_liveness.latest();
-    const auto lastHeard = m_liveness.heard();
-    const auto outcome = m_liveness.apply(now, report);
-    const auto after = standing(now);
-    if (first || before != after || outcome != liveness_outcome::applied)
-        m_log.write(now,
-            liveness_report{.target = report.id,
-                .started = report.startedMs,
-                .sequence = report.sequence,
-                .standing = std::string(toString(after)),
-                .coldMs = static_cast<std::uint64_t>(report.coldFor.count()),
-                .outcome = std::string(toString(outcome))});
-    if (outcome == liveness_outcome::late)
-        return;
-    // Nothing reaches a target that has not reported once, so none of its flows is unknown here.
-    if (first && report.sequence <= 1)
-        m_knowsAllFlows = true;
-    if (outcome == liveness_outcome::new_lifetime) {
-        endLifetime(now, lastHeard, "the target started anew");
-        m_knowsAllFlows = true;
-    }
-    if (report.leaving)
-        m_resetFlowsAt = now + exitDelay;
-    if (before != after || serviceBefore != service() || outcome == liveness_outcome::new_lifetime)
-        sendReports(now, true);
-}
-
-// Flows opened since the ended lifetime was last heard may already belong to the next one: the
-// target itself tells, when their callers send again.
-void relay_target::endLifetime(instant now, instant lastHeard, std::string_view reason)
-{
-    m_resetFlowsAt.reset();
-    m_silentSince.reset();
-    for (auto place = m_flows.begin(); place != m_flows.end();) {
-        const auto each = place++;
-        if (each->second.opened >= lastHeard)
-            continue;
-        std::erase_if(
-            m_unanswered, [&](const auto &waiting) { return waiting.second == each->first; });
-        if (each->second.state == flow_state::open)
-            resetFlow(now, each, reason);
-        else
-            erase(now, each, reason);
-    }
-}
-
-void relay_target::resetFlow(instant now, flow_map::iterator place, std::string_view reason)
-{
-    const auto &[key, item] = *place;
-    if (!item.callerFinished || !item.targetFinished) {
-        m_resets.add();
-        m_log.write(now,
-            flow_reset{.caller = key.caller,
-                .service = key.service,
-                .reason = std::string(reason),
-                .revision = m_revision,
-                .open = true});
-        m_port.sendCaller(key.caller, makeReset(m_codec, key, item.callerAcknowledged));
-    }
-    erase(now, place, reason);
-}
-
-target_standing relay_target::standing(instant now) const
-{
-    // A target that runs has reported by then.
-    if (!m_liveness.latest() && now - m_started >= m_options.reportInterval * 5 / 4)
-        return target_standing::gone;
-    const auto known = m_liveness.standing(now, targetSilence);
-    return m_leaving && (known == target_standing::ready || known == target_standing::cold)
-        ? target_standing::unknown
-        : known;
-}
-
-std::string relay_target::service() const
-{
-    return m_liveness.latest() ? m_liveness.latest()->service : m_options.service;
-}
-
-std::uint64_t relay_target::coldLimit() const
-{
-    // Without a stated rate a cold target is only slower, which its queue shows.
-    constexpr std::uint64_t unlimited = 1'000'000;
-    if (m_bounds.coldRate == 0)
-        return unlimited;
-    constexpr double thousand = 1000;
-    const auto rate = static_cast<double>(m_bounds.coldRate) / thousand;
-    // One less than what must never be passed: openings are counted here a little later than there.
-    const auto hard = std::floor(rate * m_options.coldOvershoot + m_options.coldSlack) - 1;
-    return static_cast<std::uint64_t>(std::max(1.0, std::min(rate, hard)));
-}
-
-bool relay_target::knowsAllFlows(instant now) const
-{
-    return m_knowsAllFlows || now - m_started > m_options.flowLifetime;
-}
-
-// --- A target that does not answer
-
-bool relay_target::isSilent(instant now)
-{
-    if (!m_silentSince)
-        return false;
-    if (now - m_lastTrial < trialInterval)
-        return true;
-    m_lastTrial = now;
-    return false;
-}
-
-void relay_target::checkUnanswered(instant now)
-{
-    const auto firstRecent = std::ranges::find_if(m_unanswered,
-        [&](const auto &waiting) { return now - waiting.first < openingAnswerLimit; });
-    if (firstRecent == m_unanswered.begin())
-        return;
-    if (!m_silentSince) {
-        m_silentSince = now;
-        m_lastTrial = now;
-        m_log.write(now,
-            dependency_changed{.dependency = "target",
-                .name = service(),
-                .state = "lost",
-                .reason = "openings go unanswered"});
-    }
-    for (auto each = m_unanswered.begin(); each != firstRecent; ++each) {
-        const auto found = m_flows.find(each->second);
-        if (found == m_flows.end() || found->second.opening.empty())
-            continue;
-        offerElsewhere(now, found->second, found->second.opening);
-        found->second.opening.clear();
-    }
-    m_unanswered.erase(m_unanswered.begin(), firstRecent);
-}
-
-// --- Entries
-
-void relay_target::handle(instant, const endpoint &, const target_report &)
-{
-    m_malformed.add();
-}
-
-void relay_target::handle(instant, const endpoint &, const flow_owner &)
-{
-    m_malformed.add();
-}
-
-void relay_target::handle(instant now, const endpoint &from, const entry_notice &message)
-{
-    auto &entry = m_entries[from];
-    const bool isNew = entry.boot != message.boot;
-    entry.boot = message.boot;
-    if (now - entry.heard > entrySilence)
-        m_log.write(now,
-            dependency_changed{.dependency = "entry",
-                .name = message.name,
-                .state = "regained",
-                .reason = "its notice came"});
-    entry.heard = now;
-    if (message.revision > m_revision) {
-        m_revision = message.revision;
-        m_revisionAt = now;
-    }
-    if (message.domainsRevision > m_domains.revision) {
-        const bool changed = message.domainsOut != m_domains.names;
-        m_domains = {.revision = message.domainsRevision, .names = message.domainsOut};
-        if (changed)
-            m_log.write(now,
-                domains_changed{.revision = m_domains.revision,
-                    .source = message.name,
-                    .out = m_domains.names});
-    }
-    for (const auto &bounds : message.bounds) {
-        if (bounds.service == service())
-            m_bounds = bounds;
-    }
-    if (message.keepsCopy && message.revision > m_copyRevision
-        && now - m_lastCopyFetch >= copyFetchInterval) {
-        m_lastCopyFetch = now;
-        m_port.fetchConfig(from, message.revision);
-    }
-    onEntries(now, message.entries);
-    if (isNew) {
-        // It knows nothing of this process yet.
-        m_entries[from].reported = {};
-        sendReports(now, false);
-    }
-    if (message.leaving)
-        m_entries[from].heard = now - entrySilence;
-}
-
-void relay_target::onEntries(instant now, std::span<const endpoint> peers)
-{
-    bool added = false;
-    for (const auto &peer : peers) {
-        // Unheard so far, but worth reporting to for a while.
-        added |= m_entries.try_emplace(peer, entry_state{.heard = now - entrySilence}).second;
-    }
-    if (added)
-        sendReports(now, false);
-}
-
-bool relay_target::hearsEntries(instant now) const
-{
-    return std::ranges::any_of(
-        m_entries, [&](const auto &item) { return now - item.second.heard < entrySilence; });
-}
-
-void relay_target::sendReports(instant now, bool atOnce)
-{
-    for (const auto &seed : m_options.seeds)
-        m_entries.try_emplace(seed, entry_state{.heard = now - entrySilence});
-    const auto interval = std::max<std::chrono::milliseconds>(
-        reportInterval, intervalForEachEntry * static_cast<std::int64_t>(m_entries.size()));
-    m_reportedStanding = standing(now);
-    const auto &latest = m_liveness.latest();
-    const auto slots = latest ? std::max<std::uint64_t>(latest->slots, 1) : 1;
-    constexpr double thousand = 1000;
-    target_report report{.member = m_options.name,
-        .service = service(),
-        .domain = m_options.domain,
-        .boot = m_options.boot,
-        .lifetime = m_liveness.lifetime(),
-        .standing = static_cast<std::uint64_t>(m_reportedStanding),
-        .slots = slots,
-        .flows = heldFlows(),
-        .waiting = m_waiting,
-        .load
-        = static_cast<std::uint64_t>(m_load.read(now) * thousand / static_cast<double>(slots)),
-        .openRate = coldLimit(),
-        .leaving = m_leaving,
-        .intervalMs = static_cast<std::uint64_t>(interval.count()),
-        .copyRevision = m_copyRevision,
-        .domainsRevision = m_domains.revision,
-        .domainsOut = m_domains.names};
-    for (auto &[address, entry] : m_entries) {
-        if (!atOnce && now - entry.reported < interval)
-            continue;
-        entry.reported = now;
-        report.order = ++m_reportOrder;
-        report.wantsNotice = entry.reports++ % noticeEvery == 0 || now - entry.heard > entrySilence;
-        m_port.sendPeer(address, encodeRelayMessage(report), {});
-    }
-}
-
 std::size_t relay_target::heldFlows() const
 {
     return static_cast<std::size_t>(std::ranges::count_if(
         m_flows, [](const auto &item) { return item.second.state != flow_state::probing; }));
 }
 
-void relay_target::startLeaving(instant now)
-{
-    m_leaving = true;
-    sendReports(now, true);
-}
-
-// --- Time
-
 void relay_target::onTick(instant now)
 {
     checkUnanswered(now);
--- /dev/null
+++ b/src/libtoucanrelay/relay_target_entries.cpp
@@ -0,0 +1,136 @@
+// What a target process exchanges with entries.
+
+#include <algorithm>
+#include <toucan/relay_target.h>
+
+namespace toucan {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Reports to few entries come this often; with more entries, less often, so that the process sends
+// at most 32 a second.
+constexpr auto reportInterval = 250ms;
+constexpr auto intervalForEachEntry = 31ms;
+// Every this many reports an entry is asked for its notice, and twice this many at a start.
+constexpr std::uint64_t noticeEvery = 4;
+constexpr auto entrySilence = 5s;
+constexpr auto copyFetchInterval = 700ms;
+
+} // namespace
+
+void relay_target::handle(instant, const endpoint &, const target_report &)
+{
+    m_malformed.add();
+}
+
+void relay_target::handle(instant, const endpoint &, const flow_owner &)
+{
+    m_malformed.add();
+}
+
+void relay_target::handle(instant now, const endpoint &from, const entry_notice &message)
+{
+    auto &entry = m_entries[from];
+    const bool isNew = entry.boot != message.boot;
+    entry.boot = message.boot;
+    if (now - entry.heard > entrySilence)
+        m_log.write(now,
+            dependency_changed{.dependency = "entry",
+                .name = message.name,
+                .state = "regained",
+                .reason = "its notice came"});
+    entry.heard = now;
+    if (message.revision > m_revision) {
+        m_revision = message.revision;
+        m_revisionAt = now;
+    }
+    if (message.domainsRevision > m_domains.revision) {
+        const bool changed = message.domainsOut != m_domains.names;
+        m_domains = {.revision = message.domainsRevision, .names = message.domainsOut};
+        if (changed)
+            m_log.write(now,
+                domains_changed{.revision = m_domains.revision,
+                    .source = message.name,
+                    .out = m_domains.names});
+    }
+    for (const auto &bounds : message.bounds) {
+        if (bounds.service == service())
+            m_bounds = bounds;
+    }
+    if (message.keepsCopy && message.revision > m_copyRevision
+        && now - m_lastCopyFetch >= copyFetchInterval) {
+        m_lastCopyFetch = now;
+        m_port.fetchConfig(from, message.revision);
+    }
+    onEntries(now, message.entries);
+    if (isNew) {
+        // It knows nothing of this process yet.
+        m_entries[from].reported = {};
+        sendReports(now, false);
+    }
+    if (message.leaving)
+        m_entries[from].heard = now - entrySilence;
+}
+
+void relay_target::onEntries(instant now, std::span<const endpoint> peers)
+{
+    bool added = false;
+    for (const auto &peer : peers) {
+        // Unheard so far, but worth reporting to for a while.
+        added |= m_entries.try_emplace(peer, entry_state{.heard = now - entrySilence}).second;
+    }
+    if (added)
+        sendReports(now, false);
+}
+
+bool relay_target::hearsEntries(instant now) const
+{
+    return std::ranges::any_of(
+        m_entries, [&](const auto &item) { return now - item.second.heard < entrySilence; });
+}
+
+void relay_target::sendReports(instant now, bool atOnce)
+{
+    for (const auto &seed : m_options.seeds)
+        m_entries.try_emplace(seed, entry_state{.heard = now - entrySilence});
+    const auto interval = std::max<std::chrono::milliseconds>(
+        reportInterval, intervalForEachEntry * static_cast<std::int64_t>(m_entries.size()));
+    m_reportedStanding = standing(now);
+    const auto &latest = m_liveness.latest();
+    const auto slots = latest ? std::max<std::uint64_t>(latest->slots, 1) : 1;
+    constexpr double thousand = 1000;
+    target_report report{.member = m_options.name,
+        .service = service(),
+        .domain = m_options.domain,
+        .boot = m_options.boot,
+        .lifetime = m_liveness.lifetime(),
+        .standing = static_cast<std::uint64_t>(m_reportedStanding),
+        .slots = slots,
+        .flows = heldFlows(),
+        .waiting = m_waiting,
+        .load
+        = static_cast<std::uint64_t>(m_load.read(now) * thousand / static_cast<double>(slots)),
+        .openRate = coldLimit(),
+        .leaving = m_leaving,
+        .intervalMs = static_cast<std::uint64_t>(interval.count()),
+        .copyRevision = m_copyRevision,
+        .domainsRevision = m_domains.revision,
+        .domainsOut = m_domains.names};
+    for (auto &[address, entry] : m_entries) {
+        if (!atOnce && now - entry.reported < interval)
+            continue;
+        entry.reported = now;
+        report.order = ++m_reportOrder;
+        report.wantsNotice = entry.reports++ % noticeEvery == 0 || now - entry.heard > entrySilence;
+        m_port.sendPeer(address, encodeRelayMessage(report), {});
+    }
+}
+
+void relay_target::startLeaving(instant now)
+{
+    m_leaving = true;
+    sendReports(now, true);
+}
+
+} // namespace toucan
--- /dev/null
+++ b/src/libtoucanrelay/relay_target_lifetime.cpp
@@ -0,0 +1,158 @@
+// What a target process believes of its target: lifetimes, standing, silence.
+
+#include <algorithm>
+#include <cmath>
+#include <toucan/relay_target.h>
+
+namespace toucan {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Targets report about each 1.2 s; three in a row may be lost.
+constexpr auto targetSilence = 4s;
+// Targets answer openings within a millisecond, also under load.
+constexpr auto openingAnswerLimit = 80ms;
+// Openings that are tried on a target that answers none.
+constexpr auto trialInterval = 250ms;
+// Between a target's good-bye and its end.
+constexpr auto exitDelay = 500ms;
+
+} // namespace
+
+void relay_target::onLiveness(instant now, const target_liveness &report)
+{
+    const auto before = standing(now);
+    const auto serviceBefore = service();
+    const bool first = !m_liveness.latest();
+    const auto lastHeard = m_liveness.heard();
+    const auto outcome = m_liveness.apply(now, report);
+    const auto after = standing(now);
+    if (first || before != after || outcome != liveness_outcome::applied)
+        m_log.write(now,
+            liveness_report{.target = report.id,
+                .started = report.startedMs,
+                .sequence = report.sequence,
+                .standing = std::string(toString(after)),
+                .coldMs = static_cast<std::uint64_t>(report.coldFor.count()),
+                .outcome = std::string(toString(outcome))});
+    if (outcome == liveness_outcome::late)
+        return;
+    // No opening reaches a target that has not reported once, so none of its flows is unknown here.
+    if (first && report.sequence <= 1)
+        m_knowsAllFlows = true;
+    if (outcome == liveness_outcome::new_lifetime) {
+        endLifetime(now, lastHeard, "the target started anew");
+        m_knowsAllFlows = true;
+    }
+    if (report.leaving)
+        m_resetFlowsAt = now + exitDelay;
+    if (before != after || serviceBefore != service() || outcome == liveness_outcome::new_lifetime)
+        sendReports(now, true);
+}
+
+// Flows opened since the ended lifetime was last heard may already belong to the next one: the
+// target itself tells, when their callers send again.
+void relay_target::endLifetime(instant now, instant lastHeard, std::string_view reason)
+{
+    m_resetFlowsAt.reset();
+    m_silentSince.reset();
+    for (auto place = m_flows.begin(); place != m_flows.end();) {
+        const auto each = place++;
+        if (each->second.opened >= lastHeard)
+            continue;
+        std::erase_if(
+            m_unanswered, [&](const auto &waiting) { return waiting.second == each->first; });
+        if (each->second.state == flow_state::open)
+            resetFlow(now, each, reason);
+        else
+            erase(now, each, reason);
+    }
+}
+
+void relay_target::resetFlow(instant now, flow_map::iterator place, std::string_view reason)
+{
+    const auto &[key, item] = *place;
+    if (!item.callerFinished || !item.targetFinished) {
+        m_resets.add();
+        m_log.write(now,
+            flow_reset{.caller = key.caller,
+                .service = key.service,
+                .reason = std::string(reason),
+                .revision = m_revision,
+                .open = true});
+        m_port.sendCaller(key.caller, makeReset(m_codec, key, item.callerAcknowledged));
+    }
+    erase(now, place, reason);
+}
+
+target_standing relay_target::standing(instant now) const
+{
+    // A target that runs has reported by then.
+    if (!m_liveness.latest() && now - m_started >= m_options.reportInterval * 5 / 4)
+        return target_standing::gone;
+    const auto known = m_liveness.standing(now, targetSilence);
+    return m_leaving && (known == target_standing::ready || known == target_standing::cold)
+        ? target_standing::unknown
+        : known;
+}
+
+std::string relay_target::service() const
+{
+    return m_liveness.latest() ? m_liveness.latest()->service : m_options.service;
+}
+
+std::uint64_t relay_target::coldLimit() const
+{
+    // Without a stated rate a cold target is only slower, which its queue shows.
+    constexpr std::uint64_t unlimited = 1'000'000;
+    if (m_bounds.coldRate == 0)
+        return unlimited;
+    constexpr double thousand = 1000;
+    const auto rate = static_cast<double>(m_bounds.coldRate) / thousand;
+    // One less than what must never be passed: openings are counted here a little later than there.
+    const auto hard = std::floor(rate * m_options.coldOvershoot + m_options.coldSlack) - 1;
+    return static_cast<std::uint64_t>(std::max(1.0, std::min(rate, hard)));
+}
+
+bool relay_target::knowsAllFlows(instant now) const
+{
+    return m_knowsAllFlows || now - m_started > m_options.flowLifetime;
+}
+
+bool relay_target::isSilent(instant now)
+{
+    if (!m_silentSince)
+        return false;
+    if (now - m_lastTrial < trialInterval)
+        return true;
+    m_lastTrial = now;
+    return false;
+}
+
+void relay_target::checkUnanswered(instant now)
+{
+    const auto firstRecent = std::ranges::find_if(m_unanswered,
+        [&](const auto &waiting) { return now - waiting.first < openingAnswerLimit; });
+    if (firstRecent == m_unanswered.begin())
+        return;
+    if (!m_silentSince) {
+        m_silentSince = now;
+        m_lastTrial = now;
+        m_log.write(now,
+            dependency_changed{.dependency = "target",
+                .name = service(),
+                .state = "lost",
+                .reason = "openings go unanswered"});
+    }
+    for (auto each = m_unanswered.begin(); each != firstRecent; ++each) {
+        const auto found = m_flows.find(each->second);
+        if (found == m_flows.end() || found->second.opening.empty())
+            continue;
+        offerElsewhere(now, found->second, found->second.opening);
+        found->second.opening.clear();
+    }
+    m_unanswered.erase(m_unanswered.begin(), firstRecent);
+}
+
+} // namespace toucan
--- /dev/null
+++ b/testsuite/relay_soak_test.cpp
@@ -0,0 +1,39 @@
+#include <catch2/catch.hpp>
+#include <toucan/lab/relay_soak.h>
+
+using namespace toucan::lab;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string listOf(const std::vector<std::string> &lines)
+{
+    std::string text;
+    for (const auto &line : lines)
+        text += '\n' + line;
+    return text;
+}
+
+void soakWith(std::uint64_t seed)
+{
+    relay_soak soak({.programs = TOUCAN_PROGRAMS, .seed = seed, .faultTime = 12s});
+    const auto result = soak.run();
+    INFO("seed " << seed << ", logs in " << result.logs.string()
+                 << ", faults:" << listOf(result.faults));
+    CHECK(result.outcome.answered > 1000);
+    CHECK(listOf(result.violations).empty());
+}
+
+} // namespace
+
+// `toucanlab soak` plays more seeds.
+TEST_CASE("soak: the relay programs keep the platform's rules under faults from outside")
+{
+    soakWith(20261204);
+}
+
+// Entries reset flows whose target's process had stopped for planned work 4 s before.
+TEST_CASE("soak: seed 21, planned stops of targets' processes")
+{
+    soakWith(21);
+}
