--- a/src/include/toucan/metrics.h
+++ b/src/include/toucan/metrics.h
@@ -64,6 +64,8 @@
 public:
     /// The number called `name`, created at first use. Names end in "_total" for counters.
     number &numberOf(const std::string &name);
+    /// The number called `name` whose label has this value; values must be few.
+    number &numberOf(const std::string &name, std::string_view label, std::string_view value);
     /// The distribution called `name`, created at first use.
     distribution &distributionOf(const std::string &name);
     /// Everything in the Prometheus text format.
--- a/src/include/toucan/opening_gate.h
+++ b/src/include/toucan/opening_gate.h
@@ -27,6 +27,9 @@
     silent, ///< The target does not answer openings.
 };
 
+/// Number of verdicts.
+inline constexpr std::size_t openingVerdicts = 11;
+
 /// Name of a verdict in logs.
 std::string_view toString(opening_verdict verdict);
 
--- a/src/include/toucan/relay_entry.h
+++ b/src/include/toucan/relay_entry.h
@@ -148,16 +148,16 @@
     bool shouldKeepCopy(const relay_member &member) const;
     void noteRevision(instant now, const endpoint &from, std::uint64_t revision);
     void sweepFlows(instant now);
+    void publishGauges(instant now);
 
     relay_entry_options m_options;
     const segment_codec &m_codec;
     relay_port &m_port;
+    metrics::registry &m_metrics;
     event_log &m_log;
     metrics::number &m_openings;
     metrics::number &m_forwarded;
     metrics::number &m_searches;
-    metrics::number &m_notFound;
-    metrics::number &m_resets;
     metrics::number &m_dropped;
     metrics::number &m_malformed;
 
--- a/src/include/toucan/relay_process.h
+++ b/src/include/toucan/relay_process.h
@@ -105,6 +105,9 @@
     std::optional<std::chrono::nanoseconds> m_difference;
 };
 
+/// Processor time that the process has used, milliseconds.
+std::uint64_t processorTime();
+
 /// Notices a changed settings file, with or without a signal.
 class settings_watch
 {
--- a/src/include/toucan/relay_program.h
+++ b/src/include/toucan/relay_program.h
@@ -68,8 +68,10 @@
             addresses,
             [this](const std::vector<std::uint8_t> &request) { return m_shelf.answer(request); },
             [this, answer = std::move(answer)](const http_request &request) {
-                if (request.method == "GET" && request.path == "/metrics")
+                if (request.method == "GET" && request.path == "/metrics") {
+                    m_metrics.numberOf("toucan_processor_ms_total").set(processorTime());
                     return http_response{.body = m_metrics.text()};
+                }
                 return answer(m_adapter.readQuestion(request));
             });
     }
--- a/src/include/toucan/relay_target.h
+++ b/src/include/toucan/relay_target.h
@@ -139,11 +139,11 @@
     relay_target_options m_options;
     const segment_codec &m_codec;
     relay_port &m_port;
+    metrics::registry &m_metrics;
     event_log &m_log;
-    metrics::number &m_accepted;
-    metrics::number &m_refused;
+    std::array<metrics::number *, openingVerdicts> m_verdicts{};
+    metrics::number &m_returned; ///< Openings that the target turned away.
     metrics::number &m_passedOn;
-    metrics::number &m_resets;
     metrics::number &m_malformed;
     metrics::distribution &m_firstAnswer;
 
--- a/src/include/toucan/store_follower.h
+++ b/src/include/toucan/store_follower.h
@@ -40,6 +40,9 @@
     event_log &log;
 };
 
+/// Counts one call to the store: list, watch, get or put.
+void countCall(const store_access &store, std::string_view call);
+
 /// Waits up to `time`; false when the thread is to stop.
 bool pauseThread(const std::stop_token &stop, std::chrono::milliseconds time);
 
--- a/src/libtoucanbase/metrics.cpp
+++ b/src/libtoucanbase/metrics.cpp
@@ -44,6 +44,11 @@
     return m_numbers[name];
 }
 
+number &registry::numberOf(const std::string &name, std::string_view label, std::string_view value)
+{
+    return numberOf(fmt::format("{}{{{}=\"{}\"}}", name, label, value));
+}
+
 distribution &registry::distributionOf(const std::string &name)
 {
     const std::lock_guard lock(m_mutex);
@@ -54,9 +59,14 @@
 {
     const std::lock_guard lock(m_mutex);
     std::string out;
+    std::string lastBase;
     for (const auto &[name, value] : m_numbers) {
-        const auto *kind = name.ends_with("_total") ? "counter" : "gauge";
-        out += fmt::format("# TYPE {0} {1}\n{0} {2}\n", name, kind, value.value());
+        const auto base = name.substr(0, name.find('{'));
+        const auto *kind = base.ends_with("_total") ? "counter" : "gauge";
+        if (base != lastBase)
+            out += fmt::format("# TYPE {} {}\n", base, kind);
+        lastBase = base;
+        out += fmt::format("{} {}\n", name, value.value());
     }
     for (const auto &[name, value] : m_distributions) {
         const auto summary = value.read();
--- a/src/libtoucannet/entry_directory.cpp
+++ b/src/libtoucannet/entry_directory.cpp
@@ -12,7 +12,7 @@
 std::optional<std::vector<endpoint>> readList(platform_client &client, const store_access &store,
     const std::string &kind, retry_pause &pause, const std::stop_token &stop)
 {
-    store.metrics.numberOf("toucan_store_calls_total").add();
+    countCall(store, "list");
     const auto listed = client.list(kind, true);
     const auto *all = valueOf(listed);
     if (!all) {
@@ -34,8 +34,7 @@
     const std::string &kind, const directory_entry &self)
 {
     const json record{{peerField, toString(self.peer)}};
-    auto &calls = store.metrics.numberOf("toucan_store_calls_total");
-    calls.add();
+    countCall(store, "put");
     const auto created = client.put(kind, self.name, record, 0);
     if (valueOf(created))
         return true;
@@ -43,14 +42,14 @@
     if (kindOfFailure != error_kind::conflict && kindOfFailure != error_kind::write_uncertain)
         return *errorOf(created);
     // A record of an earlier start, or of this one after a lost answer.
-    calls.add();
+    countCall(store, "get");
     const auto existing = client.get(kind, self.name);
     const auto *object = valueOf(existing);
     if (!object)
         return *errorOf(existing);
     if (object->body == record)
         return true;
-    calls.add();
+    countCall(store, "put");
     const auto replaced = client.put(kind, self.name, record, object->version);
     if (valueOf(replaced))
         return true;
--- a/src/libtoucannet/relay_process.cpp
+++ b/src/libtoucannet/relay_process.cpp
@@ -28,6 +28,13 @@
 
 } // namespace
 
+std::uint64_t processorTime()
+{
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(read(CLOCK_PROCESS_CPUTIME_ID))
+            .count());
+}
+
 void relay_mailbox::put(relay_event event)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/libtoucannet/store_follower.cpp
+++ b/src/libtoucannet/store_follower.cpp
@@ -34,11 +34,17 @@
     return !stop.stop_requested();
 }
 
+void countCall(const store_access &store, std::string_view call)
+{
+    store.metrics.numberOf("toucan_store_calls_total", "call", call).add();
+}
+
 bool pauseAfterFailure(const store_access &store, retry_pause &pause, const std::string &call,
     const error &failure, const std::stop_token &stop)
 {
     const auto time = pause.next();
-    store.metrics.numberOf("toucan_store_failures_total").add();
+    store.metrics.numberOf("toucan_store_failures_total", "error", answerFor(failure.kind).name)
+        .add();
     store.log.write(monotonicNow(),
         store_call_failed{.call = call,
             .error = failure.detail,
@@ -73,8 +79,7 @@
 // Lists and then watches until a call fails; false when the thread is to stop.
 bool store_follower::follow(const std::stop_token &stop, retry_pause &pause)
 {
-    auto &calls = m_store.metrics.numberOf("toucan_store_calls_total");
-    calls.add();
+    countCall(m_store, "list");
     const auto listed = m_client.list(m_kind);
     const auto *all = valueOf(listed);
     if (!all) {
@@ -88,7 +93,7 @@
     m_handler(all->version, objects);
     auto revision = all->version;
     while (!stop.stop_requested()) {
-        calls.add();
+        countCall(m_store, "watch");
         const auto outcome = m_client.changesAfter(revision, watchTime, m_kind);
         const auto *changes = valueOf(outcome);
         if (stop.stop_requested())
--- a/src/libtoucanrelay/opening_gate.cpp
+++ b/src/libtoucanrelay/opening_gate.cpp
@@ -7,9 +7,9 @@
 
 std::string_view toString(opening_verdict verdict)
 {
-    constexpr std::array<std::string_view, 11> names{"accepted", "standing unknown", "draining",
-        "domain out", "wrong service", "route stale", "cold", "full", "busy", "overloaded",
-        "target silent"};
+    constexpr std::array<std::string_view, openingVerdicts> names{"accepted", "standing unknown",
+        "draining", "domain out", "wrong service", "route stale", "cold", "full", "busy",
+        "overloaded", "target silent"};
     return names[static_cast<std::size_t>(verdict)];
 }
 
--- a/src/libtoucanrelay/relay_entry.cpp
+++ b/src/libtoucanrelay/relay_entry.cpp
@@ -40,12 +40,11 @@
     : m_options(std::move(options))
     , m_codec(codec)
     , m_port(port)
+    , m_metrics(metrics)
     , m_log(log)
-    , m_openings(metrics.numberOf("toucan_openings_total"))
+    , m_openings(metrics.numberOf("toucan_openings_total", "outcome", "placed"))
     , m_forwarded(metrics.numberOf("toucan_segments_forwarded_total"))
-    , m_searches(metrics.numberOf("toucan_searches_total"))
-    , m_notFound(metrics.numberOf("toucan_searches_not_found_total"))
-    , m_resets(metrics.numberOf("toucan_resets_total"))
+    , m_searches(metrics.numberOf("toucan_searches_total", "outcome", "asked"))
     , m_dropped(metrics.numberOf("toucan_segments_dropped_total"))
     , m_malformed(metrics.numberOf("toucan_malformed_datagrams_total"))
     , m_started(now)
@@ -225,7 +224,7 @@
 {
     const auto flow = head.flowFromCaller();
     m_parked.erase(flow);
-    m_resets.add();
+    m_metrics.numberOf("toucan_resets_total", "reason", reason).add();
     m_log.write(now,
         flow_reset{.caller = flow.caller,
             .service = flow.service,
@@ -312,6 +311,7 @@
     if (now - m_lastSweep >= sweepInterval) {
         m_lastSweep = now;
         sweepFlows(now);
+        publishGauges(now);
     }
 }
 
@@ -323,6 +323,27 @@
     });
 }
 
+void relay_entry::publishGauges(instant now)
+{
+    const auto milliseconds = [](instant time) {
+        return static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+    };
+    instant oldest{};
+    m_members.forEach([&](const relay_member &item) {
+        if (!item.lost)
+            oldest = std::max(oldest, now - item.heard);
+    });
+    m_metrics.numberOf("toucan_flows").set(m_flows.size());
+    m_metrics.numberOf("toucan_parked_openings").set(m_parked.size());
+    m_metrics.numberOf("toucan_members").set(m_members.aliveCount());
+    m_metrics.numberOf("toucan_members_lost").set(m_members.count() - m_members.aliveCount());
+    m_metrics.numberOf("toucan_oldest_report_ms").set(milliseconds(oldest));
+    m_metrics.numberOf("toucan_config_revision").set(m_config ? m_config->revision : 0);
+    m_metrics.numberOf("toucan_config_age_ms").set(m_config ? milliseconds(now - m_configAt) : 0);
+    m_metrics.numberOf("toucan_domains_revision").set(m_domains.revision);
+}
+
 bool relay_entry::isReady(instant now) const
 {
     if (m_leavingSince || !m_config)
@@ -355,6 +376,8 @@
     using std::chrono::duration_cast;
     using std::chrono::milliseconds;
     const auto age = target ? duration_cast<milliseconds>(now - target->heard).count() : 0;
+    if (!target)
+        m_metrics.numberOf("toucan_openings_total", "outcome", outcome).add();
     m_log.write(now,
         opening_decided{.caller = head.source,
             .service = head.destination,
--- a/src/libtoucanrelay/relay_entry_peers.cpp
+++ b/src/libtoucanrelay/relay_entry_peers.cpp
@@ -142,9 +142,8 @@
                 ++dropped;
             }
         }
-    } else {
-        m_configAt = now;
     }
+    m_configAt = now;
     for (const auto &route : config->routes)
         m_droppedRoutes.erase(route.address);
     m_config = config;
--- a/src/libtoucanrelay/relay_entry_search.cpp
+++ b/src/libtoucanrelay/relay_entry_search.cpp
@@ -81,7 +81,6 @@
         return;
     }
     if (asked >= order.size()) {
-        m_notFound.add();
         logSearch(now, head, "not found", {}, order.size(), cached);
         if (!state.doubtful && searchIsConclusive(now, order)) {
             resetFlow(now, head, "no target holds the flow");
@@ -164,6 +163,7 @@
     cached.searches = 0;
     if (!searched)
         return;
+    m_metrics.numberOf("toucan_searches_total", "outcome", "found").add();
     const auto *member = m_members.at(from);
     m_log.write(now,
         flow_searched{.caller = flow.caller,
@@ -175,6 +175,8 @@
 void relay_entry::logSearch(instant now, const segment &head, std::string_view outcome,
     std::string_view target, std::size_t asked, const cached_flow &cached)
 {
+    if (outcome != "asked")
+        m_metrics.numberOf("toucan_searches_total", "outcome", outcome).add();
     m_log.write(now,
         flow_searched{.caller = head.source,
             .service = head.destination,
--- a/src/libtoucanrelay/relay_target.cpp
+++ b/src/libtoucanrelay/relay_target.cpp
@@ -30,17 +30,20 @@
     : m_options(std::move(options))
     , m_codec(codec)
     , m_port(port)
+    , m_metrics(metrics)
     , m_log(log)
-    , m_accepted(metrics.numberOf("toucan_openings_accepted_total"))
-    , m_refused(metrics.numberOf("toucan_openings_refused_total"))
+    , m_returned(metrics.numberOf("toucan_openings_returned_total"))
     , m_passedOn(metrics.numberOf("toucan_segments_passed_on_total"))
-    , m_resets(metrics.numberOf("toucan_resets_total"))
     , m_malformed(metrics.numberOf("toucan_malformed_datagrams_total"))
     , m_firstAnswer(metrics.distributionOf("toucan_first_answer_ms"))
     , m_load(loadMemory)
     , m_knowsAllFlows(m_options.firstStart)
     , m_started(now)
-{ }
+{
+    for (std::size_t i = 0; i < m_verdicts.size(); ++i)
+        m_verdicts[i] = &metrics.numberOf(
+            "toucan_openings_judged_total", "verdict", toString(static_cast<opening_verdict>(i)));
+}
 
 void relay_target::onPeerBytes(instant now, const endpoint &from, std::span<std::uint8_t> bytes)
 {
@@ -74,12 +77,11 @@
     }
     const auto verdict = judge(now, header);
     logOpening(now, head, toString(verdict));
+    m_verdicts[static_cast<std::size_t>(verdict)]->add();
     if (verdict != opening_verdict::accepted) {
-        m_refused.add();
         passOn(header, relay_kind::refused_opening, packet.bytes);
         return;
     }
-    m_accepted.add();
     m_window.add(now);
     auto &item = m_flows[key];
     item = {.entry = header.entry,
@@ -339,7 +341,7 @@
         logOpening(now, head, "turned away by the target");
         if (found == m_flows.end() || found->second.state != flow_state::offered)
             return;
-        m_refused.add();
+        m_returned.add();
         offerElsewhere(now, found->second, bytes);
         std::erase_if(m_unanswered, [&](const auto &waiting) { return waiting.second == key; });
         erase(now, found, "turned away");
@@ -384,6 +386,11 @@
     if (now - m_lastSweep >= sweepInterval) {
         m_lastSweep = now;
         sweepFlows(now);
+        m_metrics.numberOf("toucan_flows").set(m_flows.size());
+        m_metrics.numberOf("toucan_requests_waiting").set(m_waiting);
+        m_metrics.numberOf("toucan_standing").set(static_cast<std::uint64_t>(standing(now)));
+        m_metrics.numberOf("toucan_config_revision").set(m_revision);
+        m_metrics.numberOf("toucan_domains_revision").set(m_domains.revision);
         std::erase_if(m_entries, [&](const auto &item) {
             const bool isSeed
                 = std::ranges::find(m_options.seeds, item.first) != m_options.seeds.end();
--- a/src/libtoucanrelay/relay_target_lifetime.cpp
+++ b/src/libtoucanrelay/relay_target_lifetime.cpp
@@ -74,7 +74,7 @@
 {
     const auto &[key, item] = *place;
     if (!item.callerFinished || !item.targetFinished) {
-        m_resets.add();
+        m_metrics.numberOf("toucan_resets_total", "reason", reason).add();
         m_log.write(now,
             flow_reset{.caller = key.caller,
                 .service = key.service,
