--- a/src/libtoucanrelay/flow_trail.cpp
+++ b/src/libtoucanrelay/flow_trail.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <array>
 #include <fmt/format.h>
+#include <map>
 #include <optional>
 #include <set>
 #include <sstream>
@@ -126,6 +127,51 @@
     return {};
 }
 
+// The VM whose target took or held the flow, by a line that says so; empty when it says nothing.
+std::string holderOf(const trail_line &line)
+{
+    const auto outcome = field(line, "outcome");
+    if (line.event == "opening_decided" && outcome == "accepted")
+        return line.vm;
+    return line.event == "flow_searched" && outcome == "found" ? field(line, "target") : "";
+}
+
+bool isNewStart(const trail_line &line)
+{
+    return line.event == "process_started"
+        || (line.event == "liveness_report" && number(line, "sequence") == 1);
+}
+
+// A start of the holder's process or target after it held the flow explains why nobody knows it.
+void addRestarts(const flow_trail &trail, auto &&add)
+{
+    for (const auto &line : trail.path) {
+        const auto holder = holderOf(line);
+        if (holder.empty())
+            continue;
+        for (const auto &change : trail.context) {
+            if (change.vm != holder || change.timeMs <= line.timeMs || !isNewStart(change))
+                continue;
+            add(fmt::format(
+                "{} held the flow, and its {} started anew {} ms after the flow's first line",
+                holder, change.event == "process_started" ? "process" : "target",
+                change.timeMs - trail.path.front().timeMs));
+        }
+    }
+}
+
+void addGaps(const flow_trail &trail, auto &&add)
+{
+    std::map<std::pair<std::string, std::string>, std::uint64_t> leftOut;
+    for (const auto &line : trail.context) {
+        if (line.event == "lines_left_out")
+            leftOut[{line.vm, field(line, "kind")}] += number(line, "count");
+    }
+    for (const auto &[place, count] : leftOut)
+        add(fmt::format("{} left out {} lines of the kind {} meanwhile: the path may have gaps",
+            place.first, count, place.second));
+}
+
 std::vector<std::string> findingsOf(const flow_trail &trail)
 {
     std::vector<std::string> findings;
@@ -135,16 +181,12 @@
     };
     for (const auto &line : trail.path)
         add(findingOf(line, trail.path));
-    const bool accepted = std::ranges::any_of(trail.path, [](const trail_line &line) {
-        return line.event == "opening_decided" && field(line, "outcome") == "accepted";
-    });
-    if (!trail.path.empty() && !accepted)
-        add("no target accepted the opening, or its line was left out");
-    for (const auto &line : trail.context) {
-        if (line.event == "lines_left_out")
-            add(fmt::format("{} left out {} lines of the kind {}: the path may have gaps", line.vm,
-                number(line, "count"), field(line, "kind")));
-    }
+    addRestarts(trail, add);
+    const bool held = std::ranges::any_of(
+        trail.path, [](const trail_line &line) { return !holderOf(line).empty(); });
+    if (!trail.path.empty() && !held)
+        add("no target took the flow, or its line was left out");
+    addGaps(trail, add);
     return findings;
 }
 
