Keep the order of a search; reset flows that nobody holds once the members are known

Cause: the place of a search was an index into an order that was made anew for each hop; a member whose reports were late moved to its end, and the index then skipped another one, after which the search passed for complete. The order is kept with the flow now and must contain every live member.

--- a/src/include/toucan/relay_entry.h
+++ b/src/include/toucan/relay_entry.h
@@ -4,6 +4,7 @@
 /// entry can rebuild from packets; does no I/O. Used by one thread.
 
 #include <map>
+#include <set>
 #include <toucan/event_log.h>
 #include <toucan/metrics.h>
 #include <toucan/relay_packet.h>
@@ -70,6 +71,16 @@
     /// Members that an opening and its copies were sent to.
     using tried_list = boost::container::static_vector<endpoint, 2 * maximumPlaces>;
 
+    /// A search for a flow's owner.
+    struct search_progress
+    {
+        std::uint64_t number = 0; ///< Tells the flow's searches apart.
+        instant begun{};
+        std::vector<endpoint> order; ///< Members to ask, fixed when the search began.
+        segment head; ///< Of the segment that waits.
+        byte_buffer waiting; ///< A segment whose search ended before all members were known.
+    };
+
     struct cached_flow
     {
         endpoint owner; ///< Process beside the flow's target; none while it is searched.
@@ -80,6 +91,7 @@
         bool confirmed = false; ///< The owner said that it is.
         bool finishing = false; ///< The caller closes the flow.
         std::uint16_t searches = 0; ///< Searches begun since the owner was last known.
+        std::unique_ptr<search_progress> progress; ///< Of the newest search, while it goes on.
         bool refusedOnce = false; ///< All candidates of an opening turned it away before.
         std::optional<instant> refusedSince; ///< When that happened first.
     };
@@ -103,18 +115,22 @@
         byte_view bytes);
     void onEstablished(
         instant now, const segment &head, const route_rule *route, std::span<std::uint8_t> bytes);
-    /// How far the search for a packet has come.
+    /// How far the search for a segment has come.
     struct search_state
     {
-        std::size_t asked = 0;
-        bool backwards = false;
-        bool doubtful = false;
+        std::size_t asked = 0; ///< Members of the order that have said no.
+        bool doubtful = false; ///< One of them gave no word.
     };
     void search(instant now, const segment &head, const route_rule &route, cached_flow &cached,
-        const search_state &state, byte_view bytes);
+        byte_view bytes);
+    void continueSearch(instant now, const segment &head, const route_rule &route,
+        cached_flow &cached, const search_state &state, byte_view bytes);
+    void concludeSearch(
+        instant now, const segment &head, cached_flow &cached, bool doubtful, byte_view bytes);
+    void retryWaitingSearches(instant now);
     std::vector<relay_member *> wholeSearchOrder(
         instant now, const route_rule &route, const flow_key &flow) const;
-    bool searchIsConclusive(instant now, std::span<relay_member *const> order) const;
+    bool searchIsConclusive(instant now, const search_progress &progress) const;
     void onRefused(instant now, const segment &head, byte_view bytes);
     void onNotFound(instant now, const relay_header &header, const segment &head, byte_view bytes);
     void suspectOwner(instant now, const flow_key &flow);
@@ -171,6 +187,7 @@
     std::optional<instant> m_introducedAt; ///< When an entry first named its members.
     std::unordered_map<flow_key, cached_flow> m_flows;
     std::map<flow_key, parked_opening> m_parked;
+    std::set<flow_key> m_waitingSearches; ///< Flows whose progress holds a waiting segment.
     instant m_started;
     instant m_configAt{};
     instant m_memberAddedAt{}; ///< When the newest member was heard for the first time.
--- a/src/libtoucanrelay/relay_engines_test.cpp
+++ b/src/libtoucanrelay/relay_engines_test.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 #include <platform/adapter.h>
+#include <set>
 #include <toucan/relay_entry.h>
 #include <toucan/relay_target.h>
 
@@ -370,3 +371,72 @@
     fleet.engine.onTick(fleet.now);
     CHECK(fleet.port.takePackets().empty());
 }
+
+// Beliefs about members change while a search is under way; an entry on the users' bench reset an
+// open flow whose owner may have been skipped so.
+TEST_CASE("entry: a search asks everybody although the order of members changes meanwhile")
+{
+    constexpr std::uint32_t members = 14;
+    const auto addressOf
+        = [](std::uint32_t i) { return endpoint{.ip = 0x0a020000 + i, .port = 7000}; };
+    for (std::uint32_t stale = 0; stale < members; ++stale) {
+        entry_bench fleet;
+        std::uint64_t order = 0;
+        const auto reportAll = [&](std::optional<std::uint32_t> except) {
+            ++order;
+            for (std::uint32_t i = 0; i < members; ++i) {
+                auto message = reportOf("t" + std::to_string(i), target_standing::ready, 3);
+                message.order = order;
+                if (i != except)
+                    fleet.report(message, addressOf(i));
+            }
+        };
+        reportAll({});
+        fleet.pass(600ms);
+        reportAll({});
+        fleet.port = {};
+        fleet.sendRequest();
+        std::set<endpoint> asked;
+        const auto noteAsked = [&] {
+            for (auto &[to, bytes] : fleet.port.toPeers) {
+                const auto packet = decodeRelayPacket(bytes);
+                if (!packet)
+                    continue;
+                asked.insert(to);
+                asked.insert(packet->header.candidates.begin(), packet->header.candidates.end());
+            }
+        };
+        noteAsked();
+        // One member misses its reports while the first ones are asked.
+        auto firstAsked = std::exchange(fleet.port.toPeers, {});
+        fleet.pass(350ms);
+        reportAll(stale);
+        fleet.pass(350ms);
+        reportAll(stale);
+        fleet.port.toPeers = std::move(firstAsked);
+        fleet.denyAll();
+        noteAsked();
+        fleet.denyAll();
+        INFO("stale member " << stale);
+        CHECK(asked.size() == members);
+    }
+}
+
+// Load answered for: all flows of a fleet that lost its power.
+TEST_CASE("entry: a flow that nobody holds is reset as soon as the members are known")
+{
+    entry_bench fleet;
+    fleet.report(reportOf("t1", target_standing::ready, 3));
+    fleet.pass(300ms);
+    fleet.sendRequest();
+    fleet.denyAll();
+    CHECK(fleet.port.toCallers.empty());
+    fleet.pass(150ms);
+    CHECK(fleet.port.toCallers.empty());
+    auto alive = reportOf("t1", target_standing::ready, 3);
+    alive.order = 2;
+    fleet.report(alive);
+    fleet.now += 100ms;
+    fleet.engine.onTick(fleet.now);
+    CHECK(fleet.port.toCallers.size() == 1);
+}
--- a/src/libtoucanrelay/relay_entry.cpp
+++ b/src/libtoucanrelay/relay_entry.cpp
@@ -202,9 +202,7 @@
     cached.finishing = cached.finishing || head.finish || head.reset;
     auto *owner = cached.owner ? m_members.at(cached.owner) : nullptr;
     if (!cached.owner || (owner && owner->lost)) {
-        // Each further search goes the other way round: one that gets no answer ended at a process
-        // that has just gone down.
-        search(now, head, *route, cached, {.backwards = cached.searches++ % 2 == 1}, bytes);
+        search(now, head, *route, cached, bytes);
         return;
     }
     auto header = headerFor(relay_kind::established, route->serviceFor(hashFlow(flow)));
@@ -308,6 +306,7 @@
     for (const auto &change : m_members.onTick(now))
         logMember(now, change);
     retryParked(now);
+    retryWaitingSearches(now);
     if (now - m_lastSweep >= sweepInterval) {
         m_lastSweep = now;
         sweepFlows(now);
--- a/src/libtoucanrelay/relay_entry_search.cpp
+++ b/src/libtoucanrelay/relay_entry_search.cpp
@@ -20,9 +20,15 @@
 // still holds its flows.
 constexpr auto plannedStopTime = 15s;
 // Members that one search asks. Beyond that it would cost more than the caller's next try.
-constexpr std::size_t mostSearched = 96;
-// Tells searches that go backwards in the number that travels with them.
-constexpr std::uint64_t backwardsMark = 1U << 15U;
+constexpr std::size_t mostSearched = 256;
+// Segments of one flow that come this close together share a search: its order takes a few
+// milliseconds to work off, and retransmissions come 200 ms apart at least.
+constexpr auto searchShared = 100ms;
+// Segments that wait until the members are known, a few hundred bytes each.
+constexpr std::size_t mostWaiting = 2000;
+// The number that travels with a searched segment: the search's own above, members asked below.
+constexpr std::uint64_t askedBits = 12;
+constexpr std::uint64_t searchNumbers = 8;
 
 std::vector<std::string> sharesOf(const route_rule &route)
 {
@@ -63,52 +69,108 @@
     return order;
 }
 
-// Asks the members behind those of the search order that were asked.
-void relay_entry::search(instant now, const segment &head, const route_rule &route,
-    cached_flow &cached, const search_state &state, byte_view bytes)
+// Every segment of an unknown flow is passed from member to member; the order stays what it was
+// when the search began, so that nobody is left out when beliefs about members change meanwhile.
+void relay_entry::search(
+    instant now, const segment &head, const route_rule &route, cached_flow &cached, byte_view bytes)
 {
-    const auto asked = state.asked;
-    auto order = wholeSearchOrder(now, route, head.flowFromCaller());
-    if (state.backwards)
-        std::ranges::reverse(order);
+    auto &progress = cached.progress;
+    if (!progress || now - progress->begun > searchShared) {
+        progress = std::make_unique<search_progress>(
+            search_progress{.number = ++cached.searches % searchNumbers, .begun = now});
+        const auto order = wholeSearchOrder(now, route, head.flowFromCaller());
+        std::ranges::transform(order, std::back_inserter(progress->order), &relay_member::address);
+        // Each further search goes the other way round: one that gets no answer ended at a process
+        // that has just gone down.
+        if (cached.searches % 2 == 0)
+            std::ranges::reverse(progress->order);
+    }
     cached.owner = {};
     cached.tried.clear();
     cached.confirmed = false;
     cached.established = true;
-    if (order.empty()) {
-        m_dropped.add();
-        logSearch(now, head, "nobody to ask", {}, 0, cached);
+    continueSearch(now, head, route, cached, {}, bytes);
+}
+
+void relay_entry::continueSearch(instant now, const segment &head, const route_rule &route,
+    cached_flow &cached, const search_state &state, byte_view bytes)
+{
+    const auto &order = cached.progress->order;
+    if (state.asked >= order.size()) {
+        concludeSearch(now, head, cached, state.doubtful, bytes);
         return;
     }
-    if (asked >= order.size()) {
-        logSearch(now, head, "not found", {}, order.size(), cached);
-        if (!state.doubtful && searchIsConclusive(now, order)) {
+    auto header
+        = headerFor(relay_kind::established, route.serviceFor(hashFlow(head.flowFromCaller())));
+    header.search = (cached.progress->number << askedBits) + state.asked + 1;
+    header.doubtful = state.doubtful;
+    const auto behind = std::span(order).subspan(state.asked + 1);
+    const auto next = behind.first(std::min(behind.size(), maximumCandidates));
+    header.candidates.assign(next.begin(), next.end());
+    m_searches.add();
+    const auto *first = m_members.at(order[state.asked]);
+    logSearch(now, head, "asked", first ? first->name : toString(order[state.asked]),
+        header.candidates.size() + 1, cached);
+    forward(order[state.asked], header, bytes);
+}
+
+void relay_entry::concludeSearch(
+    instant now, const segment &head, cached_flow &cached, bool doubtful, byte_view bytes)
+{
+    const auto flow = head.flowFromCaller();
+    auto &progress = *cached.progress;
+    logSearch(now, head, progress.order.empty() ? "nobody to ask" : "not found", {},
+        progress.order.size(), cached);
+    if (doubtful)
+        return;
+    if (searchIsConclusive(now, progress)) {
+        resetFlow(now, head, "no target holds the flow");
+        m_flows.erase(flow);
+        return;
+    }
+    if (knowsMembers(now) || m_waitingSearches.size() >= mostWaiting)
+        return;
+    progress.head = head;
+    progress.waiting.assign(bytes.begin(), bytes.end());
+    m_waitingSearches.insert(flow);
+}
+
+// A caller whose flow is gone learns of it as soon as the members are known, not at its next
+// retransmission, which may come after its deadline.
+void relay_entry::retryWaitingSearches(instant now)
+{
+    if (m_waitingSearches.empty() || !m_config || !knowsMembers(now))
+        return;
+    for (const auto &flow : std::exchange(m_waitingSearches, {})) {
+        const auto found = m_flows.find(flow);
+        if (found == m_flows.end() || found->second.owner || !found->second.progress
+            || found->second.progress->waiting.empty())
+            continue;
+        const auto head = found->second.progress->head;
+        const auto bytes = std::exchange(found->second.progress->waiting, {});
+        if (searchIsConclusive(now, *found->second.progress)) {
             resetFlow(now, head, "no target holds the flow");
-            m_flows.erase(head.flowFromCaller());
+            m_flows.erase(found);
+        } else if (const auto *route = m_config->routeAt(flow.service)) {
+            found->second.progress.reset();
+            search(now, head, *route, found->second, bytes);
         }
-        return;
     }
-    auto header = headerFor(relay_kind::established, order[asked]->service);
-    header.search = asked + 1 + (state.backwards ? backwardsMark : 0);
-    header.doubtful = state.doubtful;
-    const auto behind = std::span(order).subspan(asked + 1);
-    for (const auto *member : behind.first(std::min(behind.size(), maximumCandidates)))
-        header.candidates.push_back(member->address);
-    m_searches.add();
-    logSearch(now, head, "asked", order[asked]->name, header.candidates.size() + 1, cached);
-    forward(order[asked]->address, header, bytes);
 }
 
 // Every target that could hold the flow was asked and said no: the process has known its members
 // for long enough, none was left out, and the silent ones are gone.
-bool relay_entry::searchIsConclusive(instant now, std::span<relay_member *const> order) const
+bool relay_entry::searchIsConclusive(instant now, const search_progress &progress) const
 {
-    if (!knowsMembers(now) || order.size() >= mostSearched)
+    const auto &order = progress.order;
+    if (!knowsMembers(now) || order.empty() || order.size() >= mostSearched)
         return false;
     bool conclusive = true;
     m_members.forEach([&](const relay_member &item) {
         const instant limit = item.leaving ? plannedStopTime : memberGone;
-        conclusive &= !item.lost || now - item.heard > limit;
+        const bool isGone = item.lost && now - item.heard > limit;
+        conclusive &= isGone || std::ranges::find(order, item.address) != order.end();
+        conclusive &= !item.lost || isGone;
     });
     return conclusive;
 }
@@ -134,19 +196,24 @@
     const auto found = m_flows.find(head.flowFromCaller());
     if (!route || found == m_flows.end())
         return;
-    // Each packet is searched for on its own; the header says how far its search has come. The
-    // owner in the cache may be known again meanwhile.
-    const bool backwards = header.search >= backwardsMark;
-    const auto place = backwards ? header.search - backwardsMark : header.search;
-    const auto asked = place == 0 ? 0 : place + maximumCandidates;
-    if (header.search != 0 && found->second.owner) {
-        forward(found->second.owner,
+    auto &cached = found->second;
+    if (header.search == 0) {
+        search(now, head, *route, cached, bytes);
+        return;
+    }
+    // The owner may be known again meanwhile.
+    if (cached.owner) {
+        forward(cached.owner,
             headerFor(relay_kind::established, route->serviceFor(hashFlow(head.flowFromCaller()))),
             bytes);
         return;
     }
-    search(now, head, *route, found->second,
-        {.asked = asked, .backwards = backwards, .doubtful = header.doubtful}, bytes);
+    const auto asked = (header.search & ((1U << askedBits) - 1)) + maximumCandidates;
+    if (cached.progress && cached.progress->number == header.search >> askedBits)
+        continueSearch(
+            now, head, *route, cached, {.asked = asked, .doubtful = header.doubtful}, bytes);
+    else
+        m_dropped.add(); // A newer search is under way.
 }
 
 void relay_entry::handle(instant now, const endpoint &from, const flow_owner &message)
@@ -161,6 +228,7 @@
     cached.confirmed = true;
     cached.tried.clear();
     cached.searches = 0;
+    cached.progress.reset();
     if (!searched)
         return;
     m_metrics.numberOf("toucan_searches_total", "outcome", "found").add();
