Let searches go on past processes that are down

The entry watches the answers now, asks the members of a silent batch one by one, and passes over those that stay silent; a search per flow instead of one per segment. A silent member does not keep a search open when its last word was that no target runs there.

--- a/src/include/toucan/relay_entry.h
+++ b/src/include/toucan/relay_entry.h
@@ -71,14 +71,28 @@
     /// Members that an opening and its copies were sent to.
     using tried_list = boost::container::static_vector<endpoint, 2 * maximumPlaces>;
 
-    /// A search for a flow's owner.
+    /// A member in the order of a search.
+    struct search_place
+    {
+        endpoint address;
+        bool denied = false; ///< It said that its target does not hold the flow.
+        bool doubtful = false; ///< It, or another one of its batch, had no word of its target.
+    };
+
+    /// A search for a flow's owner with one segment.
     struct search_progress
     {
         std::uint64_t number = 0; ///< Tells the flow's searches apart.
         instant begun{};
-        std::vector<endpoint> order; ///< Members to ask, fixed when the search began.
-        segment head; ///< Of the segment that waits.
-        byte_buffer waiting; ///< A segment whose search ended before all members were known.
+        segment head;
+        byte_buffer bytes; ///< The segment.
+        std::vector<byte_buffer> held; ///< Segments that came meanwhile.
+        std::vector<search_place> order; ///< Members to ask, fixed when the search began.
+        std::size_t first = 0; ///< Begin of the batch that is asked now, in the order.
+        std::size_t end = 0; ///< End of that batch.
+        bool oneByOne = false; ///< Its members are asked each on their own.
+        instant askedAt{};
+        bool ended = false;
     };
 
     struct cached_flow
@@ -91,7 +105,7 @@
         bool confirmed = false; ///< The owner said that it is.
         bool finishing = false; ///< The caller closes the flow.
         std::uint16_t searches = 0; ///< Searches begun since the owner was last known.
-        std::unique_ptr<search_progress> progress; ///< Of the newest search, while it goes on.
+        std::unique_ptr<search_progress> progress; ///< The newest search since then.
         bool refusedOnce = false; ///< All candidates of an opening turned it away before.
         std::optional<instant> refusedSince; ///< When that happened first.
     };
@@ -115,18 +129,16 @@
         byte_view bytes);
     void onEstablished(
         instant now, const segment &head, const route_rule *route, std::span<std::uint8_t> bytes);
-    /// How far the search for a segment has come.
-    struct search_state
-    {
-        std::size_t asked = 0; ///< Members of the order that have said no.
-        bool doubtful = false; ///< One of them gave no word.
-    };
     void search(instant now, const segment &head, const route_rule &route, cached_flow &cached,
         byte_view bytes);
-    void continueSearch(instant now, const segment &head, const route_rule &route,
-        cached_flow &cached, const search_state &state, byte_view bytes);
-    void concludeSearch(
-        instant now, const segment &head, cached_flow &cached, bool doubtful, byte_view bytes);
+    void askNext(instant now, cached_flow &cached);
+    void sendSearch(instant now, cached_flow &cached, std::span<const search_place> places);
+    void noteDenial(instant now, cached_flow &cached, std::size_t place, bool doubtful);
+    void onMissingAnswer(instant now, cached_flow &cached);
+    void concludeSearch(instant now, cached_flow &cached);
+    void resetLostFlow(instant now, const segment &head);
+    void tendSearches(instant now);
+    void forwardHeld(const search_progress &progress, const endpoint &owner);
     void retryWaitingSearches(instant now);
     std::vector<relay_member *> wholeSearchOrder(
         instant now, const route_rule &route, const flow_key &flow) const;
@@ -143,8 +155,8 @@
     void resetFlow(instant now, const segment &head, std::string_view reason);
     void logOpening(instant now, const segment &head, std::string_view outcome,
         const relay_member *target, std::size_t eligible);
-    void logSearch(instant now, const segment &head, std::string_view outcome,
-        std::string_view target, std::size_t asked, const cached_flow &cached);
+    void logSearch(instant now, const cached_flow &cached, std::string_view outcome,
+        const endpoint &first, std::size_t asked);
     void forward(const endpoint &to, const relay_header &header, byte_view bytes);
     relay_header headerFor(relay_kind kind, std::string_view service) const;
 
@@ -187,7 +199,9 @@
     std::optional<instant> m_introducedAt; ///< When an entry first named its members.
     std::unordered_map<flow_key, cached_flow> m_flows;
     std::map<flow_key, parked_opening> m_parked;
-    std::set<flow_key> m_waitingSearches; ///< Flows whose progress holds a waiting segment.
+    std::set<flow_key> m_searching; ///< Flows whose search is watched for missing answers.
+    std::set<flow_key> m_waitingSearches; ///< Flows whose search ended too early to conclude.
+    instant m_lastSearchTick{};
     instant m_started;
     instant m_configAt{};
     instant m_memberAddedAt{}; ///< When the newest member was heard for the first time.
--- a/src/libtoucanrelay/relay_entry.cpp
+++ b/src/libtoucanrelay/relay_entry.cpp
@@ -307,6 +307,7 @@
         logMember(now, change);
     retryParked(now);
     retryWaitingSearches(now);
+    tendSearches(now);
     if (now - m_lastSweep >= sweepInterval) {
         m_lastSweep = now;
         sweepFlows(now);
--- a/src/libtoucanrelay/relay_entry_search.cpp
+++ b/src/libtoucanrelay/relay_entry_search.cpp
@@ -21,13 +21,16 @@
 constexpr auto plannedStopTime = 15s;
 // Members that one search asks. Beyond that it would cost more than the caller's next try.
 constexpr std::size_t mostSearched = 256;
-// Segments of one flow that come this close together share a search: its order takes a few
-// milliseconds to work off, and retransmissions come 200 ms apart at least.
-constexpr auto searchShared = 100ms;
-// Segments that wait until the members are known, a few hundred bytes each.
-constexpr std::size_t mostWaiting = 2000;
-// The number that travels with a searched segment: the search's own above, members asked below.
-constexpr std::uint64_t askedBits = 12;
+// A new search begins when a segment comes this long after the last one began.
+constexpr auto searchTime = 1s;
+// Members pass a segment on within a few milliseconds; one of them may ask its target first.
+constexpr auto answerTime = 100ms;
+constexpr auto searchTick = 20ms;
+// Searches that are watched for missing answers, and segments that wait for the end of one.
+constexpr std::size_t mostWatched = 4096;
+constexpr std::size_t mostHeld = 16;
+// The number that travels with a searched segment: the search's own above, its place below.
+constexpr std::uint64_t placeBits = 12;
 constexpr std::uint64_t searchNumbers = 8;
 
 std::vector<std::string> sharesOf(const route_rule &route)
@@ -69,70 +72,155 @@
     return order;
 }
 
-// Every segment of an unknown flow is passed from member to member; the order stays what it was
-// when the search began, so that nobody is left out when beliefs about members change meanwhile.
+// A segment of an unknown flow is passed from member to member in batches. The order stays what it
+// was when the search began, so that nobody is left out when beliefs about members change
+// meanwhile.
 void relay_entry::search(
     instant now, const segment &head, const route_rule &route, cached_flow &cached, byte_view bytes)
 {
     auto &progress = cached.progress;
-    if (!progress || now - progress->begun > searchShared) {
-        progress = std::make_unique<search_progress>(
-            search_progress{.number = ++cached.searches % searchNumbers, .begun = now});
-        const auto order = wholeSearchOrder(now, route, head.flowFromCaller());
-        std::ranges::transform(order, std::back_inserter(progress->order), &relay_member::address);
-        // Each further search goes the other way round: one that gets no answer ended at a process
-        // that has just gone down.
-        if (cached.searches % 2 == 0)
-            std::ranges::reverse(progress->order);
+    if (progress && !progress->ended && now - progress->begun < searchTime) {
+        if (progress->held.size() < mostHeld)
+            progress->held.emplace_back(bytes.begin(), bytes.end());
+        return;
     }
+    progress = std::make_unique<search_progress>(search_progress{.number = ++cached.searches,
+        .begun = now,
+        .head = head,
+        .bytes = byte_buffer(bytes.begin(), bytes.end())});
+    const auto order = wholeSearchOrder(now, route, head.flowFromCaller());
+    std::ranges::transform(order, std::back_inserter(progress->order),
+        [](const auto *member) { return search_place{.address = member->address}; });
     cached.owner = {};
     cached.tried.clear();
     cached.confirmed = false;
     cached.established = true;
-    continueSearch(now, head, route, cached, {}, bytes);
+    askNext(now, cached);
 }
 
-void relay_entry::continueSearch(instant now, const segment &head, const route_rule &route,
-    cached_flow &cached, const search_state &state, byte_view bytes)
+// Asks the members behind the batch that has answered, or has not in time.
+void relay_entry::askNext(instant now, cached_flow &cached)
 {
-    const auto &order = cached.progress->order;
-    if (state.asked >= order.size()) {
-        concludeSearch(now, head, cached, state.doubtful, bytes);
+    auto &progress = *cached.progress;
+    progress.first = progress.end;
+    progress.end = std::min(progress.first + maximumCandidates + 1, progress.order.size());
+    progress.oneByOne = false;
+    if (progress.first == progress.end) {
+        concludeSearch(now, cached);
         return;
     }
-    auto header
-        = headerFor(relay_kind::established, route.serviceFor(hashFlow(head.flowFromCaller())));
-    header.search = (cached.progress->number << askedBits) + state.asked + 1;
-    header.doubtful = state.doubtful;
-    const auto behind = std::span(order).subspan(state.asked + 1);
-    const auto next = behind.first(std::min(behind.size(), maximumCandidates));
-    header.candidates.assign(next.begin(), next.end());
+    const auto batch
+        = std::span(progress.order).subspan(progress.first, progress.end - progress.first);
     m_searches.add();
-    const auto *first = m_members.at(order[state.asked]);
-    logSearch(now, head, "asked", first ? first->name : toString(order[state.asked]),
-        header.candidates.size() + 1, cached);
-    forward(order[state.asked], header, bytes);
+    logSearch(now, cached, "asked", batch.front().address, batch.size());
+    sendSearch(now, cached, batch);
 }
 
-void relay_entry::concludeSearch(
-    instant now, const segment &head, cached_flow &cached, bool doubtful, byte_view bytes)
+void relay_entry::sendSearch(instant now, cached_flow &cached, std::span<const search_place> places)
 {
-    const auto flow = head.flowFromCaller();
     auto &progress = *cached.progress;
-    logSearch(now, head, progress.order.empty() ? "nobody to ask" : "not found", {},
-        progress.order.size(), cached);
-    if (doubtful)
+    const auto flow = progress.head.flowFromCaller();
+    const auto *route = m_config->routeAt(flow.service);
+    auto header = headerFor(
+        relay_kind::established, route ? route->serviceFor(hashFlow(flow)) : std::string());
+    const auto place = static_cast<std::uint64_t>(places.data() - progress.order.data());
+    header.search = (progress.number % searchNumbers << placeBits) + place + 1;
+    std::ranges::transform(
+        places.subspan(1), std::back_inserter(header.candidates), &search_place::address);
+    forward(places.front().address, header, progress.bytes);
+    progress.askedAt = now;
+    if (m_searching.size() < mostWatched)
+        m_searching.insert(flow);
+}
+
+void relay_entry::onNotFound(
+    instant now, const relay_header &header, const segment &head, byte_view bytes)
+{
+    const auto *route = m_config ? m_config->routeAt(head.destination) : nullptr;
+    const auto found = m_flows.find(head.flowFromCaller());
+    if (!route || found == m_flows.end())
+        return;
+    auto &cached = found->second;
+    if (header.search == 0) {
+        search(now, head, *route, cached, bytes);
+        return;
+    }
+    // The owner may be known again meanwhile.
+    if (cached.owner) {
+        forward(cached.owner,
+            headerFor(relay_kind::established, route->serviceFor(hashFlow(head.flowFromCaller()))),
+            bytes);
         return;
-    if (searchIsConclusive(now, progress)) {
-        resetFlow(now, head, "no target holds the flow");
-        m_flows.erase(flow);
+    }
+    const auto place = (header.search & ((1U << placeBits) - 1)) - 1;
+    if (!cached.progress || cached.progress->number % searchNumbers != header.search >> placeBits
+        || place < cached.progress->first || place >= cached.progress->end)
+        return; // An answer that came too late.
+    noteDenial(now, cached, place, header.doubtful);
+}
+
+void relay_entry::noteDenial(instant now, cached_flow &cached, std::size_t place, bool doubtful)
+{
+    auto &progress = *cached.progress;
+    const auto end = progress.oneByOne ? place + 1 : progress.end;
+    for (auto each = place; each < end; ++each) {
+        progress.order[each].denied = true;
+        progress.order[each].doubtful = doubtful;
+    }
+    const auto batch
+        = std::span(progress.order).subspan(progress.first, progress.end - progress.first);
+    if (std::ranges::all_of(batch, &search_place::denied))
+        askNext(now, cached);
+}
+
+// A process that is down ends the way of a batch. Its members are then asked one by one, and those
+// that give no answer again are passed over.
+void relay_entry::tendSearches(instant now)
+{
+    if (now - m_lastSearchTick < searchTick)
         return;
+    m_lastSearchTick = now;
+    const std::vector<flow_key> watched(m_searching.begin(), m_searching.end());
+    for (const auto &flow : watched) {
+        const auto found = m_flows.find(flow);
+        const bool goesOn = found != m_flows.end() && !found->second.owner && found->second.progress
+            && !found->second.progress->ended;
+        if (!goesOn)
+            m_searching.erase(flow);
+        else if (now - found->second.progress->askedAt > answerTime)
+            onMissingAnswer(now, found->second);
     }
-    if (knowsMembers(now) || m_waitingSearches.size() >= mostWaiting)
+}
+
+void relay_entry::onMissingAnswer(instant now, cached_flow &cached)
+{
+    auto &progress = *cached.progress;
+    if (progress.oneByOne || progress.end - progress.first == 1) {
+        askNext(now, cached);
         return;
-    progress.head = head;
-    progress.waiting.assign(bytes.begin(), bytes.end());
-    m_waitingSearches.insert(flow);
+    }
+    progress.oneByOne = true;
+    for (auto place = progress.first; place < progress.end; ++place)
+        sendSearch(now, cached, std::span(progress.order).subspan(place, 1));
+}
+
+void relay_entry::concludeSearch(instant now, cached_flow &cached)
+{
+    auto &progress = *cached.progress;
+    progress.ended = true;
+    logSearch(now, cached, progress.order.empty() ? "nobody to ask" : "not found", {},
+        progress.order.size());
+    if (searchIsConclusive(now, progress))
+        resetLostFlow(now, progress.head);
+    else if (!knowsMembers(now) && m_waitingSearches.size() < mostWatched)
+        m_waitingSearches.insert(progress.head.flowFromCaller());
+}
+
+void relay_entry::resetLostFlow(instant now, const segment &head)
+{
+    const auto copy = head;
+    resetFlow(now, copy, "no target holds the flow");
+    m_flows.erase(copy.flowFromCaller());
 }
 
 // A caller whose flow is gone learns of it as soon as the members are known, not at its next
@@ -144,33 +232,34 @@
     for (const auto &flow : std::exchange(m_waitingSearches, {})) {
         const auto found = m_flows.find(flow);
         if (found == m_flows.end() || found->second.owner || !found->second.progress
-            || found->second.progress->waiting.empty())
+            || !found->second.progress->ended)
             continue;
-        const auto head = found->second.progress->head;
-        const auto bytes = std::exchange(found->second.progress->waiting, {});
-        if (searchIsConclusive(now, *found->second.progress)) {
-            resetFlow(now, head, "no target holds the flow");
-            m_flows.erase(found);
-        } else if (const auto *route = m_config->routeAt(flow.service)) {
-            found->second.progress.reset();
-            search(now, head, *route, found->second, bytes);
-        }
+        const auto last = std::move(found->second.progress);
+        const auto *route = m_config->routeAt(flow.service);
+        if (searchIsConclusive(now, *last))
+            resetLostFlow(now, last->head);
+        else if (route)
+            search(now, last->head, *route, found->second, last->bytes);
     }
 }
 
 // Every target that could hold the flow was asked and said no: the process has known its members
-// for long enough, none was left out, and the silent ones are gone.
+// for long enough and none was left out. One that gave no answer is down; that is conclusive once
+// it has been silent for long, or when its last word was that no target runs there.
 bool relay_entry::searchIsConclusive(instant now, const search_progress &progress) const
 {
     const auto &order = progress.order;
-    if (!knowsMembers(now) || order.empty() || order.size() >= mostSearched)
+    if (!knowsMembers(now) || order.empty() || order.size() >= mostSearched
+        || std::ranges::any_of(order, &search_place::doubtful))
         return false;
     bool conclusive = true;
     m_members.forEach([&](const relay_member &item) {
+        const auto place = std::ranges::find(order, item.address, &search_place::address);
         const instant limit = item.leaving ? plannedStopTime : memberGone;
-        const bool isGone = item.lost && now - item.heard > limit;
-        conclusive &= isGone || std::ranges::find(order, item.address) != order.end();
-        conclusive &= !item.lost || isGone;
+        const bool isGone = now - item.heard > limit;
+        const bool wasAsked = place != order.end();
+        conclusive &= (wasAsked && place->denied) || isGone
+            || (item.holdsNothing() && (wasAsked || item.lost));
     });
     return conclusive;
 }
@@ -189,33 +278,6 @@
         && now - std::max(m_started, m_memberAddedAt) >= longest / 2;
 }
 
-void relay_entry::onNotFound(
-    instant now, const relay_header &header, const segment &head, byte_view bytes)
-{
-    const auto *route = m_config ? m_config->routeAt(head.destination) : nullptr;
-    const auto found = m_flows.find(head.flowFromCaller());
-    if (!route || found == m_flows.end())
-        return;
-    auto &cached = found->second;
-    if (header.search == 0) {
-        search(now, head, *route, cached, bytes);
-        return;
-    }
-    // The owner may be known again meanwhile.
-    if (cached.owner) {
-        forward(cached.owner,
-            headerFor(relay_kind::established, route->serviceFor(hashFlow(head.flowFromCaller()))),
-            bytes);
-        return;
-    }
-    const auto asked = (header.search & ((1U << askedBits) - 1)) + maximumCandidates;
-    if (cached.progress && cached.progress->number == header.search >> askedBits)
-        continueSearch(
-            now, head, *route, cached, {.asked = asked, .doubtful = header.doubtful}, bytes);
-    else
-        m_dropped.add(); // A newer search is under way.
-}
-
 void relay_entry::handle(instant now, const endpoint &from, const flow_owner &message)
 {
     const flow_key flow{.caller = message.caller, .service = message.service};
@@ -228,7 +290,8 @@
     cached.confirmed = true;
     cached.tried.clear();
     cached.searches = 0;
-    cached.progress.reset();
+    if (const auto progress = std::move(cached.progress))
+        forwardHeld(*progress, from);
     if (!searched)
         return;
     m_metrics.numberOf("toucan_searches_total", "outcome", "found").add();
@@ -240,16 +303,30 @@
             .target = member ? member->name : toString(from)});
 }
 
-void relay_entry::logSearch(instant now, const segment &head, std::string_view outcome,
-    std::string_view target, std::size_t asked, const cached_flow &cached)
+// What came while the owner was searched; the segment that found it is with the owner already.
+void relay_entry::forwardHeld(const search_progress &progress, const endpoint &owner)
+{
+    const auto flow = progress.head.flowFromCaller();
+    const auto *route = m_config ? m_config->routeAt(flow.service) : nullptr;
+    if (!route)
+        return;
+    const auto header = headerFor(relay_kind::established, route->serviceFor(hashFlow(flow)));
+    for (const auto &bytes : progress.held)
+        forward(owner, header, bytes);
+}
+
+void relay_entry::logSearch(instant now, const cached_flow &cached, std::string_view outcome,
+    const endpoint &first, std::size_t asked)
 {
+    const auto &head = cached.progress->head;
+    const auto *member = m_members.at(first);
     if (outcome != "asked")
         m_metrics.numberOf("toucan_searches_total", "outcome", outcome).add();
     m_log.write(now,
         flow_searched{.caller = head.source,
             .service = head.destination,
             .outcome = std::string(outcome),
-            .target = std::string(target),
+            .target = member ? member->name : std::string(),
             .asked = asked,
             .searches = cached.searches});
 }
