--- a/src/include/toucan/relay_entry.h
+++ b/src/include/toucan/relay_entry.h
@@ -142,7 +142,7 @@
     void retryWaitingSearches(instant now);
     std::vector<relay_member *> wholeSearchOrder(
         instant now, const route_rule &route, const flow_key &flow) const;
-    bool searchIsConclusive(instant now, const search_progress &progress) const;
+    std::string doubtAbout(instant now, const search_progress &progress) const;
     void onRefused(instant now, const segment &head, byte_view bytes);
     void onNotFound(instant now, const relay_header &header, const segment &head, byte_view bytes);
     void suspectOwner(instant now, const flow_key &flow);
@@ -156,7 +156,7 @@
     void logOpening(instant now, const segment &head, std::string_view outcome,
         const relay_member *target, std::size_t eligible);
     void logSearch(instant now, const cached_flow &cached, std::string_view outcome,
-        const endpoint &first, std::size_t asked);
+        const endpoint &first, std::size_t asked, std::string_view undecided = {});
     void forward(const endpoint &to, const relay_header &header, byte_view bytes);
     relay_header headerFor(relay_kind kind, std::string_view service) const;
 
--- a/src/libtoucanrelay/flow_trail.cpp
+++ b/src/libtoucanrelay/flow_trail.cpp
@@ -112,8 +112,9 @@
         return text;
     }
     if (line.event == "flow_searched" && field(line, "outcome") == "not found")
-        return fmt::format(
-            "{} asked {} members and none held the flow", line.vm, number(line, "asked"));
+        return fmt::format("{} asked {} members and none held the flow{}", line.vm,
+            number(line, "asked"),
+            field(line, "undecided").empty() ? "" : "; not reset: " + field(line, "undecided"));
     if (line.event == "flow_ended")
         return fmt::format("{} saw the flow end ({}) after {} ms, {} requests, the slowest answer "
                            "after {} ms",
--- a/src/libtoucanrelay/relay_engines_test.cpp
+++ b/src/libtoucanrelay/relay_engines_test.cpp
@@ -234,6 +234,74 @@
     CHECK(packets.front() == std::pair(relay_kind::not_found, entryAddress));
 }
 
+TEST_CASE("target process: an opening that the target turns away or leaves unanswered goes on")
+{
+    for (const bool isReturned : {true, false}) {
+        bench fleet;
+        relay_target engine(
+            {.name = "t1", .domain = "a", .service = "main", .peer = processAddress}, fleet.codec,
+            fleet.port, fleet.metrics, fleet.log, fleet.now);
+        engine.onLiveness(
+            fleet.now, {.id = "i1", .service = "main", .startedMs = 1, .sequence = 1, .slots = 4});
+        relay_header header{.kind = relay_kind::opening,
+            .entry = entryAddress,
+            .serviceTag = serviceTagOf("main"),
+            .candidates = {otherProcess}};
+        auto bytes = fleet.packet(header, opening);
+        engine.onPeerBytes(fleet.now, entryAddress, bytes);
+        REQUIRE(fleet.port.toTarget.size() == 1);
+        fleet.port = {};
+        if (isReturned) {
+            auto returned = opening;
+            returned.returned = true;
+            auto answer = fleet.codec.encode(returned, {});
+            engine.onTargetBytes(fleet.now, answer);
+        } else {
+            fleet.now += 100ms;
+            engine.onTick(fleet.now);
+        }
+        const auto packets = fleet.port.takePackets();
+        INFO("returned " << isReturned);
+        REQUIRE(packets.size() == 1);
+        CHECK(packets.front() == std::pair(relay_kind::opening, otherProcess));
+    }
+}
+
+TEST_CASE("target process: the entry that looked for a flow is told of its owner")
+{
+    target_bench fleet;
+    auto bytes = fleet.packet({.kind = relay_kind::established, .entry = entryAddress, .search = 1},
+        request(target_bench::sequence + 1));
+    fleet.engine.onPeerBytes(fleet.now, otherProcess, bytes);
+    REQUIRE(fleet.port.toPeers.size() == 1);
+    const auto message = decodeRelayMessage(fleet.port.toPeers.front().second);
+    REQUIRE(valueOf(message));
+    CHECK(fleet.port.toPeers.front().first == entryAddress);
+    CHECK(std::get<flow_owner>(*valueOf(message)).caller == caller);
+}
+
+// Seen after a loss of power: such acknowledgements made processes report flows that were long
+// gone, and searches for others stayed undecided when those processes were removed.
+TEST_CASE(
+    "target process: an acknowledgement of a flow's end does not show that the target holds it")
+{
+    bench fleet;
+    relay_target engine({.name = "t1", .domain = "a", .service = "main", .peer = processAddress},
+        fleet.codec, fleet.port, fleet.metrics, fleet.log, fleet.now);
+    auto end = request(1);
+    end.length = 0;
+    end.finish = true;
+    auto asked
+        = fleet.packet({.kind = relay_kind::established, .entry = entryAddress, .search = 1}, end);
+    engine.onPeerBytes(fleet.now, entryAddress, asked);
+    fleet.port = {};
+    auto answer = fleet.codec.encode(
+        {.source = service, .destination = caller, .acknowledge = true, .sequence = 1}, {});
+    engine.onTargetBytes(fleet.now, answer);
+    CHECK(fleet.port.toCallers.size() == 1);
+    CHECK(fleet.port.toPeers.empty());
+}
+
 // Load answered for: callers that gave up after an outage. Their requests do not run any more and
 // must not keep others out.
 TEST_CASE("target process: requests of flows that ended without an answer wait no longer")
--- a/src/libtoucanrelay/relay_entry_search.cpp
+++ b/src/libtoucanrelay/relay_entry_search.cpp
@@ -16,8 +16,8 @@
 // A member silent for longer is gone for its callers: none waits longer for an answer, and a killed
 // process is back sooner.
 constexpr auto memberGone = 4s;
-// A process that is stopped for planned work starts again within this; its target serves on and
-// still holds its flows.
+// A process with flows that is stopped for planned work starts again within this; its target serves
+// on and still holds them.
 constexpr auto plannedStopTime = 15s;
 // Members that one search asks. Beyond that it would cost more than the caller's next try.
 constexpr std::size_t mostSearched = 256;
@@ -129,7 +129,10 @@
         places.subspan(1), std::back_inserter(header.candidates), &search_place::address);
     forward(places.front().address, header, progress.bytes);
     progress.askedAt = now;
-    if (m_searching.size() < mostWatched)
+    // Nobody waits for the answer to a closing segment.
+    const auto &head = progress.head;
+    const bool isClosing = head.length == 0 && (head.finish || head.reset);
+    if (!isClosing && m_searching.size() < mostWatched)
         m_searching.insert(flow);
 }
 
@@ -208,9 +211,10 @@
 {
     auto &progress = *cached.progress;
     progress.ended = true;
+    const auto doubt = doubtAbout(now, progress);
     logSearch(now, cached, progress.order.empty() ? "nobody to ask" : "not found", {},
-        progress.order.size());
-    if (searchIsConclusive(now, progress))
+        progress.order.size(), doubt);
+    if (doubt.empty())
         resetLostFlow(now, progress.head);
     else if (!knowsMembers(now) && m_waitingSearches.size() < mostWatched)
         m_waitingSearches.insert(progress.head.flowFromCaller());
@@ -236,7 +240,7 @@
             continue;
         const auto last = std::move(found->second.progress);
         const auto *route = m_config->routeAt(flow.service);
-        if (searchIsConclusive(now, *last))
+        if (doubtAbout(now, *last).empty())
             resetLostFlow(now, last->head);
         else if (route)
             search(now, last->head, *route, found->second, last->bytes);
@@ -246,22 +250,29 @@
 // Every target that could hold the flow was asked and said no: the process has known its members
 // for long enough and none was left out. One that gave no answer is down; that is conclusive once
 // it has been silent for long, or when its last word was that no target runs there.
-bool relay_entry::searchIsConclusive(instant now, const search_progress &progress) const
+// Returns why the search does not show that the flow is gone; empty when it does.
+std::string relay_entry::doubtAbout(instant now, const search_progress &progress) const
 {
     const auto &order = progress.order;
-    if (!knowsMembers(now) || order.empty() || order.size() >= mostSearched
-        || std::ranges::any_of(order, &search_place::doubtful))
-        return false;
-    bool conclusive = true;
+    if (!knowsMembers(now))
+        return m_named.empty() ? "members may be unknown yet"
+                               : toString(m_named.begin()->first) + " was named and is not heard";
+    if (order.empty() || order.size() >= mostSearched)
+        return "no members, or too many";
+    const auto silent = std::ranges::find(order, true, &search_place::doubtful);
+    if (silent != order.end())
+        return "a target near " + toString(silent->address) + " gave no word";
+    std::string doubt;
     m_members.forEach([&](const relay_member &item) {
         const auto place = std::ranges::find(order, item.address, &search_place::address);
-        const instant limit = item.leaving ? plannedStopTime : memberGone;
+        const instant limit = item.leaving && item.flows > 0 ? plannedStopTime : memberGone;
         const bool isGone = now - item.heard > limit;
         const bool wasAsked = place != order.end();
-        conclusive &= (wasAsked && place->denied) || isGone
-            || (item.holdsNothing() && (wasAsked || item.lost));
+        if (!(wasAsked && place->denied) && !isGone
+            && !(item.holdsNothing() && (wasAsked || item.lost)))
+            doubt = item.name + (wasAsked ? " gave no answer" : " was not asked");
     });
-    return conclusive;
+    return doubt;
 }
 
 // Members that other entries name are told of this one and report at once, and the process waits
@@ -316,7 +327,7 @@
 }
 
 void relay_entry::logSearch(instant now, const cached_flow &cached, std::string_view outcome,
-    const endpoint &first, std::size_t asked)
+    const endpoint &first, std::size_t asked, std::string_view undecided)
 {
     const auto &head = cached.progress->head;
     const auto *member = m_members.at(first);
@@ -328,7 +339,8 @@
             .outcome = std::string(outcome),
             .target = member ? member->name : std::string(),
             .asked = asked,
-            .searches = cached.searches});
+            .searches = cached.searches,
+            .undecided = std::string(undecided)});
 }
 
 } // namespace toucan
--- a/src/libtoucanrelay/relay_target.cpp
+++ b/src/libtoucanrelay/relay_target.cpp
@@ -157,6 +157,7 @@
         item.search = header.search;
         item.doubtful = header.doubtful;
         item.callerAcknowledged = head.acknowledged;
+        item.callerFinished = head.finish;
         keepProbe(now, found, packet.bytes);
     } else if (item.state == flow_state::offered) {
         item.state = flow_state::open;
@@ -317,7 +318,9 @@
             m_unanswered, [&](const auto &waiting) { return waiting.second == place->first; });
         return;
     }
-    if (item.state == flow_state::probing) {
+    // Targets acknowledge the end of flows that they do not know any more.
+    const bool isLastWord = item.callerFinished && head.length == 0 && !head.finish;
+    if (item.state == flow_state::probing && !isLastWord) {
         // The answer shows that the target holds the flow.
         item.state = flow_state::open;
         item.opening.clear();
