--- a/src/libtoucanrelay/relay_engines_test.cpp
+++ b/src/libtoucanrelay/relay_engines_test.cpp
@@ -544,3 +544,32 @@
         CHECK(fleet.port.toCallers.size() == (heldFlows ? 0 : 1));
     }
 }
+
+TEST_CASE("entry: a copy of an opening goes past a member that left the first one unanswered")
+{
+    entry_bench fleet;
+    fleet.report(reportOf("t1", target_standing::ready, 0));
+    fleet.report(reportOf("t2", target_standing::ready, 0), otherProcess);
+    fleet.pass(100ms);
+    const auto open = [&](std::uint32_t copy) {
+        auto head = opening;
+        head.copy = copy;
+        auto bytes = fleet.codec.encode(head, {});
+        fleet.engine.onCallerBytes(fleet.now, bytes);
+        const auto packets = fleet.port.takePackets();
+        return packets.empty() ? endpoint{} : packets.front().second;
+    };
+    const auto first = open(0);
+    REQUIRE(first);
+    fleet.now += 200ms;
+    open(1);
+    fleet.now += 400ms;
+    // Both are asked in turn by the copies of one opening; a new one avoids the silent member.
+    auto head = opening;
+    head.source.port = 5;
+    auto bytes = fleet.codec.encode(head, {});
+    fleet.engine.onCallerBytes(fleet.now, bytes);
+    const auto packets = fleet.port.takePackets();
+    REQUIRE(packets.size() == 1);
+    CHECK(packets.front().second != first);
+}
