--- a/src/toucanlab/lab_commands.h
+++ b/src/toucanlab/lab_commands.h
@@ -3,6 +3,7 @@
 /// Commands of the emulator: each stand-in as a process, and whole experiments.
 
 #include <cxxopts.hpp>
+#include <toucan/lab/relay_soak.h>
 
 namespace toucan::lab {
 
@@ -18,7 +19,7 @@
 /// Measures an entry beside a bare relay in one run.
 int runRelayBenchmark(const std::string &programs);
 
-/// Runs soaks with `count` seeds from `seed` on; returns 0 when none broke a rule.
-int runSoaks(const std::string &programs, std::uint64_t seed, std::uint64_t count);
+/// Runs soaks with `count` seeds from that of `options` on; returns 0 when none broke a rule.
+int runSoaks(const relay_soak_options &options, std::uint64_t count);
 
 } // namespace toucan::lab
--- a/src/toucanlab/main.cpp
+++ b/src/toucanlab/main.cpp
@@ -11,7 +11,8 @@
     parser.add_options()(
         "command", "what to run", cxxopts::value<std::string>()->default_value(""))("scenario",
         "with run: scenario file", cxxopts::value<std::string>()->default_value(""))("programs",
-        "with run and soak: folder of the programs", cxxopts::value<std::string>()->default_value("."))(
+        "with run and soak: folder of the programs",
+        cxxopts::value<std::string>()->default_value("."))(
         "json", "with run: machine-readable summary")(
         "listen", "address to listen on", cxxopts::value<std::string>()->default_value(""))(
         "admin", "address of the admin link", cxxopts::value<std::string>()->default_value(""))(
@@ -29,9 +30,10 @@
         "health-lies", "target: the health endpoint always says ready")("log",
         "target: log of requests run",
         cxxopts::value<std::string>()->default_value(""))("seed", "seed of all random choices",
-        cxxopts::value<std::uint64_t>()->default_value("1"))(
-        "count", "soak: number of seeds", cxxopts::value<std::uint64_t>()->default_value("1"))(
-        "help", "print this help");
+        cxxopts::value<std::uint64_t>()->default_value("1"))("count", "soak: number of seeds",
+        cxxopts::value<std::uint64_t>()->default_value("1"))("entries", "soak: number of entries",
+        cxxopts::value<std::size_t>()->default_value("4"))("targets", "soak: number of targets",
+        cxxopts::value<std::size_t>()->default_value("8"))("help", "print this help");
     parser.parse_positional({"command"});
     try {
         const auto given = parser.parse(argc, argv);
@@ -44,8 +46,11 @@
         if (command == "relay-benchmark")
             return toucan::lab::runRelayBenchmark(given["programs"].as<std::string>());
         if (command == "soak")
-            return toucan::lab::runSoaks(given["programs"].as<std::string>(),
-                given["seed"].as<std::uint64_t>(), given["count"].as<std::uint64_t>());
+            return toucan::lab::runSoaks({.programs = given["programs"].as<std::string>(),
+                                             .seed = given["seed"].as<std::uint64_t>(),
+                                             .entries = given["entries"].as<std::size_t>(),
+                                             .targets = given["targets"].as<std::size_t>()},
+                given["count"].as<std::uint64_t>());
         if (const auto status = toucan::lab::runStandIn(command, given))
             return *status;
         std::cout << parser.help();
--- a/src/toucanlab/soak_command.cpp
+++ b/src/toucanlab/soak_command.cpp
@@ -1,22 +1,24 @@
 #include "lab_commands.h"
 
 #include <iostream>
-#include <toucan/lab/relay_soak.h>
 
 namespace toucan::lab {
 
-int runSoaks(const std::string &programs, std::uint64_t seed, std::uint64_t count)
+int runSoaks(const relay_soak_options &options, std::uint64_t count)
 {
     std::size_t broken = 0;
-    for (auto current = seed; current < seed + count; ++current) {
-        relay_soak soak({.programs = programs, .seed = current});
+    for (auto current = options.seed; current < options.seed + count; ++current) {
+        auto own = options;
+        own.seed = current;
+        relay_soak soak(own);
         const auto result = soak.run();
         const auto &seen = result.outcome;
         std::cout << "seed " << current << ": " << result.faults.size() << " faults, "
                   << seen.opened << " flows opened, " << seen.answered << " requests answered, "
                   << seen.unanswered << " given up, " << seen.resetUnopened << " openings and "
                   << seen.resetOpen << " open flows reset, " << result.recovered
-                  << " of the last answered, " << result.violations.size() << " rules broken\n";
+                  << " of the last answered, " << result.violations.size() << " rules broken"
+                  << std::endl;
         if (result.violations.empty())
             continue;
         ++broken;
