--- a/src/include/toucan/lab/soak_target.h
+++ b/src/include/toucan/lab/soak_target.h
@@ -17,7 +17,8 @@
 struct soak_target_options
 {
     const segment_codec &codec;
-    std::string name;
+    std::string name; ///< Identity in its reports.
+    std::string vm; ///< VM that it runs on.
     std::string domain;
     std::string service;
     endpoint address; ///< Where it takes segments.
--- a/src/libtoucanlab/relay_soak.cpp
+++ b/src/libtoucanlab/relay_soak.cpp
@@ -152,6 +152,7 @@
     auto &added = m_targets.emplace_back();
     added = std::make_unique<soak_target>(soak_target_options{.codec = platform::segments(),
         .name = "i-" + place.name,
+        .vm = place.name,
         .domain = place.domain,
         .service = serviceOf(index),
         .address = {.ip = place.ip, .port = targetPort},
@@ -394,7 +395,7 @@
 void relay_soak::checkOpening(soak_target &target, const flow_key &flow)
 {
     const auto &place = target.options();
-    const auto name = place.name.substr(2);
+    const auto name = place.vm;
     if (target.isCold(m_now)) {
         const auto &bounds = m_options.bounds;
         const auto most = bounds.coldRate * bounds.coldOvershoot + bounds.coldSlack;
@@ -428,7 +429,7 @@
 {
     const auto &key = m_callers.key(flow);
     for (std::size_t i = 0; i < m_targets.size(); ++i) {
-        const auto name = m_targets[i]->options().name.substr(2);
+        const auto name = m_targets[i]->options().vm;
         if (!m_targets[i]->end().holds(key) || !isCalm(name) || !isCalm(m_resetSender))
             continue;
         const bool calm = std::ranges::all_of(
--- a/src/libtoucanlab/soak_faults.cpp
+++ b/src/libtoucanlab/soak_faults.cpp
@@ -67,7 +67,7 @@
     std::vector<soak_target *> free;
     for (const auto &target : m_targets) {
         if (target->end().isRunning() && !target->confirmed()
-            && m_disturbed.isFree(target->options().name.substr(2)))
+            && m_disturbed.isFree(target->options().vm))
             free.push_back(target.get());
     }
     return free.empty() ? nullptr : free[pick(free.size())];
@@ -128,7 +128,7 @@
     note(fmt::format("crash {} for {} ms", target->options().name, time.count()));
     target->crash();
     disturb(
-        target->options().name.substr(2), time, [this, target] { target->start(m_now, coldTime); });
+        target->options().vm, time, [this, target] { target->start(m_now, coldTime); });
     return true;
 }
 
@@ -140,7 +140,7 @@
     const auto time = pickTime(shortFault, longFault);
     note(fmt::format("silence {} for {} ms", target->options().name, time.count()));
     target->setSilent(true);
-    disturb(target->options().name.substr(2), time, [target] { target->setSilent(false); });
+    disturb(target->options().vm, time, [target] { target->setSilent(false); });
     return true;
 }
 
