--- a/src/include/toucan/lab/relay_soak.h
+++ b/src/include/toucan/lab/relay_soak.h
@@ -79,6 +79,7 @@
 
     // Traffic.
     void loop(instant until);
+    bool isWhole() const; ///< Nothing is disturbed and all targets take flows.
     void watchRotation(const std::stop_token &stop);
     void spray(byte_buffer bytes);
     void openFlows();
--- a/src/include/toucan/lab/soak_target.h
+++ b/src/include/toucan/lab/soak_target.h
@@ -50,6 +50,8 @@
 
     /// When draining was confirmed; nullopt while it was not, or is not asked for.
     std::optional<instant> confirmed() const;
+    /// It runs, is warm and does not leave.
+    bool takesFlows(instant now) const;
     bool isCold(instant now) const { return now < m_coldUntil; }
     const soak_target_options &options() const { return m_options; }
     segment_target &end() { return m_end; }
--- a/src/libtoucanlab/relay_soak.cpp
+++ b/src/libtoucanlab/relay_soak.cpp
@@ -241,9 +241,10 @@
     nextFault();
     loop(m_started + startTime + calmTime + m_options.faultTime);
     m_faultsOver = true;
-    // Every fault ends within its own time; then the bounds hold again.
-    while (std::ranges::any_of(
-        m_vms, [&](const auto &item) { return !m_disturbed.isFree(item->name); }))
+    if (m_domainOutSince)
+        moveDomain();
+    // Every fault ends within its own time, and what can be served is served by all targets.
+    while (!isWhole())
         loop(monotonicNow() + 100ms);
     loop(monotonicNow() + recoveryTime);
     const auto firstJudged = m_callers.count();
@@ -257,6 +258,15 @@
     return m_result;
 }
 
+bool relay_soak::isWhole() const
+{
+    const bool free = std::ranges::all_of(
+        m_vms, [&](const auto &item) { return m_disturbed.isFree(item->name); });
+    return free && m_disturbed.isFree("store")
+        && std::ranges::all_of(
+            m_targets, [&](const auto &target) { return target->takesFlows(m_now); });
+}
+
 void relay_soak::loop(instant until)
 {
     Poco::Net::PollSet poll;
@@ -428,9 +438,9 @@
 void relay_soak::checkReset(std::size_t flow)
 {
     const auto &key = m_callers.key(flow);
-    for (std::size_t i = 0; i < m_targets.size(); ++i) {
-        const auto name = m_targets[i]->options().vm;
-        if (!m_targets[i]->end().holds(key) || !isCalm(name) || !isCalm(m_resetSender))
+    for (const auto &target : m_targets) {
+        const auto &name = target->options().vm;
+        if (!target->end().holds(key) || !isCalm(name) || !isCalm(m_resetSender))
             continue;
         const bool calm = std::ranges::all_of(
             m_entriesOf[flow], [&](const auto &item) { return isCalm(item); });
--- a/src/libtoucanlab/soak_faults.cpp
+++ b/src/libtoucanlab/soak_faults.cpp
@@ -127,8 +127,7 @@
     const auto time = pickTime(shortFault, longFault / 2);
     note(fmt::format("crash {} for {} ms", target->options().name, time.count()));
     target->crash();
-    disturb(
-        target->options().vm, time, [this, target] { target->start(m_now, coldTime); });
+    disturb(target->options().vm, time, [this, target] { target->start(m_now, coldTime); });
     return true;
 }
 
--- a/src/libtoucanlab/soak_target.cpp
+++ b/src/libtoucanlab/soak_target.cpp
@@ -97,6 +97,12 @@
     return m_state.confirmed;
 }
 
+bool soak_target::takesFlows(instant now) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_state.running && !m_state.draining && !m_state.leaving && !isCold(now);
+}
+
 void soak_target::onSegment(byte_view bytes)
 {
     if (!m_silent)
--- a/src/libtoucanrelay/relay_engines_test.cpp
+++ b/src/libtoucanrelay/relay_engines_test.cpp
@@ -614,3 +614,20 @@
     });
     CHECK(told == 1);
 }
+
+TEST_CASE("entry: segments that come while the owner is searched follow it there")
+{
+    entry_bench fleet;
+    fleet.report(reportOf("t1", target_standing::ready, 3));
+    fleet.report(reportOf("t2", target_standing::ready, 3), otherProcess);
+    fleet.pass(600ms);
+    fleet.sendRequest();
+    CHECK(fleet.port.takePackets().size() == 1);
+    fleet.sendRequest();
+    CHECK(fleet.port.takePackets().empty());
+    auto found = encodeRelayMessage(flow_owner{.caller = caller, .service = service});
+    fleet.engine.onPeerBytes(fleet.now, otherProcess, found);
+    const auto packets = fleet.port.takePackets();
+    REQUIRE(packets.size() == 1);
+    CHECK(packets.front() == std::pair(relay_kind::established, otherProcess));
+}
--- a/testsuite/relay_soak_test.cpp
+++ b/testsuite/relay_soak_test.cpp
@@ -37,3 +37,10 @@
 {
     soakWith(21);
 }
+
+// The soak judged a service whose only targets were out of service and just leaving; it takes the
+// domain in now and waits for all targets before it judges the recovery.
+TEST_CASE("soak: seed 2052, a domain out and the last target of a service replaced")
+{
+    soakWith(2052);
+}
