--- a/src/include/toucan/lab/relay_soak.h
+++ b/src/include/toucan/lab/relay_soak.h
@@ -75,7 +75,6 @@
     std::string settingsOf(const vm &item) const;
     void publishConfig();
     std::string serviceOf(std::size_t target) const;
-    vm &vmNamed(const std::string &name);
 
     // Traffic.
     void loop(instant until);
--- a/src/libtoucanlab/relay_soak.cpp
+++ b/src/libtoucanlab/relay_soak.cpp
@@ -219,11 +219,6 @@
         platform::makeConfig(config), std::nullopt);
 }
 
-relay_soak::vm &relay_soak::vmNamed(const std::string &name)
-{
-    return **std::ranges::find(m_vms, name, [](const auto &item) { return item->name; });
-}
-
 // --- Traffic
 
 relay_soak_result relay_soak::run()
--- a/src/libtoucanlab/store_follower_test.cpp
+++ b/src/libtoucanlab/store_follower_test.cpp
@@ -76,7 +76,7 @@
     CHECK(std::chrono::steady_clock::now() - before < 1s);
 }
 
-// A hunt on the users' bench found five entries that missed a version this way.
+// Five entries of one fleet missed a version this way.
 TEST_CASE("store: a change that no watch heard before the history was dropped is found")
 {
     followed_store store;
--- a/src/libtoucanrelay/relay_engines_test.cpp
+++ b/src/libtoucanrelay/relay_engines_test.cpp
@@ -46,7 +46,7 @@
     }
 };
 
-struct bench
+struct engine_fixture
 {
     const segment_codec &codec = platform::segments();
     recording_port port;
@@ -54,7 +54,7 @@
     event_log log{"test", 0};
     instant now = 1000s;
 
-    bench() { event_log::silence(); }
+    engine_fixture() { event_log::silence(); }
 
     byte_buffer packet(const relay_header &header, const segment &head) const
     {
@@ -79,12 +79,12 @@
 }
 
 /// A target process whose target is ready and has taken an opening with sequence number 5000.
-struct target_bench : bench
+struct target_fixture : engine_fixture
 {
     static constexpr std::uint32_t sequence = 5000;
     relay_target engine;
 
-    target_bench()
+    target_fixture()
         : engine({.name = "t1", .domain = "a", .service = "main", .peer = processAddress}, codec,
             port, metrics, log, now)
     {
@@ -128,11 +128,11 @@
 }
 
 /// An entry with one route that has long heard of one member.
-struct entry_bench : bench
+struct entry_fixture : engine_fixture
 {
     relay_entry engine;
 
-    entry_bench()
+    entry_fixture()
         : engine(
             {.name = "e1", .domain = "a", .peer = entryAddress}, codec, port, metrics, log, now)
     {
@@ -183,14 +183,14 @@
 
 TEST_CASE("target process: the caller's acknowledgement tells which of two targets it chose")
 {
-    target_bench chosen;
-    chosen.sendRequest(target_bench::sequence + 1);
+    target_fixture chosen;
+    chosen.sendRequest(target_fixture::sequence + 1);
     CHECK(chosen.port.toTarget.size() == 1);
     CHECK(chosen.port.takePackets().empty());
 
     for (const std::uint32_t other : {~0U, 1U, 700U, 1U << 19U, 1U << 31U}) {
-        target_bench notChosen;
-        notChosen.sendRequest(target_bench::sequence + 1 + other);
+        target_fixture notChosen;
+        notChosen.sendRequest(target_fixture::sequence + 1 + other);
         INFO("off by " << other);
         CHECK(notChosen.port.toTarget.empty());
         const auto packets = notChosen.port.takePackets();
@@ -201,9 +201,9 @@
 
 TEST_CASE("target process: a segment that the target returns is searched for, the flow not reset")
 {
-    target_bench fleet;
-    fleet.sendRequest(target_bench::sequence + 1);
-    auto returned = request(target_bench::sequence + 1);
+    target_fixture fleet;
+    fleet.sendRequest(target_fixture::sequence + 1);
+    auto returned = request(target_fixture::sequence + 1);
     returned.returned = true;
     auto bytes = fleet.codec.encode(returned, byte_buffer(100, 'q'));
     fleet.engine.onTargetBytes(fleet.now, bytes);
@@ -216,7 +216,7 @@
 // Seen where a target was about to start: it answered a segment of another target's flow so.
 TEST_CASE("target process: a reset by a target that was only asked is no answer to the caller")
 {
-    bench fleet;
+    engine_fixture fleet;
     relay_target engine({.name = "t1", .domain = "a", .service = "main", .peer = processAddress},
         fleet.codec, fleet.port, fleet.metrics, fleet.log, fleet.now);
     auto asked = fleet.packet(
@@ -237,7 +237,7 @@
 TEST_CASE("target process: an opening that the target turns away or leaves unanswered goes on")
 {
     for (const bool isReturned : {true, false}) {
-        bench fleet;
+        engine_fixture fleet;
         relay_target engine(
             {.name = "t1", .domain = "a", .service = "main", .peer = processAddress}, fleet.codec,
             fleet.port, fleet.metrics, fleet.log, fleet.now);
@@ -269,9 +269,9 @@
 
 TEST_CASE("target process: the entry that looked for a flow is told of its owner")
 {
-    target_bench fleet;
+    target_fixture fleet;
     auto bytes = fleet.packet({.kind = relay_kind::established, .entry = entryAddress, .search = 1},
-        request(target_bench::sequence + 1));
+        request(target_fixture::sequence + 1));
     fleet.engine.onPeerBytes(fleet.now, otherProcess, bytes);
     REQUIRE(fleet.port.toPeers.size() == 1);
     const auto message = decodeRelayMessage(fleet.port.toPeers.front().second);
@@ -285,7 +285,7 @@
 TEST_CASE(
     "target process: an acknowledgement of a flow's end does not show that the target holds it")
 {
-    bench fleet;
+    engine_fixture fleet;
     relay_target engine({.name = "t1", .domain = "a", .service = "main", .peer = processAddress},
         fleet.codec, fleet.port, fleet.metrics, fleet.log, fleet.now);
     auto end = request(1);
@@ -308,7 +308,7 @@
 {
     enum class ending { targetFinishes, callerResets, targetResets };
     for (const auto how : {ending::targetFinishes, ending::callerResets, ending::targetResets}) {
-        bench fleet;
+        engine_fixture fleet;
         relay_target engine(
             {.name = "t1", .domain = "a", .service = "main", .peer = processAddress}, fleet.codec,
             fleet.port, fleet.metrics, fleet.log, fleet.now);
@@ -356,7 +356,7 @@
 TEST_CASE("entry: a search asks members that reported no flows")
 {
     for (const auto standing : {target_standing::gone, target_standing::ready}) {
-        entry_bench fleet;
+        entry_fixture fleet;
         fleet.report(reportOf("t1", standing, 0));
         fleet.pass(600ms);
         fleet.sendRequest();
@@ -372,7 +372,7 @@
 TEST_CASE("entry: a flow is not reset while a member that may hold it has just fallen silent")
 {
     for (const bool isPlanned : {false, true}) {
-        entry_bench fleet;
+        entry_fixture fleet;
         fleet.report(reportOf("t1", target_standing::ready, 3));
         std::uint64_t order = 1;
         const auto pass = [&](std::chrono::milliseconds time) {
@@ -405,7 +405,7 @@
 // caller that was told to go away is gone.
 TEST_CASE("entry: an opening is not tried again after its caller was reset")
 {
-    entry_bench fleet;
+    entry_fixture fleet;
     fleet.pass(4s);
     fleet.report(reportOf("t1", target_standing::ready, 0));
     const auto open = [&](std::uint32_t copy) {
@@ -444,15 +444,15 @@
     CHECK(fleet.port.takePackets().empty());
 }
 
-// Beliefs about members change while a search is under way; an entry on the users' bench reset an
-// open flow whose owner may have been skipped so.
+// Beliefs about members change while a search is under way; the owner of an open flow could be
+// skipped so.
 TEST_CASE("entry: a search asks everybody although the order of members changes meanwhile")
 {
     constexpr std::uint32_t members = 14;
     const auto addressOf
         = [](std::uint32_t i) { return endpoint{.ip = 0x0a020000 + i, .port = 7000}; };
     for (std::uint32_t stale = 0; stale < members; ++stale) {
-        entry_bench fleet;
+        entry_fixture fleet;
         std::uint64_t order = 0;
         const auto reportAll = [&](std::optional<std::uint32_t> except) {
             ++order;
@@ -493,7 +493,7 @@
 // Load answered for: all flows of a fleet that lost its power.
 TEST_CASE("entry: a flow that nobody holds is reset as soon as the members are known")
 {
-    entry_bench fleet;
+    entry_fixture fleet;
     fleet.report(reportOf("t1", target_standing::ready, 3));
     fleet.pass(300ms);
     fleet.sendRequest();
@@ -509,14 +509,14 @@
     CHECK(fleet.port.toCallers.size() == 1);
 }
 
-// Seen on the users' bench where VMs were removed one by one: every search ended at one of them,
-// and callers whose flows had died waited for their deadline.
+// Seen while VMs were removed one by one: every search ended at one of them, and callers whose
+// flows had died waited for their deadline.
 TEST_CASE("entry: a search goes on past processes that are down")
 {
     constexpr std::uint32_t members = 14;
     constexpr std::uint32_t removed = 13;
     for (const bool heldFlows : {false, true}) {
-        entry_bench fleet;
+        entry_fixture fleet;
         for (std::uint32_t i = 0; i < members; ++i) {
             const bool isRemoved = i == removed && !heldFlows;
             fleet.report(
@@ -547,7 +547,7 @@
 
 TEST_CASE("entry: a copy of an opening goes past a member that left the first one unanswered")
 {
-    entry_bench fleet;
+    entry_fixture fleet;
     fleet.report(reportOf("t1", target_standing::ready, 0));
     fleet.report(reportOf("t2", target_standing::ready, 0), otherProcess);
     fleet.pass(100ms);
@@ -576,7 +576,7 @@
 
 TEST_CASE("entry: older configurations, domains and reports change nothing")
 {
-    entry_bench fleet;
+    entry_fixture fleet;
     fleet.report(reportOf("t1", target_standing::ready, 0));
     fleet.engine.onDomains(fleet.now, {.revision = 5, .names = {"b"}}, "test");
     boost::intrusive_ptr<relay_config> newer(new relay_config);
@@ -602,7 +602,7 @@
 
 TEST_CASE("entry: target processes hear at once which failure domains are out")
 {
-    entry_bench fleet;
+    entry_fixture fleet;
     fleet.report(reportOf("t1", target_standing::ready, 0));
     fleet.port = {};
     fleet.engine.onDomains(fleet.now, {.revision = 5, .names = {"b"}}, "test");
@@ -617,7 +617,7 @@
 
 TEST_CASE("entry: segments that come while the owner is searched follow it there")
 {
-    entry_bench fleet;
+    entry_fixture fleet;
     fleet.report(reportOf("t1", target_standing::ready, 3));
     fleet.report(reportOf("t2", target_standing::ready, 3), otherProcess);
     fleet.pass(600ms);
