--- a/src/libtoucanlab/relay_fleet.cpp
+++ b/src/libtoucanlab/relay_fleet.cpp
@@ -1,135 +1,21 @@
+#include "relay_fleet_nodes.h"
+
 #include <algorithm>
-#include <toucan/lab/relay_fleet.h>
-#include <toucan/lab/segment_target.h>
 
 namespace toucan::lab {
 namespace {
 
 using namespace std::chrono_literals;
 
-constexpr std::uint32_t entryNet = 0x0a010000;
-constexpr std::uint32_t targetNet = 0x0a020000;
 constexpr std::uint32_t callerNet = 0x64400000;
 constexpr std::uint32_t callerAddresses = 1U << 16U;
-constexpr std::uint16_t peerPort = 7000;
-constexpr auto reportInterval = 1200ms;
-constexpr auto tick = 50ms;
-// Bounds that the platform sets for knowledge that has to be everywhere.
-constexpr auto drainBound = 3s;
-constexpr auto domainBound = 5s;
 
 } // namespace
 
-struct relay_fleet::entry_node : relay_port
-{
-    relay_fleet &fleet;
-    std::size_t number;
-    endpoint peer;
-    std::string domain;
-    std::unique_ptr<relay_entry> engine;
-    metrics::registry metrics;
-    event_log log{"entry", 100'000};
-    std::uint64_t starts = 0;
-
-    entry_node(relay_fleet &owner, std::size_t index)
-        : fleet(owner)
-        , number(index)
-        , peer{.ip = entryNet + static_cast<std::uint32_t>(index), .port = peerPort}
-        , domain(owner.m_options.domains[index % owner.m_options.domains.size()])
-    { }
-
-    void sendPeer(const endpoint &to, byte_view head, byte_view payload) override
-    {
-        byte_buffer bytes(head.begin(), head.end());
-        bytes.insert(bytes.end(), payload.begin(), payload.end());
-        fleet.deliver(peer, to, std::move(bytes));
-    }
-    void sendCaller(const endpoint &, byte_view bytes) override
-    {
-        fleet.toCaller(byte_buffer(bytes.begin(), bytes.end()));
-    }
-    void sendTarget(byte_view) override { }
-    void fetchConfig(const endpoint &from, std::uint64_t) override;
-};
-
-struct relay_fleet::target_node : relay_port
-{
-    relay_fleet &fleet;
-    std::size_t number;
-    endpoint peer;
-    std::string domain;
-    std::string service;
-    std::unique_ptr<relay_target> engine;
-    relay_config_ptr copy;
-    metrics::registry metrics;
-    event_log log{"target", 100'000};
-    std::uint64_t starts = 0;
-    segment_target target;
-    bool silent = false; ///< It takes packets and answers none.
-    std::uint64_t lifetime = 0;
-    std::uint64_t sequence = 0;
-    bool draining = false;
-    std::optional<instant> drainConfirmed;
-    instant coldUntil{};
-
-    target_node(relay_fleet &owner, std::size_t index, std::string serviceName)
-        : fleet(owner)
-        , number(index)
-        , peer{.ip = targetNet + static_cast<std::uint32_t>(index), .port = peerPort}
-        , domain(owner.m_options.domains[index % owner.m_options.domains.size()])
-        , service(std::move(serviceName))
-        , target({.codec = owner.m_codec,
-              .work = owner.m_options.work,
-              .seed = owner.m_random(),
-              .send = [this](byte_buffer bytes) { answer(std::move(bytes)); },
-              .schedule = [this](auto delay, auto act) { fleet.after(delay, std::move(act)); },
-              .onOpening = [this](const flow_key &key) { checkOpening(key); }})
-    { }
-
-    void sendPeer(const endpoint &to, byte_view head, byte_view payload) override
-    {
-        byte_buffer bytes(head.begin(), head.end());
-        bytes.insert(bytes.end(), payload.begin(), payload.end());
-        fleet.deliver(peer, to, std::move(bytes));
-    }
-    void sendCaller(const endpoint &, byte_view bytes) override
-    {
-        fleet.toCaller(byte_buffer(bytes.begin(), bytes.end()));
-    }
-    void sendTarget(byte_view bytes) override
-    {
-        fleet.after(
-            100us, [this, start = lifetime, data = byte_buffer(bytes.begin(), bytes.end())] {
-                if (lifetime == start && !silent)
-                    target.onSegment(data);
-            });
-    }
-    void fetchConfig(const endpoint &from, std::uint64_t) override
-    {
-        fleet.after(5ms, [this, from] {
-            const auto *entry = fleet.entryAt(from);
-            if (!entry || !entry->engine || !entry->engine->config() || !engine)
-                return;
-            copy = entry->engine->config();
-            engine->setCopyRevision(copy->revision);
-        });
-    }
-
-    void answer(byte_buffer bytes)
-    {
-        fleet.after(100us, [this, data = std::move(bytes)]() mutable {
-            if (engine)
-                engine->onTargetBytes(fleet.m_now, data);
-        });
-    }
-
-    void checkOpening(const flow_key &key);
-};
-
 void relay_fleet::entry_node::fetchConfig(const endpoint &from, std::uint64_t)
 {
     const auto start = starts;
-    fleet.after(5ms, [this, from, start] {
+    fleet.after(fleet_layout::fetchTime, [this, from, start] {
         const auto *entry = fleet.entryAt(from);
         const auto *target = fleet.targetAt(from);
         const auto config = entry && entry->engine ? entry->engine->config()
@@ -140,18 +26,6 @@
     });
 }
 
-void relay_fleet::target_node::checkOpening(const flow_key &key)
-{
-    if (drainConfirmed && fleet.m_now - *drainConfirmed > drainBound)
-        fleet.m_violations.push_back("an opening reached a draining target");
-    const auto out = fleet.m_outSince.find(domain);
-    if (out != fleet.m_outSince.end() && fleet.m_now - out->second > domainBound)
-        fleet.m_violations.push_back("an opening reached a failure domain out of service");
-    const auto *route = fleet.m_storeConfig->routeAt(key.service);
-    if (route && route->shares.front().service != service)
-        fleet.m_violations.push_back("an opening reached a target of another service");
-}
-
 relay_fleet::relay_fleet(relay_fleet_options options, const segment_codec &codec)
     : m_options(std::move(options))
     , m_codec(codec)
@@ -285,7 +159,8 @@
 {
     std::vector<endpoint> list;
     for (std::size_t i = 0; i < std::min<std::size_t>(m_options.entries, 3); ++i)
-        list.push_back({.ip = entryNet + static_cast<std::uint32_t>(i), .port = peerPort});
+        list.push_back({.ip = fleet_layout::entryNet + static_cast<std::uint32_t>(i),
+            .port = fleet_layout::peerPort});
     return list;
 }
 
@@ -340,7 +215,7 @@
     if (!node.engine || node.starts != start)
         return;
     node.engine->onTick(m_now);
-    after(tick, [this, entry, start] { tickEntry(entry, start); });
+    after(fleet_layout::tick, [this, entry, start] { tickEntry(entry, start); });
 }
 
 void relay_fleet::publish(entry_node &entry)
@@ -351,110 +226,6 @@
     entry.engine->onDomains(m_now, m_storeDomains, "store");
 }
 
-// --- Targets and their processes
-
-std::size_t relay_fleet::addTarget(const std::string &service)
-{
-    const auto number = m_targets.size();
-    m_targets.push_back(std::make_unique<target_node>(*this, number, service));
-    startProcess(number);
-    startTarget(number);
-    return number;
-}
-
-relay_target_options relay_fleet::targetOptions(const target_node &node, bool first)
-{
-    return {.name = "t" + std::to_string(node.number),
-        .domain = node.domain,
-        .service = node.service,
-        .peer = node.peer,
-        .seeds = seeds(),
-        .firstStart = first,
-        .boot = m_random()};
-}
-
-void relay_fleet::startProcess(std::size_t target)
-{
-    auto &node = *m_targets[target];
-    const bool first = node.starts == 0;
-    node.engine = std::make_unique<relay_target>(
-        targetOptions(node, first), m_codec, node, node.metrics, node.log, m_now);
-    const auto start = ++node.starts;
-    node.copy = nullptr;
-    tickTarget(target, start);
-}
-
-void relay_fleet::killProcess(std::size_t target)
-{
-    m_targets[target]->engine.reset();
-    ++m_targets[target]->starts;
-}
-
-void relay_fleet::tickTarget(std::size_t target, std::uint64_t start)
-{
-    auto &node = *m_targets[target];
-    if (!node.engine || node.starts != start)
-        return;
-    node.engine->onTick(m_now);
-    after(tick, [this, target, start] { tickTarget(target, start); });
-}
-
-void relay_fleet::startTarget(std::size_t target, std::chrono::milliseconds coldFor)
-{
-    auto &node = *m_targets[target];
-    node.target.restart();
-    node.silent = false;
-    node.draining = false;
-    node.drainConfirmed.reset();
-    node.sequence = 0;
-    node.coldUntil = m_now + coldFor;
-    const auto lifetime = ++node.lifetime;
-    after(30ms, [this, target, lifetime] { reportTarget(target, lifetime); });
-}
-
-void relay_fleet::reportTarget(std::size_t target, std::uint64_t lifetime)
-{
-    auto &node = *m_targets[target];
-    if (!node.target.isRunning() || node.lifetime != lifetime)
-        return;
-    if (node.engine) {
-        const auto cold = std::max(node.coldUntil - m_now, instant{});
-        node.engine->onLiveness(m_now,
-            {.id = "i" + std::to_string(target),
-                .service = node.service,
-                .startedMs = 1'000'000 + lifetime,
-                .sequence = ++node.sequence,
-                .slots = m_options.slots,
-                .draining = node.draining,
-                .coldFor = std::chrono::duration_cast<std::chrono::milliseconds>(cold)});
-        if (node.draining && !node.drainConfirmed)
-            node.drainConfirmed = m_now;
-    } else {
-        ++node.sequence;
-    }
-    after(reportInterval, [this, target, lifetime] { reportTarget(target, lifetime); });
-}
-
-void relay_fleet::crashTarget(std::size_t target)
-{
-    m_targets[target]->target.stop();
-}
-
-void relay_fleet::drainTarget(std::size_t target)
-{
-    m_targets[target]->draining = true;
-}
-
-void relay_fleet::silenceTarget(std::size_t target, bool silent)
-{
-    m_targets[target]->silent = silent;
-}
-
-std::size_t relay_fleet::openingsTaken(std::size_t target) const
-{
-    return m_targets[target]->target.openings();
-}
-
 // --- Store and links
 
 void relay_fleet::setStore(bool reachable)
--- /dev/null
+++ b/src/libtoucanlab/relay_fleet_targets.cpp
@@ -0,0 +1,133 @@
+// The targets of an emulated fleet and the processes beside them.
+
+#include "relay_fleet_nodes.h"
+
+#include <algorithm>
+
+namespace toucan::lab {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto reportInterval = 1200ms;
+// Bounds that the platform sets for knowledge that has to be everywhere.
+constexpr auto drainBound = 3s;
+constexpr auto domainBound = 5s;
+
+} // namespace
+
+void relay_fleet::target_node::checkOpening(const flow_key &key)
+{
+    if (drainConfirmed && fleet.m_now - *drainConfirmed > drainBound)
+        fleet.m_violations.push_back("an opening reached a draining target");
+    const auto out = fleet.m_outSince.find(domain);
+    if (out != fleet.m_outSince.end() && fleet.m_now - out->second > domainBound)
+        fleet.m_violations.push_back("an opening reached a failure domain out of service");
+    const auto *route = fleet.m_storeConfig->routeAt(key.service);
+    if (route && route->shares.front().service != service)
+        fleet.m_violations.push_back("an opening reached a target of another service");
+}
+
+std::size_t relay_fleet::addTarget(const std::string &service)
+{
+    const auto number = m_targets.size();
+    m_targets.push_back(std::make_unique<target_node>(*this, number, service));
+    startProcess(number);
+    startTarget(number);
+    return number;
+}
+
+relay_target_options relay_fleet::targetOptions(const target_node &node, bool first)
+{
+    return {.name = "t" + std::to_string(node.number),
+        .domain = node.domain,
+        .service = node.service,
+        .peer = node.peer,
+        .seeds = seeds(),
+        .firstStart = first,
+        .boot = m_random()};
+}
+
+void relay_fleet::startProcess(std::size_t target)
+{
+    auto &node = *m_targets[target];
+    const bool first = node.starts == 0;
+    node.engine = std::make_unique<relay_target>(
+        targetOptions(node, first), m_codec, node, node.metrics, node.log, m_now);
+    const auto start = ++node.starts;
+    node.copy = nullptr;
+    tickTarget(target, start);
+}
+
+void relay_fleet::killProcess(std::size_t target)
+{
+    m_targets[target]->engine.reset();
+    ++m_targets[target]->starts;
+}
+
+void relay_fleet::tickTarget(std::size_t target, std::uint64_t start)
+{
+    auto &node = *m_targets[target];
+    if (!node.engine || node.starts != start)
+        return;
+    node.engine->onTick(m_now);
+    after(fleet_layout::tick, [this, target, start] { tickTarget(target, start); });
+}
+
+void relay_fleet::startTarget(std::size_t target, std::chrono::milliseconds coldFor)
+{
+    auto &node = *m_targets[target];
+    node.target.restart();
+    node.silent = false;
+    node.draining = false;
+    node.drainConfirmed.reset();
+    node.sequence = 0;
+    node.coldUntil = m_now + coldFor;
+    const auto lifetime = ++node.lifetime;
+    after(30ms, [this, target, lifetime] { reportTarget(target, lifetime); });
+}
+
+void relay_fleet::reportTarget(std::size_t target, std::uint64_t lifetime)
+{
+    auto &node = *m_targets[target];
+    if (!node.target.isRunning() || node.lifetime != lifetime)
+        return;
+    if (node.engine) {
+        const auto cold = std::max(node.coldUntil - m_now, instant{});
+        node.engine->onLiveness(m_now,
+            {.id = "i" + std::to_string(target),
+                .service = node.service,
+                .startedMs = 1'000'000 + lifetime,
+                .sequence = ++node.sequence,
+                .slots = m_options.slots,
+                .draining = node.draining,
+                .coldFor = std::chrono::duration_cast<std::chrono::milliseconds>(cold)});
+        if (node.draining && !node.drainConfirmed)
+            node.drainConfirmed = m_now;
+    } else {
+        ++node.sequence;
+    }
+    after(reportInterval, [this, target, lifetime] { reportTarget(target, lifetime); });
+}
+
+void relay_fleet::crashTarget(std::size_t target)
+{
+    m_targets[target]->target.stop();
+}
+
+void relay_fleet::drainTarget(std::size_t target)
+{
+    m_targets[target]->draining = true;
+}
+
+void relay_fleet::silenceTarget(std::size_t target, bool silent)
+{
+    m_targets[target]->silent = silent;
+}
+
+std::size_t relay_fleet::openingsTaken(std::size_t target) const
+{
+    return m_targets[target]->target.openings();
+}
+
+} // namespace toucan::lab
--- /dev/null
+++ b/src/libtoucanrelay/relay_entry_test.cpp
@@ -0,0 +1,117 @@
+#include "engine_fixtures.h"
+
+#include <catch2/catch.hpp>
+
+using namespace toucan;
+using namespace toucan::testing;
+
+TEST_CASE("entry: an opening is not tried again after its caller was reset")
+{
+    entry_fixture fleet;
+    fleet.pass(4s);
+    fleet.report(reportOf("t1", target_standing::ready, 0));
+    const auto open = [&](std::uint32_t copy) {
+        auto head = opening;
+        head.copy = copy;
+        auto bytes = fleet.codec.encode(head, {});
+        fleet.engine.onCallerBytes(fleet.now, bytes);
+    };
+    // The refusals of an opening and of its copy come late.
+    open(0);
+    fleet.now += 200ms;
+    auto alive = reportOf("t1", target_standing::ready, 0);
+    alive.order = 2;
+    fleet.report(alive);
+    open(1);
+    auto refusals = std::exchange(fleet.port.toPeers, {});
+    REQUIRE(refusals.size() == 2);
+    const auto refuse = [&](byte_buffer &bytes) {
+        auto packet = decodeRelayPacket(bytes);
+        packet->header.kind = relay_kind::refused_opening;
+        packet->header.candidates.clear();
+        auto reply = fleet.packet(packet->header, *fleet.codec.decode(packet->bytes));
+        fleet.engine.onPeerBytes(fleet.now, processAddress, reply);
+    };
+    refuse(refusals[0].second);
+    CHECK(fleet.port.toCallers.empty());
+    fleet.now += 250ms;
+    refuse(refusals[1].second);
+    // The refusal is followed by another try at once, which is refused as well.
+    for (auto &[to, bytes] : std::exchange(fleet.port.toPeers, {}))
+        refuse(bytes);
+    REQUIRE(fleet.port.toCallers.size() == 1);
+    fleet.port = {};
+    fleet.now += 100ms;
+    fleet.engine.onTick(fleet.now);
+    CHECK(fleet.port.takePackets().empty());
+}
+
+TEST_CASE("entry: a copy of an opening goes past a member that left the first one unanswered")
+{
+    entry_fixture fleet;
+    fleet.report(reportOf("t1", target_standing::ready, 0));
+    fleet.report(reportOf("t2", target_standing::ready, 0), otherProcess);
+    fleet.pass(100ms);
+    const auto open = [&](std::uint32_t copy) {
+        auto head = opening;
+        head.copy = copy;
+        auto bytes = fleet.codec.encode(head, {});
+        fleet.engine.onCallerBytes(fleet.now, bytes);
+        const auto packets = fleet.port.takePackets();
+        return packets.empty() ? endpoint{} : packets.front().second;
+    };
+    const auto first = open(0);
+    REQUIRE(first);
+    fleet.now += 200ms;
+    open(1);
+    fleet.now += 400ms;
+    // Both are asked in turn by the copies of one opening; a new one avoids the silent member.
+    auto head = opening;
+    head.source.port = 5;
+    auto bytes = fleet.codec.encode(head, {});
+    fleet.engine.onCallerBytes(fleet.now, bytes);
+    const auto packets = fleet.port.takePackets();
+    REQUIRE(packets.size() == 1);
+    CHECK(packets.front().second != first);
+}
+
+TEST_CASE("entry: older configurations, domains and reports change nothing")
+{
+    entry_fixture fleet;
+    fleet.report(reportOf("t1", target_standing::ready, 0));
+    fleet.engine.onDomains(fleet.now, {.revision = 5, .names = {"b"}}, "test");
+    boost::intrusive_ptr<relay_config> newer(new relay_config);
+    newer->revision = 7;
+    newer->index[service] = 0;
+    newer->routes.push_back({.name = "r", .address = service, .shares = {{.service = "main"}}});
+    fleet.engine.onConfig(fleet.now, newer, "test");
+    boost::intrusive_ptr<relay_config> older(new relay_config);
+    older->revision = 6;
+    fleet.engine.onConfig(fleet.now, older, "test");
+    fleet.engine.onDomains(fleet.now, {.revision = 4, .names = {"a"}}, "test");
+    auto late = reportOf("t1", target_standing::draining, 0);
+    late.order = 0;
+    fleet.report(late);
+    CHECK(fleet.engine.config()->revision == 7);
+    CHECK(fleet.engine.domains().names == std::vector<std::string>{"b"});
+    fleet.port = {};
+    auto bytes = fleet.codec.encode(opening, {});
+    fleet.engine.onCallerBytes(fleet.now, bytes);
+    CHECK(fleet.port.toCallers.empty());
+    CHECK(fleet.port.takePackets().size() == 1);
+}
+
+TEST_CASE("entry: target processes hear at once which failure domains are out")
+{
+    entry_fixture fleet;
+    fleet.report(reportOf("t1", target_standing::ready, 0));
+    fleet.port = {};
+    fleet.engine.onDomains(fleet.now, {.revision = 5, .names = {"b"}}, "test");
+    const auto told = std::ranges::count_if(fleet.port.toPeers, [](const auto &sent) {
+        const auto message = decodeRelayMessage(sent.second);
+        const auto *value = valueOf(message);
+        return sent.first == processAddress && value
+            && std::get<entry_notice>(*value).domainsOut == std::vector<std::string>{"b"};
+    });
+    CHECK(told == 1);
+}
--- /dev/null
+++ b/src/libtoucanrelay/relay_target_test.cpp
@@ -0,0 +1,172 @@
+#include "engine_fixtures.h"
+
+#include <catch2/catch.hpp>
+
+using namespace toucan;
+using namespace toucan::testing;
+
+TEST_CASE("target process: the caller's acknowledgement tells which of two targets it chose")
+{
+    target_fixture chosen;
+    chosen.sendRequest(target_fixture::sequence + 1);
+    CHECK(chosen.port.toTarget.size() == 1);
+    CHECK(chosen.port.takePackets().empty());
+
+    for (const std::uint32_t other : {~0U, 1U, 700U, 1U << 19U, 1U << 31U}) {
+        target_fixture notChosen;
+        notChosen.sendRequest(target_fixture::sequence + 1 + other);
+        INFO("off by " << other);
+        CHECK(notChosen.port.toTarget.empty());
+        const auto packets = notChosen.port.takePackets();
+        REQUIRE(packets.size() == 1);
+        CHECK(packets.front().first == relay_kind::not_found);
+    }
+}
+
+TEST_CASE("target process: a segment that the target returns is searched for, the flow not reset")
+{
+    target_fixture fleet;
+    fleet.sendRequest(target_fixture::sequence + 1);
+    auto returned = request(target_fixture::sequence + 1);
+    returned.returned = true;
+    auto bytes = fleet.codec.encode(returned, byte_buffer(100, 'q'));
+    fleet.engine.onTargetBytes(fleet.now, bytes);
+    CHECK(fleet.port.toCallers.empty());
+    const auto packets = fleet.port.takePackets();
+    REQUIRE(packets.size() == 1);
+    CHECK(packets.front() == std::pair(relay_kind::not_found, entryAddress));
+}
+
+TEST_CASE("target process: a reset by a target that was only asked is no answer to the caller")
+{
+    engine_fixture fleet;
+    relay_target engine({.name = "t1", .domain = "a", .service = "main", .peer = processAddress},
+        fleet.codec, fleet.port, fleet.metrics, fleet.log, fleet.now);
+    auto asked = fleet.packet(
+        {.kind = relay_kind::established, .entry = entryAddress, .search = 1}, request(1));
+    engine.onPeerBytes(fleet.now, entryAddress, asked);
+    REQUIRE(fleet.port.toTarget.size() == 1);
+    fleet.port = {};
+    auto answer = fleet.codec.encode(
+        {.source = service, .destination = caller, .reset = true, .sequence = 1}, {});
+    engine.onTargetBytes(fleet.now, answer);
+    CHECK(fleet.port.toCallers.empty());
+    REQUIRE(fleet.port.toPeers.size() == 1);
+    const auto packets = fleet.port.takePackets();
+    REQUIRE(packets.size() == 1);
+    CHECK(packets.front() == std::pair(relay_kind::not_found, entryAddress));
+}
+
+TEST_CASE("target process: an opening that the target turns away or leaves unanswered goes on")
+{
+    for (const bool isReturned : {true, false}) {
+        engine_fixture fleet;
+        relay_target engine(
+            {.name = "t1", .domain = "a", .service = "main", .peer = processAddress}, fleet.codec,
+            fleet.port, fleet.metrics, fleet.log, fleet.now);
+        engine.onLiveness(
+            fleet.now, {.id = "i1", .service = "main", .startedMs = 1, .sequence = 1, .slots = 4});
+        relay_header header{.kind = relay_kind::opening,
+            .entry = entryAddress,
+            .serviceTag = serviceTagOf("main"),
+            .candidates = {otherProcess}};
+        auto bytes = fleet.packet(header, opening);
+        engine.onPeerBytes(fleet.now, entryAddress, bytes);
+        REQUIRE(fleet.port.toTarget.size() == 1);
+        fleet.port = {};
+        if (isReturned) {
+            auto returned = opening;
+            returned.returned = true;
+            auto answer = fleet.codec.encode(returned, {});
+            engine.onTargetBytes(fleet.now, answer);
+        } else {
+            fleet.now += 100ms;
+            engine.onTick(fleet.now);
+        }
+        const auto packets = fleet.port.takePackets();
+        INFO("returned " << isReturned);
+        REQUIRE(packets.size() == 1);
+        CHECK(packets.front() == std::pair(relay_kind::opening, otherProcess));
+    }
+}
+
+TEST_CASE("target process: the entry that looked for a flow is told of its owner")
+{
+    target_fixture fleet;
+    auto bytes = fleet.packet({.kind = relay_kind::established, .entry = entryAddress, .search = 1},
+        request(target_fixture::sequence + 1));
+    fleet.engine.onPeerBytes(fleet.now, otherProcess, bytes);
+    REQUIRE(fleet.port.toPeers.size() == 1);
+    const auto message = decodeRelayMessage(fleet.port.toPeers.front().second);
+    REQUIRE(valueOf(message));
+    CHECK(fleet.port.toPeers.front().first == entryAddress);
+    CHECK(std::get<flow_owner>(*valueOf(message)).caller == caller);
+}
+
+TEST_CASE(
+    "target process: an acknowledgement of a flow's end does not show that the target holds it")
+{
+    engine_fixture fleet;
+    relay_target engine({.name = "t1", .domain = "a", .service = "main", .peer = processAddress},
+        fleet.codec, fleet.port, fleet.metrics, fleet.log, fleet.now);
+    auto end = request(1);
+    end.length = 0;
+    end.finish = true;
+    auto asked
+        = fleet.packet({.kind = relay_kind::established, .entry = entryAddress, .search = 1}, end);
+    engine.onPeerBytes(fleet.now, entryAddress, asked);
+    fleet.port = {};
+    auto answer = fleet.codec.encode(
+        {.source = service, .destination = caller, .acknowledge = true, .sequence = 1}, {});
+    engine.onTargetBytes(fleet.now, answer);
+    CHECK(fleet.port.toCallers.size() == 1);
+    CHECK(fleet.port.toPeers.empty());
+}
+
+TEST_CASE("target process: requests of flows that ended without an answer wait no longer")
+{
+    enum class ending { targetFinishes, callerResets, targetResets };
+    for (const auto how : {ending::targetFinishes, ending::callerResets, ending::targetResets}) {
+        engine_fixture fleet;
+        relay_target engine(
+            {.name = "t1", .domain = "a", .service = "main", .peer = processAddress}, fleet.codec,
+            fleet.port, fleet.metrics, fleet.log, fleet.now);
+        engine.onLiveness(
+            fleet.now, {.id = "i1", .service = "main", .startedMs = 1, .sequence = 1, .slots = 1});
+        const auto fromCaller = [&](relay_kind kind, segment head, std::uint16_t port) {
+            head.source.port = port;
+            auto bytes = fleet.packet(
+                {.kind = kind, .entry = entryAddress, .serviceTag = serviceTagOf("main")}, head);
+            engine.onPeerBytes(fleet.now, entryAddress, bytes);
+        };
+        const auto fromTarget = [&](segment head, std::uint16_t port) {
+            head.source = service;
+            head.destination = {.ip = caller.ip, .port = port};
+            auto bytes = fleet.codec.encode(head, {});
+            engine.onTargetBytes(fleet.now, bytes);
+        };
+        const auto open = [&](std::uint16_t port) {
+            fromCaller(relay_kind::opening, opening, port);
+            fromTarget({.synchronize = true, .acknowledge = true, .sequence = 9}, port);
+            fromCaller(relay_kind::established, request(10), port);
+        };
+        for (std::uint16_t port = 1; port <= waitingForEachSlot; ++port) {
+            open(port);
+            auto end = request(10);
+            end.length = 0;
+            end.finish = how == ending::targetFinishes;
+            end.reset = how == ending::callerResets;
+            if (how != ending::targetResets)
+                fromCaller(relay_kind::established, end, port);
+            if (how != ending::callerResets)
+                fromTarget({.acknowledge = true,
+                               .finish = how == ending::targetFinishes,
+                               .reset = how == ending::targetResets},
+                    port);
+        }
+        fleet.port = {};
+        fromCaller(relay_kind::opening, opening, 100);
+        INFO("ending " << static_cast<int>(how));
+        CHECK(fleet.port.toTarget.size() == 1);
+    }
+}
