Report requests that a target failed as load

Cause: a target that resets its flows, or whose callers give up, has no queue, so that placing by load offered it the most: 209 to 219 of 600 openings at one of six targets in the emulator.

Change: the process beside a target counts requests whose flows ended before the answer, and reports their share of the latest ones (memory 2 s) as load, up to four waiting requests a slot. Test that failed first: 'a target that fails its requests gets few openings, and its share again later' (bound: a quarter of an even share; half of one afterwards).

--- a/src/include/toucan/lab/relay_fleet.h
+++ b/src/include/toucan/lab/relay_fleet.h
@@ -64,6 +64,8 @@
     void startTarget(std::size_t target, std::chrono::milliseconds coldFor = {});
     void drainTarget(std::size_t target);
     void silenceTarget(std::size_t target, bool silent);
+    /// Lets a target reset the flow of each request, or answer again.
+    void failTarget(std::size_t target, bool fail);
     std::size_t addTarget(const std::string &service = "main");
 
     /// The store: whether entries reach it, routes, failure domains out of service.
--- a/src/include/toucan/lab/segment_target.h
+++ b/src/include/toucan/lab/segment_target.h
@@ -37,6 +37,8 @@
     void onSegment(byte_view bytes);
     /// Starts a new lifetime, without flows.
     void restart();
+    /// Resets the flow of each request instead of answering it.
+    void failRequests(bool fail) { m_failing = fail; }
     /// Stops answering and starting work; a restart ends that.
     void stop() { m_running = false; }
 
@@ -67,6 +69,7 @@
     std::uint64_t m_lifetime = 0;
     std::size_t m_openings = 0;
     bool m_running = true;
+    bool m_failing = false;
 };
 
 } // namespace toucan::lab
--- a/src/include/toucan/opening_gate.h
+++ b/src/include/toucan/opening_gate.h
@@ -90,4 +90,25 @@
     double m_smoothed = 0;
 };
 
+/// How much of its latest requests a target failed: flows that ended, from either side, before the
+/// answer came. Old requests are forgotten, so that a target is tried again after a while.
+///
+/// Load answered for: a target that resets its flows has no queue, and would be offered the most.
+class failure_share
+{
+public:
+    /// A request ended.
+    void add(instant now, bool failed);
+    /// Load to report on top of the queue, thousandths of a slot.
+    std::uint64_t penalty(instant now) const;
+
+private:
+    /// Weight that is left after some time of what was counted at m_at.
+    double fading(instant now) const;
+
+    instant m_at{};
+    double m_failed = 0;
+    double m_all = 0;
+};
+
 } // namespace toucan
--- a/src/include/toucan/relay_target.h
+++ b/src/include/toucan/relay_target.h
@@ -117,7 +117,8 @@
     static relay_header headerOf(const flow &item);
     bool isMine(const flow &item, const segment &head) const;
     void tellOwner(const flow_key &key, flow &item);
-    void setWaiting(instant now, flow &item, bool waiting);
+    void beginRequest(instant now, flow &item);
+    void endRequest(instant now, flow &item, bool answered);
     void erase(instant now, flow_map::iterator place, std::string_view outcome);
     void endLifetime(instant now, instant lastHeard, std::string_view reason);
     void resetFlow(instant now, flow_map::iterator place, std::string_view reason);
@@ -146,6 +147,7 @@
     metrics::number &m_passedOn;
     metrics::number &m_malformed;
     metrics::distribution &m_firstAnswer;
+    metrics::number &m_unansweredRequests; ///< Requests whose flows ended before the answer.
 
     liveness_record m_liveness;
     domains_out m_domains;
@@ -157,6 +159,7 @@
     std::map<endpoint, entry_state> m_entries;
     opening_window m_window;
     smoothed_level m_load;
+    failure_share m_failures;
     std::uint64_t m_waiting = 0;
     std::uint64_t m_reportOrder = 0;
     std::vector<std::pair<instant, flow_key>> m_unanswered; ///< Openings, oldest first.
--- a/src/libtoucanlab/relay_fleet_targets.cpp
+++ b/src/libtoucanlab/relay_fleet_targets.cpp
@@ -120,6 +120,11 @@
     m_targets[target]->draining = true;
 }
 
+void relay_fleet::failTarget(std::size_t target, bool fail)
+{
+    m_targets[target]->target.failRequests(fail);
+}
+
 void relay_fleet::silenceTarget(std::size_t target, bool silent)
 {
     m_targets[target]->silent = silent;
--- a/src/libtoucanlab/relay_fleet_test.cpp
+++ b/src/libtoucanlab/relay_fleet_test.cpp
@@ -430,3 +430,30 @@
     const char *seed = std::getenv("SEED");
     CHECK(playFaults(seed ? std::stoull(seed) : 0, true).empty());
 }
+
+// A target that resets its flows has no queue, so that by load alone it would get the most.
+TEST_CASE("relay: a target that fails its requests gets few openings, and its share again later")
+{
+    constexpr std::size_t targets = 6;
+    constexpr int evenShare = 100;
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        auto fleet = makeFleet({.targets = targets, .seed = seed, .slots = 4});
+        fleet.run(4s);
+        openFlows(fleet, 300);
+        fleet.failTarget(0, true);
+        openFlows(fleet, 300);
+        const auto before = fleet.openingsTaken(0);
+        openFlows(fleet, evenShare * static_cast<int>(targets));
+        const auto whileFailing = fleet.openingsTaken(0) - before;
+        fleet.failTarget(0, false);
+        openFlows(fleet, 800);
+        const auto healed = fleet.openingsTaken(0);
+        openFlows(fleet, evenShare * static_cast<int>(targets));
+        INFO("seed " << seed << ", while failing " << whileFailing << ", afterwards "
+                     << fleet.openingsTaken(0) - healed);
+        CHECK(whileFailing * 4 <= evenShare);
+        CHECK(whileFailing > 0);
+        CHECK((fleet.openingsTaken(0) - healed) * 2 >= evenShare);
+        CHECK(listOf(fleet.violations()).empty());
+    }
+}
--- a/src/libtoucanlab/segment_target.cpp
+++ b/src/libtoucanlab/segment_target.cpp
@@ -69,6 +69,16 @@
         return;
     }
     flow.callerNext = end;
+    if (m_failing) {
+        m_options.send(m_options.codec.encode({.source = key.service,
+                                                  .destination = key.caller,
+                                                  .reset = true,
+                                                  .sequence = flow.sequence + 1,
+                                                  .acknowledged = end},
+            {}));
+        m_held.erase(place);
+        return;
+    }
     ++m_runs[{key, head.sequence}];
     m_options.schedule(m_options.work, [this, key, lifetime = m_lifetime] {
         const auto still = m_held.find(key);
--- a/src/libtoucanrelay/opening_gate.cpp
+++ b/src/libtoucanrelay/opening_gate.cpp
@@ -5,6 +5,20 @@
 
 namespace toucan {
 
+namespace {
+
+using namespace std::chrono_literals;
+
+// Time in which a failure loses two thirds of its weight: targets fail for some seconds, and a
+// caller's patience is about as long.
+constexpr std::chrono::milliseconds failureMemory = 2s;
+// Requests that a target may fail before much is concluded.
+constexpr double unjudgedRequests = 2;
+// Load of a target that fails all requests, thousandths of a slot: more than any queue allows.
+constexpr double penaltyOfFailingAll = 1000 * (waitingForEachSlot + 1);
+
+} // namespace
+
 std::string_view toString(opening_verdict verdict)
 {
     constexpr std::array<std::string_view, openingVerdicts> names{"accepted", "standing unknown",
@@ -63,4 +77,25 @@
     return m_value + (m_smoothed - m_value) * std::exp(-passed / memory);
 }
 
+double failure_share::fading(instant now) const
+{
+    const auto passed = std::chrono::duration<double>(std::max(now - m_at, instant{}));
+    return std::exp(-passed / std::chrono::duration<double>(failureMemory));
+}
+
+void failure_share::add(instant now, bool failed)
+{
+    const auto left = fading(now);
+    m_failed = m_failed * left + (failed ? 1 : 0);
+    m_all = m_all * left + 1;
+    m_at = now;
+}
+
+std::uint64_t failure_share::penalty(instant now) const
+{
+    const auto left = fading(now);
+    const auto share = m_failed * left / (m_all * left + unjudgedRequests);
+    return static_cast<std::uint64_t>(share * penaltyOfFailingAll);
+}
+
 } // namespace toucan
--- a/src/libtoucanrelay/relay_target.cpp
+++ b/src/libtoucanrelay/relay_target.cpp
@@ -36,6 +36,7 @@
     , m_passedOn(metrics.numberOf("toucan_segments_passed_on_total"))
     , m_malformed(metrics.numberOf("toucan_malformed_datagrams_total"))
     , m_firstAnswer(metrics.distributionOf("toucan_first_answer_ms"))
+    , m_unansweredRequests(metrics.numberOf("toucan_requests_unanswered_total"))
     , m_load(loadMemory)
     , m_knowsAllFlows(m_options.firstStart)
     , m_started(now)
@@ -240,7 +241,7 @@
     item.callerFinished = item.callerFinished || head.finish || head.reset;
     // Targets drop the requests of callers that are gone.
     if (head.reset)
-        setWaiting(now, item, false);
+        endRequest(now, item, false);
     if (head.length == 0)
         return;
     const auto end = head.sequence + head.length;
@@ -249,27 +250,32 @@
     if (!isNew)
         return;
     item.callerNext = end;
-    if (!item.waitingSince)
-        ++item.requests;
-    setWaiting(now, item, true);
+    beginRequest(now, item);
 }
 
-void relay_target::setWaiting(instant now, flow &item, bool waiting)
+void relay_target::beginRequest(instant now, flow &item)
 {
-    if (waiting == item.waitingSince.has_value())
+    if (item.waitingSince)
         return;
-    if (waiting) {
-        item.waitingSince = now;
-        ++m_waiting;
-    } else {
-        const auto took
-            = std::chrono::duration_cast<std::chrono::milliseconds>(now - *item.waitingSince);
-        item.slowest = std::max(item.slowest, took);
+    ++item.requests;
+    item.waitingSince = now;
+    m_load.set(now, static_cast<double>(++m_waiting));
+}
+
+void relay_target::endRequest(instant now, flow &item, bool answered)
+{
+    if (!item.waitingSince)
+        return;
+    const auto took
+        = std::chrono::duration_cast<std::chrono::milliseconds>(now - *item.waitingSince);
+    item.slowest = std::max(item.slowest, took);
+    item.waitingSince.reset();
+    m_load.set(now, static_cast<double>(--m_waiting));
+    m_failures.add(now, !answered);
+    if (answered)
         m_firstAnswer.add(static_cast<double>(took.count()));
-        item.waitingSince.reset();
-        --m_waiting;
-    }
-    m_load.set(now, static_cast<double>(m_waiting));
+    else
+        m_unansweredRequests.add();
 }
 
 void relay_target::onTargetBytes(instant now, std::span<std::uint8_t> bytes)
@@ -329,7 +335,7 @@
     }
     // An end without data means that the request will not be answered.
     if (head.length > 0 || head.finish || head.reset)
-        setWaiting(now, item, false);
+        endRequest(now, item, head.length > 0);
     item.targetFinished = item.targetFinished || head.finish;
     if (head.reset)
         erase(now, place, "reset by target");
@@ -423,8 +429,7 @@
 void relay_target::erase(instant now, flow_map::iterator place, std::string_view outcome)
 {
     auto &item = place->second;
-    if (item.waitingSince)
-        setWaiting(now, item, false);
+    endRequest(now, item, false);
     using std::chrono::duration_cast;
     using std::chrono::milliseconds;
     m_log.write(now,
--- a/src/libtoucanrelay/relay_target_entries.cpp
+++ b/src/libtoucanrelay/relay_target_entries.cpp
@@ -109,8 +109,8 @@
         .slots = slots,
         .flows = heldFlows(),
         .waiting = m_waiting,
-        .load
-        = static_cast<std::uint64_t>(m_load.read(now) * thousand / static_cast<double>(slots)),
+        .load = static_cast<std::uint64_t>(m_load.read(now) * thousand / static_cast<double>(slots))
+            + m_failures.penalty(now),
         .openRate = coldLimit(),
         .leaving = m_leaving,
         .intervalMs = static_cast<std::uint64_t>(interval.count()),
--- a/src/libtoucanrelay/relay_target_lifetime.cpp
+++ b/src/libtoucanrelay/relay_target_lifetime.cpp
@@ -43,6 +43,7 @@
         m_knowsAllFlows = true;
     if (outcome == liveness_outcome::new_lifetime) {
         endLifetime(now, lastHeard, "the target started anew");
+        m_failures = {};
         m_knowsAllFlows = true;
     }
     if (report.leaving)
