--- /dev/null
+++ b/src/include/toucan/directory_census.h
@@ -0,0 +1,55 @@
+#pragma once
+
+/// Which records on the list of entries were left by VMs that are gone. Pure decisions.
+
+#include <map>
+#include <set>
+#include <span>
+#include <string>
+#include <toucan/endpoint.h>
+#include <vector>
+
+namespace toucan {
+
+/// An entry's record on the list.
+struct listed_entry
+{
+    std::string name; ///< Name of the VM.
+    endpoint peer; ///< Address for other processes.
+    std::uint64_t version = 0; ///< Version of the record.
+};
+
+/// What a round of asking found.
+struct census_finding
+{
+    bool ownIsMissing = false; ///< The list has no record of this entry.
+    std::vector<listed_entry> gone; ///< Records to remove, each at its version.
+    std::size_t listed = 0; ///< Other entries on the list.
+    std::size_t heard = 0; ///< Those of them that were heard.
+};
+
+/// Compares the list with the entries that answer. A record counts as left behind when its entry
+/// stayed silent in two rounds in a row, while at least half of the other listed entries were
+/// heard: an entry that is itself cut off must not remove the others. Not thread-safe.
+class directory_census
+{
+public:
+    explicit directory_census(std::string self)
+        : m_self(std::move(self))
+    { }
+
+    /// Begins a round with a list that was just read.
+    void begin(std::vector<listed_entry> records);
+    /// Peer addresses of entries that were heard since then.
+    void noteHeard(std::span<const endpoint> peers) { m_heard.insert(peers.begin(), peers.end()); }
+    /// Ends the round.
+    census_finding conclude();
+
+private:
+    std::string m_self;
+    std::vector<listed_entry> m_records;
+    std::set<endpoint> m_heard;
+    std::map<std::string, std::uint64_t> m_silent; ///< Versions of records silent last time.
+};
+
+} // namespace toucan
--- a/src/include/toucan/entry_directory.h
+++ b/src/include/toucan/entry_directory.h
@@ -3,36 +3,64 @@
 /// The list of entries in the platform's store: each entry keeps a record of itself there, and
 /// processes whose seeds are all down find the others by it.
 
+#include <toucan/directory_census.h>
 #include <toucan/store_follower.h>
 
 namespace toucan {
 
-/// An entry's record.
+/// An entry's record of itself.
 struct directory_entry
 {
     std::string name; ///< Name of the VM.
     endpoint peer; ///< Address for other processes.
+    endpoint control; ///< Address of its control link.
 };
 
-/// Called on the directory's thread with all entries on the list.
+/// Called on the directory's thread with the peer addresses of all entries on the list.
 using directory_handler = std::function<void(std::vector<endpoint>)>;
 
-/// Writes an entry's record, conditionally, until it stands, and then reads the list once.
+/// Rhythm in which an entry compares the list with the entries that answer.
+struct directory_rhythm
+{
+    /// Between two rounds: records that are left behind cost nothing but a few packets meanwhile.
+    std::chrono::milliseconds interval{std::chrono::minutes(10)};
+    /// Time in which listed entries can answer; they are asked each half second.
+    std::chrono::milliseconds answerTime{std::chrono::seconds(20)};
+};
+
+/// Reads all records; those that cannot be read are left out.
+result<std::vector<directory_entry>> readDirectory(platform_client &client, std::string_view kind);
+
+/// Keeps an entry's record: writes it, conditionally, until it stands, hands out the list, and from
+/// time to time removes, conditionally too, the records of entries that are gone and writes its own
+/// again when it is missing.
 class entry_registration
 {
 public:
-    entry_registration(
-        store_access access, std::string kind, directory_entry self, directory_handler onList);
+    entry_registration(store_access access, std::string kind, directory_entry self,
+        directory_handler onList, directory_rhythm rhythm = {});
     ~entry_registration();
 
+    /// True while it matters which entries answer.
+    bool isAsking() const { return m_asking; }
+    /// Peer addresses of entries that were heard lately. Thread-safe.
+    void noteHeard(std::span<const endpoint> peers);
+
 private:
     void run(const std::stop_token &stop);
+    bool stand(const std::stop_token &stop, retry_pause &pause);
+    void compare(const std::stop_token &stop, std::vector<listed_entry> records);
+    void remove(const listed_entry &record, const census_finding &found);
 
     store_access m_store;
     std::string m_kind;
     directory_entry m_self;
     directory_handler m_handler;
+    directory_rhythm m_rhythm;
     platform_client m_client;
+    std::mutex m_mutex;
+    directory_census m_census;
+    std::atomic<bool> m_asking = false;
     std::jthread m_thread;
 };
 
--- a/src/include/toucan/event_log.h
+++ b/src/include/toucan/event_log.h
@@ -22,6 +22,8 @@
         : m_perSecond(perSecond)
         , m_tokens(perSecond)
     { }
+    /// Allows another number a second.
+    void setRate(double perSecond) { m_perSecond = perSecond; }
     /// Takes a token; false when there is none.
     bool take(instant now);
 
@@ -38,6 +40,9 @@
     /// Writes to standard output, at most `linesPerSecond` of each kind.
     event_log(std::string part, std::uint64_t linesPerSecond);
 
+    /// Allows another number of lines of each kind a second.
+    void setRate(std::uint64_t linesPerSecond);
+
     /// Writes one line.
     template <class E>
     void write(instant now, const E &event)
--- a/src/include/toucan/fields.h
+++ b/src/include/toucan/fields.h
@@ -27,6 +27,7 @@
     std::uint64_t minimum = 0; ///< Smallest number allowed.
     std::uint64_t maximum = std::numeric_limits<std::uint64_t>::max(); ///< Largest number allowed.
     std::string_view choices; ///< Words allowed, separated by spaces; empty allows any.
+    bool reload = false; ///< Whether a setting takes effect while the program runs.
 };
 
 /// Specialised for each generated struct: its name and its table of fields.
--- a/src/include/toucan/fleet_status.h
+++ b/src/include/toucan/fleet_status.h
@@ -3,7 +3,7 @@
 /// What is in force where: asks every process for its status.
 
 #include <functional>
-#include <toucan/platform_client.h>
+#include <toucan/platform_adapter.h>
 
 namespace toucan {
 
@@ -16,7 +16,7 @@
     bool reachable = false;
     std::uint64_t version = 0;
     std::string state;
-    nlohmann::json detail; ///< Everything it said.
+    nlohmann::json detail = nlohmann::json::object(); ///< Everything it said.
 };
 
 /// All processes against one configuration.
@@ -33,6 +33,28 @@
 /// at a time.
 fleet_status readFleet(const config_snapshot &config, std::chrono::milliseconds timeout);
 
+/// A target process as the entries that answered see it.
+struct seen_target
+{
+    std::string name;
+    std::string service;
+    std::string domain;
+    std::string state; ///< What most of them believe of its target; "lost" when none hears it.
+    std::size_t heardBy = 0; ///< Entries that hear it.
+};
+
+/// A fleet that relays segments: its entries against the configuration, and its targets.
+struct relay_fleet_status
+{
+    fleet_status entries;
+    std::vector<seen_target> targets; ///< By service and name.
+};
+
+/// Asks the entries on the platform's list or, when the platform does not answer, those behind the
+/// control links given; the newest configuration is then the newest that one of them has.
+result<relay_fleet_status> readRelayFleet(platform_client &platform, const platform_kinds &kinds,
+    std::span<const endpoint> peers, std::chrono::milliseconds timeout);
+
 /// The configuration from the platform or, when it does not answer, from one of the control links.
 result<config_ptr> readConfig(platform_client &platform, std::span<const endpoint> peers);
 
--- a/src/include/toucan/log.h
+++ b/src/include/toucan/log.h
@@ -11,6 +11,9 @@
 /// Sets the least severe level and writes to standard error. Call once at start.
 void start(std::string_view level);
 
+/// Sets the least severe level of all parts.
+void setLevel(std::string_view level);
+
 /// The logger of a part, for example "config". Messages are short sentences followed by
 /// key=value fields.
 std::shared_ptr<spdlog::logger> part(const std::string &name);
--- a/src/include/toucan/node.h
+++ b/src/include/toucan/node.h
@@ -19,6 +19,8 @@
 void handleStopSignals();
 /// True once a stop signal came.
 bool stopRequested();
+/// When the program was loaded.
+instant loadedAt();
 /// True once after each SIGHUP that came since handleStopSignals().
 bool takeReloadRequest();
 
--- a/src/include/toucan/relay_entry.h
+++ b/src/include/toucan/relay_entry.h
@@ -46,8 +46,8 @@
     void onDomains(instant now, const domains_out &domains, std::string_view source);
     /// Peer addresses of entries that the platform knows.
     void onEntries(instant now, std::span<const endpoint> peers);
-    /// Other seeds from the settings.
-    void setSeeds(std::vector<endpoint> seeds) { m_options.seeds = std::move(seeds); }
+    /// Options that changed while the engine runs; names, addresses and `boot` must stay.
+    void setOptions(relay_entry_options options) { m_options = std::move(options); }
     /// Time passed. Call at least each tickInterval.
     void onTick(instant now);
 
@@ -65,7 +65,9 @@
     const domains_out &domains() const { return m_domains; }
     std::size_t flowCount() const { return m_flows.size(); }
     std::size_t memberCount() const { return m_members.aliveCount(); }
-    std::size_t entryCount() const { return m_entries.size(); }
+    const member_table &members() const { return m_members; }
+    /// Peer addresses of the other entries that were heard within the last seconds.
+    std::vector<endpoint> heardEntries(instant now) const;
 
 private:
     /// Members that an opening and its copies were sent to.
--- a/src/include/toucan/relay_members.h
+++ b/src/include/toucan/relay_members.h
@@ -47,6 +47,9 @@
     std::uint64_t expectedLoad() const;
 };
 
+/// What is believed of a member in one word: "lost" or its standing.
+std::string_view beliefAbout(const relay_member &item);
+
 /// A change of belief, for the log.
 struct member_change
 {
--- a/src/include/toucan/relay_process.h
+++ b/src/include/toucan/relay_process.h
@@ -6,6 +6,7 @@
 #include <condition_variable>
 #include <deque>
 #include <filesystem>
+#include <future>
 #include <poll.h>
 #include <thread>
 #include <toucan/event_log.h>
@@ -34,8 +35,15 @@
     std::vector<endpoint> peers;
 };
 
+/// Somebody asks for the process's state.
+struct status_request
+{
+    std::shared_ptr<std::promise<nlohmann::json>> answer;
+};
+
 /// What other threads have for the traffic thread.
-using relay_event = std::variant<config_event, domains_event, entries_event, target_liveness>;
+using relay_event
+    = std::variant<config_event, domains_event, entries_event, target_liveness, status_request>;
 
 /// Passes events to the traffic thread. Thread-safe.
 class relay_mailbox
@@ -51,14 +59,17 @@
     std::atomic<bool> m_any = false;
 };
 
+/// The process's state, from the traffic thread that empties the mailbox.
+nlohmann::json askTrafficThread(relay_mailbox &mailbox);
+
 /// The newest configuration for control links, which any thread may read.
 class config_shelf
 {
 public:
     void put(const relay_config_ptr &config);
     relay_config_ptr get() const;
-    /// Answers a control link's message.
-    std::vector<std::uint8_t> answer(const std::vector<std::uint8_t> &request) const;
+    /// Answers a control link that asks for what is newer than `have`; null when nothing is.
+    nlohmann::json newerThan(const nlohmann::json &have) const;
 
 private:
     mutable std::mutex m_mutex;
--- a/src/include/toucan/relay_program.h
+++ b/src/include/toucan/relay_program.h
@@ -64,16 +64,63 @@
             node::listenAddress(m_settings.control), node::listenAddress(m_settings.readiness)};
         if (m_settings.reports)
             addresses.push_back(node::listenAddress(m_settings.reports));
-        return std::make_unique<control_server>(
-            addresses,
-            [this](const std::vector<std::uint8_t> &request) { return m_shelf.answer(request); },
-            [this, answer = std::move(answer)](const http_request &request) {
-                if (request.method == "GET" && request.path == "/metrics") {
-                    m_metrics.numberOf("toucan_processor_ms_total").set(processorTime());
-                    return http_response{.body = m_metrics.text()};
-                }
-                return answer(m_adapter.readQuestion(request));
-            });
+        const auto listen = [&](const std::vector<listen_address> &on) {
+            return std::make_unique<control_server>(
+                on,
+                [this](const std::vector<std::uint8_t> &request) {
+                    return nlohmann::json::to_cbor(answerControl(request));
+                },
+                [this, answer](const http_request &request) {
+                    if (request.method == "GET" && request.path == "/metrics")
+                        return http_response{.body = metricsText()};
+                    return answer(m_adapter.readQuestion(request));
+                });
+        };
+        if (!m_settings.metrics)
+            return listen(addresses);
+        auto withMetrics = addresses;
+        withMetrics.push_back(node::listenAddress(m_settings.metrics));
+        try {
+            return listen(withMetrics);
+        } catch (const std::runtime_error &failure) {
+            // The process serves without it; the page is also on the control link.
+            m_log.write(monotonicNow(),
+                dependency_changed{.dependency = "metrics address",
+                    .name = toString(m_settings.metrics),
+                    .state = "lost",
+                    .reason = failure.what()});
+            return listen(addresses);
+        }
+    }
+
+    /// The metrics page.
+    std::string metricsText()
+    {
+        m_metrics.numberOf("toucan_processor_ms_total").set(processorTime());
+        return m_metrics.text();
+    }
+
+    /// Answers a message on a control link.
+    nlohmann::json answerControl(const std::vector<std::uint8_t> &request)
+    {
+        const auto asked = nlohmann::json::from_cbor(request, true, false);
+        const auto operation = asked.is_object() ? asked.value("op", nlohmann::json()) : asked;
+        if (operation == "config")
+            return m_shelf.newerThan(asked.value("have", nlohmann::json()));
+        if (operation == "status")
+            return askTrafficThread(m_mailbox);
+        return {{"error", "expected op config or status"}};
+    }
+
+    /// Logs, once, that the process can serve.
+    void noteReady(instant now)
+    {
+        if (std::exchange(m_wasReady, true))
+            return;
+        const auto started
+            = std::chrono::duration_cast<std::chrono::milliseconds>(now - node::loadedAt());
+        m_log.write(now, process_ready{.startMs = static_cast<std::uint64_t>(started.count())});
+        m_metrics.numberOf("toucan_start_ms").set(static_cast<std::uint64_t>(started.count()));
     }
 
     void logStart()
@@ -105,26 +152,26 @@
         return true;
     }
 
-    /// Reads the settings file again when it changed or a signal asks for it. Only the seeds take
-    /// effect while the program runs.
-    template <class E>
-    void watchSettings(instant now, E &engine)
+    /// Reads the settings file again when it changed or a signal asks for it. True when settings
+    /// that take effect while the program runs have changed.
+    bool reloadSettings(instant now)
     {
         const auto cause = m_watch.changed(now);
         if (cause.empty())
-            return;
+            return false;
+        settings_reloaded line{.cause = std::string(cause), .outcome = "read"};
         const auto loaded = settings::load<T>(m_watch.fileName());
-        std::string outcome = "applied";
         if (const auto *failure = errorOf(loaded)) {
-            outcome = failure->detail;
-        } else if (*valueOf(loaded) == m_settings) {
-            outcome = "unchanged";
+            line.outcome = failure->detail;
         } else {
-            m_settings.seeds = valueOf(loaded)->seeds;
-            engine.setSeeds(seedPeers(m_settings.seeds, m_settings.peer));
+            auto change = settings::takeReloadable(m_settings, *valueOf(loaded));
+            line.applied = std::move(change.applied);
+            line.atNextStart = std::move(change.atNextStart);
         }
-        m_log.write(
-            now, settings_reloaded{.cause = std::string(cause), .outcome = std::move(outcome)});
+        log::setLevel(m_settings.logLevel);
+        m_log.setRate(m_settings.logRate);
+        m_log.write(now, line);
+        return !line.applied.empty();
     }
 
     /// How the store is reached.
@@ -159,6 +206,7 @@
     std::optional<udp_socket> m_peers;
     settings_watch m_watch;
     pause_detector m_pauses;
+    bool m_wasReady = false;
     std::unique_ptr<config_fetcher> m_fetcher;
     std::array<std::uint8_t, maximumSegment> m_buffer{};
 };
--- a/src/include/toucan/relay_target.h
+++ b/src/include/toucan/relay_target.h
@@ -48,8 +48,8 @@
     void setCopyRevision(std::uint64_t revision) { m_copyRevision = revision; }
     /// Peer addresses of entries that the platform knows.
     void onEntries(instant now, std::span<const endpoint> peers);
-    /// Other seeds from the settings.
-    void setSeeds(std::vector<endpoint> seeds) { m_options.seeds = std::move(seeds); }
+    /// Options that changed while the engine runs; names, addresses and `boot` must stay.
+    void setOptions(relay_target_options options) { m_options = std::move(options); }
     /// Time passed. Call at least each tickInterval.
     void onTick(instant now);
     /// A stop signal came: entries are told to place no more openings here.
@@ -61,6 +61,10 @@
     /// True while an entry was heard from lately.
     bool hearsEntries(instant now) const;
     std::size_t flowCount() const { return m_flows.size(); }
+    /// What the target may take now.
+    target_standing standing(instant now) const;
+    /// Service of the target.
+    std::string service() const;
 
 private:
     /// How much is known of a flow.
@@ -128,8 +132,6 @@
     void sweepFlows(instant now);
     std::uint64_t coldLimit() const;
     std::size_t heldFlows() const;
-    target_standing standing(instant now) const;
-    std::string service() const;
 
     void handle(instant now, const endpoint &from, const target_report &message);
     void handle(instant now, const endpoint &from, const entry_notice &message);
--- a/src/include/toucan/settings.h
+++ b/src/include/toucan/settings.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <toucan/error.h>
 #include <toucan/generated/settings.h>
+#include <vector>
 
 namespace toucan::settings {
 
@@ -29,6 +30,17 @@
 int runWith(
     const std::string &fileName, bool checkOnly, const std::function<int(const T &)> &serve);
 
+/// What a changed settings file changes, by key.
+struct settings_change
+{
+    std::vector<std::string> applied; ///< In force now.
+    std::vector<std::string> atNextStart; ///< Read but kept as they were.
+};
+
+/// Copies the settings that may change while the program runs from `loaded` to `running`.
+template <class T>
+settings_change takeReloadable(T &running, const T &loaded);
+
 /// Reads "250ms", "3s", "0.5s" or "2min"; nullopt for anything else.
 std::optional<std::chrono::milliseconds> parseDuration(std::string_view text);
 
--- a/src/libtoucanbase/event_log.cpp
+++ b/src/libtoucanbase/event_log.cpp
@@ -81,6 +81,14 @@
     m_logger->set_pattern("%n %v");
 }
 
+void event_log::setRate(std::uint64_t linesPerSecond)
+{
+    const std::lock_guard lock(m_mutex);
+    m_linesPerSecond = static_cast<double>(linesPerSecond);
+    for (auto &[kind, state] : m_kinds)
+        state.bucket.setRate(m_linesPerSecond);
+}
+
 void event_log::silence()
 {
     silenced = true;
--- a/src/libtoucanbase/log.cpp
+++ b/src/libtoucanbase/log.cpp
@@ -15,11 +15,16 @@
 
 void start(std::string_view level)
 {
-    spdlog::set_level(spdlog::level::from_str(std::string(level)));
+    setLevel(level);
     spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%eZ %l [%n] %v", spdlog::pattern_time_type::utc);
     spdlog::flush_on(spdlog::level::info);
 }
 
+void setLevel(std::string_view level)
+{
+    spdlog::set_level(spdlog::level::from_str(std::string(level)));
+}
+
 std::shared_ptr<spdlog::logger> part(const std::string &name)
 {
     if (auto existing = spdlog::get(name))
--- a/src/libtoucanbase/settings_test.cpp
+++ b/src/libtoucanbase/settings_test.cpp
@@ -45,3 +45,21 @@
         RC_ASSERT(errorOf(outcome) != nullptr);
     }));
 }
+
+TEST_CASE("settings: a changed file takes effect where it can, and names what has to wait")
+{
+    entry_relay_settings running;
+    running.name = "e1";
+    running.logRate = 20;
+    auto loaded = running;
+    CHECK(settings::takeReloadable(running, loaded).applied.empty());
+    loaded.name = "e2";
+    loaded.logRate = 50;
+    loaded.seeds = {{.ip = 0x0a010001, .port = 8166}};
+    const auto change = settings::takeReloadable(running, loaded);
+    CHECK(change.applied == std::vector<std::string>{"vm.seeds", "log.rate"});
+    CHECK(change.atNextStart == std::vector<std::string>{"vm.name"});
+    CHECK(running.name == "e1");
+    CHECK(running.logRate == 50);
+    CHECK(running.seeds == loaded.seeds);
+}
--- a/src/libtoucanlab/child_process.cpp
+++ b/src/libtoucanlab/child_process.cpp
@@ -1,5 +1,4 @@
-#include <Poco/PipeStream.h>
-#include <Poco/StreamCopier.h>
+#include <array>
 #include <csignal>
 #include <fstream>
 #include <sys/wait.h>
@@ -7,6 +6,11 @@
 #include <unistd.h>
 
 namespace toucan::lab {
+namespace {
+
+constexpr int outputBuffer = 4096;
+
+} // namespace
 
 std::uint32_t newLoopbackNetwork()
 {
@@ -24,9 +28,11 @@
     const std::string &logFile)
     : m_handle(Poco::Process::launch(program, arguments, nullptr, &m_output, &m_output))
     , m_reader([this, logFile] {
-        Poco::PipeInputStream input(m_output);
         std::ofstream log(logFile, std::ios::app);
-        Poco::StreamCopier::copyStream(input, log, 1);
+        std::array<char, outputBuffer> bytes{};
+        // What the program wrote can be read at once.
+        while (const auto size = m_output.readBytes(bytes.data(), outputBuffer))
+            log.write(bytes.data(), size).flush();
     })
 { }
 
--- a/src/libtoucanlab/store_follower_test.cpp
+++ b/src/libtoucanlab/store_follower_test.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 #include <condition_variable>
 #include <platform/adapter.h>
+#include <thread>
 #include <toucan/entry_directory.h>
 #include <toucan/lab/platform_stand_in.h>
 #include <unistd.h>
@@ -126,3 +127,84 @@
     std::unique_lock lock(mutex);
     CHECK(changed.wait_for(lock, 5s, [&] { return listed == std::vector{*address}; }));
 }
+
+namespace {
+
+// Keeps one entry's record in a store while other entries answer or do not.
+struct registered_entry
+{
+    endpoint self{.ip = 0x7f000001, .port = 7000};
+    std::mutex mutex;
+    std::vector<endpoint> answering; ///< Entries that are heard.
+    std::size_t rounds = 0;
+    std::optional<entry_registration> registration;
+
+    void start(followed_store &store)
+    {
+        registration.emplace(
+            store.access(), "entries", directory_entry{.name = "e1", .peer = self, .control = self},
+            [this](const std::vector<endpoint> &) {
+                const std::lock_guard lock(mutex);
+                ++rounds;
+            },
+            directory_rhythm{.interval = 120ms, .answerTime = 80ms});
+    }
+    // Lets a number of rounds pass, in which those that answer are heard.
+    void pass(std::size_t count)
+    {
+        const auto until = std::chrono::steady_clock::now() + 5s;
+        std::size_t first = 0;
+        {
+            const std::lock_guard lock(mutex);
+            first = rounds;
+        }
+        while (std::chrono::steady_clock::now() < until) {
+            std::this_thread::sleep_for(10ms);
+            const std::lock_guard lock(mutex);
+            if (registration->isAsking())
+                registration->noteHeard(answering);
+            if (rounds > first + count)
+                return;
+        }
+    }
+};
+
+bool holdsRecord(followed_store &store, const std::string &name)
+{
+    return store.platform.get("entries", name).status == 200;
+}
+
+void addRecord(followed_store &store, const std::string &name, const endpoint &peer)
+{
+    store.platform.put("entries", name, nlohmann::json{{"peer", toString(peer)}}, std::nullopt);
+}
+
+} // namespace
+
+TEST_CASE("store: the record of an entry that is gone is removed, those of others stay")
+{
+    followed_store store;
+    const endpoint alive{.ip = 0x7f000002, .port = 7000};
+    addRecord(store, "alive", alive);
+    addRecord(store, "gone", {.ip = 0x7f000003, .port = 7000});
+    registered_entry entry;
+    entry.answering = {alive};
+    entry.start(store);
+    entry.pass(4);
+    CHECK(holdsRecord(store, "e1"));
+    CHECK(holdsRecord(store, "alive"));
+    CHECK_FALSE(holdsRecord(store, "gone"));
+}
+
+TEST_CASE("store: an entry that hears nobody removes no record, and writes its own again")
+{
+    followed_store store;
+    addRecord(store, "other", {.ip = 0x7f000002, .port = 7000});
+    registered_entry entry;
+    entry.start(store);
+    entry.pass(3);
+    CHECK(holdsRecord(store, "other"));
+    store.platform.remove("entries", "e1", std::nullopt);
+    entry.pass(3);
+    CHECK(holdsRecord(store, "e1"));
+}
--- a/src/libtoucannet/entry_directory.cpp
+++ b/src/libtoucannet/entry_directory.cpp
@@ -1,5 +1,7 @@
+#include <algorithm>
 #include <random>
 #include <toucan/entry_directory.h>
+#include <toucan/udp_socket.h>
 
 namespace toucan {
 namespace {
@@ -7,10 +9,18 @@
 using json = nlohmann::json;
 
 constexpr const char *peerField = "peer";
+constexpr const char *controlField = "control";
+
+std::optional<endpoint> readAddress(const json &record, const char *field)
+{
+    const auto text = record.is_object() ? record.value(field, json()) : json();
+    return text.is_string() ? parseEndpoint(text.get<std::string>()) : std::nullopt;
+}
 
 // Reads the list; nullopt after a failure that was logged and waited for.
-std::optional<std::vector<endpoint>> readList(platform_client &client, const store_access &store,
-    const std::string &kind, retry_pause &pause, const std::stop_token &stop)
+std::optional<std::vector<listed_entry>> readList(platform_client &client,
+    const store_access &store, const std::string &kind, retry_pause &pause,
+    const std::stop_token &stop)
 {
     countCall(store, "list");
     const auto listed = client.list(kind, true);
@@ -19,13 +29,18 @@
         pauseAfterFailure(store, pause, "list " + kind, *errorOf(listed), stop);
         return std::nullopt;
     }
-    std::vector<endpoint> peers;
+    std::vector<listed_entry> records;
     for (const auto &object : all->objects) {
-        const auto text = object.body.is_object() ? object.body.value(peerField, json()) : json();
-        const auto peer = text.is_string() ? parseEndpoint(text.get<std::string>()) : std::nullopt;
-        if (peer)
-            peers.push_back(*peer);
+        if (const auto peer = readAddress(object.body, peerField))
+            records.push_back({.name = object.name, .peer = *peer, .version = object.version});
     }
+    return records;
+}
+
+std::vector<endpoint> peersOf(std::span<const listed_entry> records)
+{
+    std::vector<endpoint> peers(records.size());
+    std::ranges::transform(records, peers.begin(), &listed_entry::peer);
     return peers;
 }
 
@@ -33,7 +48,7 @@
 result<bool> writeRecord(platform_client &client, const store_access &store,
     const std::string &kind, const directory_entry &self)
 {
-    const json record{{peerField, toString(self.peer)}};
+    const json record{{peerField, toString(self.peer)}, {controlField, toString(self.control)}};
     countCall(store, "put");
     const auto created = client.put(kind, self.name, record, 0);
     if (valueOf(created))
@@ -58,13 +73,31 @@
 
 } // namespace
 
-entry_registration::entry_registration(
-    store_access access, std::string kind, directory_entry self, directory_handler onList)
+result<std::vector<directory_entry>> readDirectory(platform_client &client, std::string_view kind)
+{
+    const auto listed = client.list(kind);
+    const auto *all = valueOf(listed);
+    if (!all)
+        return *errorOf(listed);
+    std::vector<directory_entry> entries;
+    for (const auto &object : all->objects) {
+        const auto peer = readAddress(object.body, peerField);
+        const auto control = readAddress(object.body, controlField);
+        if (peer && control)
+            entries.push_back({.name = object.name, .peer = *peer, .control = *control});
+    }
+    return entries;
+}
+
+entry_registration::entry_registration(store_access access, std::string kind, directory_entry self,
+    directory_handler onList, directory_rhythm rhythm)
     : m_store(access)
     , m_kind(std::move(kind))
     , m_self(std::move(self))
     , m_handler(std::move(onList))
+    , m_rhythm(rhythm)
     , m_client(m_store.address, m_store.timeout, m_store.dialect)
+    , m_census(m_self.name)
     , m_thread([this](const std::stop_token &stop) { run(stop); })
 { }
 
@@ -74,23 +107,87 @@
     m_client.cancel();
 }
 
+void entry_registration::noteHeard(std::span<const endpoint> peers)
+{
+    const std::lock_guard lock(m_mutex);
+    m_census.noteHeard(peers);
+}
+
 void entry_registration::run(const std::stop_token &stop)
 {
     retry_pause pause(std::random_device{}());
+    if (!stand(stop, pause))
+        return;
+    std::mt19937_64 random(std::random_device{}());
+    // Entries that started together must not read together for ever.
+    std::uniform_int_distribution<std::int64_t> shorter(0, m_rhythm.interval.count() / 4);
     while (!stop.stop_requested()) {
-        const auto outcome = writeRecord(m_client, m_store, m_kind, m_self);
-        if (valueOf(outcome))
-            break;
-        if (!pauseAfterFailure(m_store, pause, "put " + m_kind, *errorOf(outcome), stop))
-            return;
+        auto records = readList(m_client, m_store, m_kind, pause, stop);
+        if (!records)
+            continue;
+        pause.reset();
+        compare(stop, std::move(*records));
+        pauseThread(stop, m_rhythm.interval - std::chrono::milliseconds(shorter(random)));
     }
-    pause.reset();
+}
+
+// Writes the record until it stands; false when the thread is to stop.
+bool entry_registration::stand(const std::stop_token &stop, retry_pause &pause)
+{
     while (!stop.stop_requested()) {
-        if (auto peers = readList(m_client, m_store, m_kind, pause, stop)) {
-            m_handler(std::move(*peers));
-            return;
+        const auto outcome = writeRecord(m_client, m_store, m_kind, m_self);
+        if (valueOf(outcome)) {
+            pause.reset();
+            return true;
         }
+        if (!pauseAfterFailure(m_store, pause, "put " + m_kind, *errorOf(outcome), stop))
+            return false;
+    }
+    return false;
+}
+
+void entry_registration::compare(const std::stop_token &stop, std::vector<listed_entry> records)
+{
+    auto peers = peersOf(records);
+    {
+        const std::lock_guard lock(m_mutex);
+        m_census.begin(std::move(records));
+    }
+    m_asking = true;
+    m_handler(std::move(peers));
+    const bool goesOn = pauseThread(stop, m_rhythm.answerTime);
+    m_asking = false;
+    if (!goesOn)
+        return;
+    census_finding found;
+    {
+        const std::lock_guard lock(m_mutex);
+        found = m_census.conclude();
+    }
+    for (const auto &record : found.gone)
+        remove(record, found);
+    retry_pause pause(std::random_device{}());
+    if (found.ownIsMissing)
+        stand(stop, pause);
+}
+
+// Another entry may be first, or the record may have changed: then there is nothing left to do.
+void entry_registration::remove(const listed_entry &record, const census_finding &found)
+{
+    countCall(m_store, "remove");
+    const auto outcome = m_client.remove(m_kind, record.name, record.version);
+    if (const auto *failure = errorOf(outcome)) {
+        m_store.log.write(monotonicNow(),
+            store_call_failed{.call = "remove " + m_kind,
+                .error = std::string(answerFor(failure->kind).name) + ": " + failure->detail});
+        return;
     }
+    m_store.log.write(monotonicNow(),
+        directory_record_removed{.name = record.name,
+            .peer = record.peer,
+            .revision = record.version,
+            .heard = found.heard,
+            .listed = found.listed});
 }
 
 directory_lookup::directory_lookup(store_access access, std::string kind, directory_handler onList)
@@ -101,8 +198,8 @@
     , m_thread([this](const std::stop_token &stop) {
         retry_pause pause(std::random_device{}());
         while (!stop.stop_requested()) {
-            if (auto peers = readList(m_client, m_store, m_kind, pause, stop)) {
-                m_handler(std::move(*peers));
+            if (const auto records = readList(m_client, m_store, m_kind, pause, stop)) {
+                m_handler(peersOf(*records));
                 return;
             }
         }
--- a/src/libtoucannet/fleet_status.cpp
+++ b/src/libtoucannet/fleet_status.cpp
@@ -2,6 +2,7 @@
 #include <atomic>
 #include <thread>
 #include <toucan/config_agent.h>
+#include <toucan/entry_directory.h>
 #include <toucan/fleet_status.h>
 
 namespace toucan {
@@ -14,7 +15,7 @@
 
 struct asked_node
 {
-    std::string name;
+    std::string name; ///< Empty when it is not known.
     std::string_view role;
     std::string domain;
     endpoint control;
@@ -24,8 +25,13 @@
 {
     node_status status{.name = item.name, .role = std::string(item.role), .domain = item.domain};
     const auto answer = askControlLink(item.control, json::object({{"op", "status"}}), timeout);
-    if (!answer || !answer->is_object() || answer->value("name", std::string()) != item.name)
+    if (!answer || !answer->is_object())
         return status;
+    const auto name = answer->value("name", std::string());
+    if (name.empty() || (!item.name.empty() && name != item.name))
+        return status;
+    status.name = name;
+    status.domain = answer->value("domain", item.domain);
     status.reachable = true;
     status.version = answer->value("version", std::uint64_t{0});
     status.state = answer->value("state", std::string());
@@ -33,6 +39,64 @@
     return status;
 }
 
+std::vector<node_status> askAll(
+    std::span<const asked_node> asked, std::chrono::milliseconds timeout)
+{
+    std::vector<node_status> nodes(asked.size());
+    std::atomic<std::size_t> next = 0;
+    std::vector<std::jthread> threads;
+    for (std::size_t i = 0; i < std::min(askers, asked.size()); ++i) {
+        threads.emplace_back([&] {
+            for (auto index = next++; index < asked.size(); index = next++)
+                nodes[index] = ask(asked[index], timeout);
+        });
+    }
+    threads.clear(); // Waits for all.
+    return nodes;
+}
+
+std::uint64_t newestVersion(std::span<const node_status> nodes)
+{
+    std::uint64_t newest = 0;
+    for (const auto &node : nodes)
+        newest = std::max(newest, node.version);
+    return newest;
+}
+
+// Joins what the entries believe of target processes.
+std::vector<seen_target> targetsSeenBy(std::span<const node_status> entries)
+{
+    struct opinions
+    {
+        seen_target target;
+        std::map<std::string, std::size_t> states;
+    };
+    std::map<std::pair<std::string, std::string>, opinions> all;
+    for (const auto &entry : entries) {
+        for (const auto &item : entry.detail.value("members", json::array())) {
+            const auto service = item.value("service", std::string());
+            const auto name = item.value("name", std::string());
+            auto &[target, states] = all[{service, name}];
+            target.service = service;
+            target.name = name;
+            target.domain = item.value("domain", std::string());
+            const auto state = item.value("state", std::string());
+            if (state == "lost")
+                continue;
+            ++target.heardBy;
+            ++states[state];
+        }
+    }
+    std::vector<seen_target> targets;
+    for (auto &[key, item] : all) {
+        const auto most = std::ranges::max_element(
+            item.states, {}, &std::pair<const std::string, std::size_t>::second);
+        item.target.state = most == item.states.end() ? "lost" : most->first;
+        targets.push_back(std::move(item.target));
+    }
+    return targets;
+}
+
 } // namespace
 
 std::vector<const node_status *> fleet_status::lagging(std::uint64_t wanted) const
@@ -54,17 +118,30 @@
         for (const auto &item : service.members)
             asked.push_back({item.name, "target", item.domain, item.control});
     }
-    fleet_status fleet{.version = config.version, .nodes = std::vector<node_status>(asked.size())};
-    std::atomic<std::size_t> next = 0;
-    {
-        std::vector<std::jthread> threads;
-        for (std::size_t i = 0; i < std::min(askers, asked.size()); ++i) {
-            threads.emplace_back([&] {
-                for (auto index = next++; index < asked.size(); index = next++)
-                    fleet.nodes[index] = ask(asked[index], timeout);
-            });
-        }
+    return {.version = config.version, .nodes = askAll(asked, timeout)};
+}
+
+result<relay_fleet_status> readRelayFleet(platform_client &platform, const platform_kinds &kinds,
+    std::span<const endpoint> peers, std::chrono::milliseconds timeout)
+{
+    const auto config = platform.get(kinds.config, kinds.configName);
+    const auto listed = readDirectory(platform, kinds.entries);
+    const auto *const object = valueOf(config);
+    const auto *const entries = valueOf(listed);
+    const bool isAnswering = object && entries;
+    if (!isAnswering && peers.empty())
+        return object ? *errorOf(listed) : *errorOf(config);
+    std::vector<asked_node> asked;
+    if (isAnswering) {
+        for (const auto &item : *entries)
+            asked.push_back({item.name, "entry", {}, item.control});
+    } else {
+        for (const auto &peer : peers)
+            asked.push_back({{}, "entry", {}, peer});
     }
+    relay_fleet_status fleet{.entries = {.nodes = askAll(asked, timeout)}};
+    fleet.entries.version = object ? object->version : newestVersion(fleet.entries.nodes);
+    fleet.targets = targetsSeenBy(fleet.entries.nodes);
     return fleet;
 }
 
--- a/src/libtoucannet/node.cpp
+++ b/src/libtoucannet/node.cpp
@@ -1,12 +1,14 @@
 #include <csignal>
 #include <random>
 #include <toucan/node.h>
+#include <toucan/udp_socket.h>
 
 namespace toucan::node {
 namespace {
 
 volatile std::sig_atomic_t stopSignal = 0;
 volatile std::sig_atomic_t reloadSignal = 0;
+const instant loadTime = monotonicNow();
 
 void onStopSignal(int number)
 {
@@ -48,6 +50,11 @@
     return stopSignal != 0;
 }
 
+instant loadedAt()
+{
+    return loadTime;
+}
+
 bool takeReloadRequest()
 {
     if (reloadSignal == 0)
--- a/src/libtoucannet/platform_client.cpp
+++ b/src/libtoucannet/platform_client.cpp
@@ -232,6 +232,9 @@
     case platform_status::done:
         break;
     }
+    // The answer to a removal may have no body.
+    if (answer->body.empty())
+        return std::uint64_t{0};
     try {
         return m_dialect.readVersion(json::parse(answer->body));
     } catch (const json::exception &) {
--- a/src/libtoucannet/relay_process.cpp
+++ b/src/libtoucannet/relay_process.cpp
@@ -12,6 +12,8 @@
 // Freezes shorter than this leave nothing in a socket that would be harmful to pass on.
 constexpr auto shortestPause = 500ms;
 constexpr auto lookInterval = 2s;
+// Operators' commands wait 700 ms for a process; the traffic thread looks each 50 ms.
+constexpr auto statusTimeout = 500ms;
 
 std::chrono::nanoseconds read(clockid_t clock)
 {
@@ -64,16 +66,22 @@
     return m_config;
 }
 
-std::vector<std::uint8_t> config_shelf::answer(const std::vector<std::uint8_t> &request) const
+json config_shelf::newerThan(const json &have) const
 {
-    const auto asked = json::from_cbor(request, true, false);
-    if (!asked.is_object() || asked.value("op", json()) != "config")
-        return json::to_cbor(json{{"error", "expected op config"}});
-    const auto have = asked.value("have", json());
     const auto config = get();
     if (!config || (have.is_number_unsigned() && have.get<std::uint64_t>() >= config->revision))
-        return json::to_cbor(json());
-    return json::to_cbor(json{{"revision", config->revision}, {"text", config->text}});
+        return nullptr;
+    return {{"revision", config->revision}, {"text", config->text}};
+}
+
+json askTrafficThread(relay_mailbox &mailbox)
+{
+    const auto promise = std::make_shared<std::promise<json>>();
+    auto answer = promise->get_future();
+    mailbox.put(status_request{promise});
+    if (answer.wait_for(statusTimeout) != std::future_status::ready)
+        return {{"error", "the traffic thread is busy"}};
+    return answer.get();
 }
 
 config_fetcher::config_fetcher(const platform_adapter &adapter, event_log &log, handler onConfig)
--- /dev/null
+++ b/src/libtoucanrelay/directory_census.cpp
@@ -0,0 +1,37 @@
+#include <algorithm>
+#include <toucan/directory_census.h>
+
+namespace toucan {
+
+void directory_census::begin(std::vector<listed_entry> records)
+{
+    m_records = std::move(records);
+    m_heard.clear();
+}
+
+census_finding directory_census::conclude()
+{
+    census_finding found{.ownIsMissing = true};
+    std::map<std::string, std::uint64_t> silent;
+    for (const auto &record : m_records) {
+        if (record.name == m_self) {
+            found.ownIsMissing = false;
+            continue;
+        }
+        ++found.listed;
+        if (m_heard.contains(record.peer)) {
+            ++found.heard;
+            continue;
+        }
+        silent.emplace(record.name, record.version);
+        const auto before = m_silent.find(record.name);
+        if (before != m_silent.end() && before->second == record.version)
+            found.gone.push_back(record);
+    }
+    m_silent = std::move(silent);
+    if (found.heard * 2 < found.listed)
+        found.gone.clear();
+    return found;
+}
+
+} // namespace toucan
--- a/src/libtoucanrelay/relay_entry_peers.cpp
+++ b/src/libtoucanrelay/relay_entry_peers.cpp
@@ -197,11 +197,21 @@
         .leaving = m_leavingSince.has_value()};
     if (!m_leavingSince)
         notice.entries.push_back(m_options.peer);
+    const auto heard = heardEntries(now);
+    const auto room = std::min(heard.size(), namedEntries - notice.entries.size());
+    notice.entries.insert(
+        notice.entries.end(), heard.begin(), heard.begin() + static_cast<std::ptrdiff_t>(room));
+    return notice;
+}
+
+std::vector<endpoint> relay_entry::heardEntries(instant now) const
+{
+    std::vector<endpoint> heard;
     for (const auto &[address, peer] : m_entries) {
-        if (now - peer.heard < entrySilence && notice.entries.size() < namedEntries)
-            notice.entries.push_back(address);
+        if (now - peer.heard < entrySilence)
+            heard.push_back(address);
     }
-    return notice;
+    return heard;
 }
 
 void relay_entry::sendNotice(const endpoint &to, const entry_notice &notice)
--- a/src/libtoucanrelay/relay_members.cpp
+++ b/src/libtoucanrelay/relay_members.cpp
@@ -5,11 +5,6 @@
 namespace toucan {
 namespace {
 
-std::string belief(const relay_member &item)
-{
-    return item.lost ? std::string("lost") : std::string(toString(item.standing));
-}
-
 target_standing standingOf(std::uint64_t value)
 {
     return value <= static_cast<std::uint64_t>(target_standing::gone)
@@ -19,6 +14,11 @@
 
 } // namespace
 
+std::string_view beliefAbout(const relay_member &item)
+{
+    return item.lost ? "lost" : toString(item.standing);
+}
+
 std::uint64_t relay_member::expectedLoad() const
 {
     constexpr std::uint64_t thousand = 1000;
@@ -63,7 +63,7 @@
     } else if (item->boot == report.boot && report.order <= item->order) {
         return std::nullopt;
     }
-    auto before = belief(*item);
+    auto before = std::string(beliefAbout(*item));
     const auto lifetimeBefore = item->lifetime;
     const bool moved = item->service != report.service || item->address != from;
     item->service = report.service;
@@ -86,7 +86,7 @@
     item->leaving = report.leaving;
     if (moved)
         rebuildIndex();
-    auto after = belief(*item);
+    auto after = std::string(beliefAbout(*item));
     if (before == after && lifetimeBefore == item->lifetime)
         return std::nullopt;
     return member_change{.member = item, .from = std::move(before), .to = std::move(after)};
@@ -104,7 +104,7 @@
         const auto limit = std::max<instant>(silenceLimit, item.interval * 4);
         if (item.lost || now - item.heard <= limit)
             return;
-        auto before = belief(item);
+        auto before = std::string(beliefAbout(item));
         item.lost = true;
         changes.push_back({.member = &item, .from = std::move(before), .to = "lost"});
     });
--- a/src/toucanbridge/commands.h
+++ b/src/toucanbridge/commands.h
@@ -20,6 +20,7 @@
     std::chrono::milliseconds wait{0}; ///< Time to wait until a change is in force everywhere.
     std::uint64_t schema = 2; ///< Schema version of written records.
     std::uint64_t expected = 0; ///< Version that a written record must have; 0 for any.
+    bool isRelay = false; ///< The platform is the one of `relay`, the processes are its own.
     bool isNew = false; ///< Allows names that no target has yet.
 };
 
--- a/src/toucanbridge/entry_relay_server.cpp
+++ b/src/toucanbridge/entry_relay_server.cpp
@@ -7,6 +7,8 @@
 
 // Also the longest time that an event of another thread waits.
 constexpr auto pollInterval = 50ms;
+// Entries that answer do so each half second.
+constexpr auto heardNoteInterval = 1s;
 
 relay_entry_options engineOptions(const entry_relay_settings &settings, std::uint64_t boot)
 {
@@ -73,7 +75,8 @@
             m_mailbox.put(domains_event{std::move(domains)});
         });
     m_registration = std::make_unique<entry_registration>(store, std::string(kinds.entries),
-        directory_entry{.name = m_settings.name, .peer = m_settings.peer},
+        directory_entry{
+            .name = m_settings.name, .peer = m_settings.peer, .control = m_settings.control},
         [this](std::vector<endpoint> peers) { m_mailbox.put(entries_event{std::move(peers)}); });
 }
 
@@ -110,7 +113,11 @@
             std::visit([&](const auto &item) { handle(now, item); }, event);
         m_engine.onTick(now);
         m_ready = m_engine.isReady(now);
-        watchSettings(now, m_engine);
+        if (m_ready)
+            noteReady(now);
+        tendDirectory(now);
+        if (reloadSettings(now))
+            m_engine.setOptions(engineOptions(m_settings, m_boot));
         if (node::stopRequested() && !std::exchange(leaving, true)) {
             m_engine.startLeaving(now);
             logStop("signalled", m_engine.flowCount());
@@ -118,6 +125,36 @@
     }
 }
 
+// Tells the directory who answers while it asks.
+void entry_relay_server::tendDirectory(instant now)
+{
+    if (!m_registration->isAsking() || now - m_lastHeardNote < heardNoteInterval)
+        return;
+    m_lastHeardNote = now;
+    m_registration->noteHeard(m_engine.heardEntries(now));
+}
+
+nlohmann::json entry_relay_server::describe(instant now) const
+{
+    const auto &config = m_engine.config();
+    auto members = nlohmann::json::array();
+    m_engine.members().forEach([&](const relay_member &item) {
+        members.push_back({{"name", item.name}, {"service", item.service}, {"domain", item.domain},
+            {"address", toString(item.address)}, {"state", beliefAbout(item)},
+            {"flows", item.flows}, {"load", item.load}});
+    });
+    return {{"name", m_settings.name}, {"role", "entry"}, {"domain", m_settings.domain},
+        {"version", config ? config->revision : 0}, {"configuration", config ? config->version : 0},
+        {"state", m_ready ? "ready" : "not ready"}, {"flows", m_engine.flowCount()},
+        {"entries", m_engine.heardEntries(now).size()}, {"domainsOut", m_engine.domains().names},
+        {"members", std::move(members)}};
+}
+
+void entry_relay_server::handle(instant now, const status_request &event)
+{
+    event.answer->set_value(describe(now));
+}
+
 void entry_relay_server::handle(instant now, const config_event &event)
 {
     m_engine.onConfig(now, event.config, event.source);
--- a/src/toucanbridge/entry_relay_server.h
+++ b/src/toucanbridge/entry_relay_server.h
@@ -24,10 +24,13 @@
     void takeConfig(const relay_config_ptr &config, std::string source);
     http_response answer(const platform_question &question) const;
     void loop();
+    void tendDirectory(instant now);
+    nlohmann::json describe(instant now) const;
     void handle(instant now, const config_event &event);
     void handle(instant now, const domains_event &event);
     void handle(instant now, const entries_event &event);
     void handle(instant now, const target_liveness &event);
+    void handle(instant now, const status_request &event);
 
     std::atomic<bool> m_ready = false;
     std::optional<udp_socket> m_callers;
@@ -35,6 +38,7 @@
     std::unique_ptr<store_follower> m_configFollower;
     std::unique_ptr<store_follower> m_domainsFollower;
     std::unique_ptr<entry_registration> m_registration;
+    instant m_lastHeardNote{};
 };
 
 } // namespace toucan
--- a/src/toucanbridge/main.cpp
+++ b/src/toucanbridge/main.cpp
@@ -56,6 +56,7 @@
     command_options options{.asJson = given["output"].as<std::string>() == "json",
         .schema = given["schema"].as<std::uint64_t>(),
         .expected = given["expect"].as<std::uint64_t>(),
+        .isRelay = given.count("relay") != 0,
         .isNew = given.count("new") != 0};
     const auto platform = toucan::parseEndpoint(given["platform"].as<std::string>());
     if (!platform)
@@ -89,7 +90,7 @@
                 + "\n"
                   "  record withdraw KIND NAME              withdraw a record\n"
                   "  record show [KIND [NAME]]              read records\n"
-                  "  status                                 what is in force, where, and who lags\n"
+                  "  status [--relay]                       what is in force, where, and who lags\n"
                   "  explain CALLER [FILE ...]              a flow's path and end, from the logs "
                   "of\n"
                   "                                         all processes or standard input\n"
@@ -139,7 +140,8 @@
         cxxopts::value<std::uint64_t>()->default_value("2"))("expect",
         "version that the record must have; 0 for any",
         cxxopts::value<std::uint64_t>()->default_value("0"))(
-        "new", "allow a name that no target has yet")("help", "print this help and exit");
+        "new", "allow a name that no target has yet")("relay",
+        "with status: the processes are those of relay")("help", "print this help and exit");
     parser.parse_positional({"words"});
     try {
         const auto given = parser.parse(argc, argv);
--- a/src/toucanbridge/status_command.cpp
+++ b/src/toucanbridge/status_command.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 #include <iostream>
+#include <platform/adapter.h>
 #include <thread>
 #include <toucan/fleet_status.h>
 
@@ -31,54 +32,102 @@
         node.domain, node.version, standing, node.state);
 }
 
-} // namespace
+json toJson(const seen_target &target)
+{
+    return {{"name", target.name}, {"service", target.service}, {"domain", target.domain},
+        {"state", target.state}, {"heardBy", target.heardBy}};
+}
 
-int runStatusCommand(const command_options &options)
+void printTarget(const seen_target &target, std::size_t entries)
+{
+    std::cout << fmt::format("{:<16} {:<7} {:<12} {:<8} {:<11} heard by {} of {}\n", target.name,
+        "target", target.domain, target.service, target.state, target.heardBy, entries);
+}
+
+result<relay_fleet_status> readRelay(const command_options &options)
+{
+    const auto &adapter = platform::adapter();
+    platform_client client(options.platform, callTimeout, adapter.objects);
+    return readRelayFleet(client, adapter.kinds, options.peers, nodeTimeout);
+}
+
+// All processes that are asked for their version, on either platform.
+result<fleet_status> readNodes(const command_options &options)
+{
+    if (options.isRelay) {
+        const auto read = readRelay(options);
+        if (const auto *failure = errorOf(read))
+            return *failure;
+        return valueOf(read)->entries;
+    }
+    platform_client client(options.platform, callTimeout);
+    const auto read = readConfig(client, options.peers);
+    if (const auto *failure = errorOf(read))
+        return *failure;
+    return readFleet(**valueOf(read), nodeTimeout);
+}
+
+int report(const fleet_status &fleet, const std::vector<seen_target> &targets,
+    const command_options &options)
 {
-    platform_client platform(options.platform, callTimeout);
-    const auto read = readConfig(platform, options.peers);
-    const auto *config = valueOf(read);
-    if (!config)
-        return reportError(*errorOf(read), options);
-    const auto fleet = readFleet(**config, nodeTimeout);
     const auto late = fleet.lagging(fleet.version);
     if (options.asJson) {
-        auto nodes = json::array();
+        json line{{"version", fleet.version}, {"nodes", json::array()}, {"lagging", late.size()}};
         for (const auto &node : fleet.nodes)
-            nodes.push_back(toJson(node, fleet.version));
-        std::cout << json{{"version", fleet.version}, {"nodes", nodes}, {"lagging", late.size()}}
-                  << '\n';
+            line["nodes"].push_back(toJson(node, fleet.version));
+        for (const auto &target : targets)
+            line["targets"].push_back(toJson(target));
+        std::cout << line << '\n';
     } else {
         std::cout << fmt::format("version {} in force on {} of {} nodes\n", fleet.version,
             fleet.nodes.size() - late.size(), fleet.nodes.size());
         for (const auto &node : fleet.nodes)
             printNode(node, fleet.version);
+        for (const auto &target : targets)
+            printTarget(target, fleet.nodes.size());
     }
     if (options.wait.count() > 0)
         return waitUntilInForce(fleet.version, options);
     return late.empty() ? 0 : answerFor(error_kind::not_in_force).exitCode;
 }
 
+int runRelayStatus(const command_options &options)
+{
+    const auto read = readRelay(options);
+    const auto *fleet = valueOf(read);
+    return fleet ? report(fleet->entries, fleet->targets, options)
+                 : reportError(*errorOf(read), options);
+}
+
+} // namespace
+
+int runStatusCommand(const command_options &options)
+{
+    if (options.isRelay)
+        return runRelayStatus(options);
+    const auto read = readNodes(options);
+    const auto *fleet = valueOf(read);
+    return fleet ? report(*fleet, {}, options) : reportError(*errorOf(read), options);
+}
+
 int waitUntilInForce(std::uint64_t version, const command_options &options)
 {
     const auto start = std::chrono::steady_clock::now();
-    platform_client platform(options.platform, callTimeout);
     while (true) {
-        const auto read = readConfig(platform, options.peers);
+        const auto read = readNodes(options);
         const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
             std::chrono::steady_clock::now() - start);
         std::string where = "the list of nodes cannot be read";
-        if (const auto *config = valueOf(read)) {
-            const auto fleet = readFleet(**config, nodeTimeout);
-            const auto late = fleet.lagging(version);
+        if (const auto *fleet = valueOf(read)) {
+            const auto late = fleet->lagging(version);
             if (late.empty()) {
                 if (options.asJson)
                     std::cout << json{{"result", "in-force"}, {"version", version},
-                        {"nodes", fleet.nodes.size()}, {"elapsedMs", elapsed.count()}}
+                        {"nodes", fleet->nodes.size()}, {"elapsedMs", elapsed.count()}}
                               << '\n';
                 else
                     std::cout << fmt::format("in force: version {} on all {} nodes after {} ms\n",
-                        version, fleet.nodes.size(), elapsed.count());
+                        version, fleet->nodes.size(), elapsed.count());
                 return 0;
             }
             where = "not on:";
--- a/src/toucantarget/target_relay_server.cpp
+++ b/src/toucantarget/target_relay_server.cpp
@@ -91,8 +91,11 @@
             });
         }
         m_engine.onTick(now);
+        if (m_engine.hearsEntries(now))
+            noteReady(now);
         lookUpEntries(now);
-        watchSettings(now, m_engine);
+        if (reloadSettings(now))
+            m_engine.setOptions(engineOptions(m_settings, m_boot));
         if (node::stopRequested() && !leavingSince) {
             leavingSince = now;
             m_engine.startLeaving(now);
@@ -136,6 +139,15 @@
     m_engine.onEntries(now, event.peers);
 }
 
+void target_relay_server::handle(instant now, const status_request &event)
+{
+    const auto copy = m_shelf.get();
+    event.answer->set_value(
+        {{"name", m_settings.name}, {"role", "target"}, {"domain", m_settings.domain},
+            {"version", copy ? copy->revision : 0}, {"state", toString(m_engine.standing(now))},
+            {"service", m_engine.service()}, {"flows", m_engine.flowCount()}});
+}
+
 void target_relay_server::handle(instant now, const target_liveness &event)
 {
     m_engine.onLiveness(now, event);
--- a/src/toucantarget/target_relay_server.h
+++ b/src/toucantarget/target_relay_server.h
@@ -28,6 +28,7 @@
     void handle(instant now, const domains_event &event);
     void handle(instant now, const entries_event &event);
     void handle(instant now, const target_liveness &event);
+    void handle(instant now, const status_request &event);
 
     std::optional<udp_socket> m_outbound;
     relay_target m_engine;
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -41,10 +41,21 @@
         parts.append(f".maximum = {field['max']}")
     if "choices" in field:
         parts.append(f'.choices = "{field["choices"]}"')
+    if field.get("reload"):
+        parts.append(".reload = true")
     kind = cpp_type(field["type"])
     return f"        field<{struct}, {kind}>{{" + ", ".join(parts) + "}"
 
 
+def with_field_sets(schema):
+    """The schema with the fields of shared sets in the place of each include."""
+    sets = schema.get("fieldSets", {})
+    for struct in schema["structs"]:
+        struct["fields"] = [each for field in struct["fields"]
+                            for each in (sets[field["include"]] if "include" in field else [field])]
+    return schema
+
+
 def emit_struct(struct):
     name = struct["name"]
     lines = [f"/// {struct['doc']}", f"struct {name}", "{"]
@@ -88,7 +99,7 @@
 def main():
     check = "--check" in sys.argv[1:]
     sources = sorted((ROOT / "schema").glob("*.json"))
-    schemas = {source: json.loads(source.read_text()) for source in sources}
+    schemas = {source: with_field_sets(json.loads(source.read_text())) for source in sources}
     texts = {OUTPUT / (source.stem + ".h"): emit(schema, source.name)
              for source, schema in schemas.items()}
     texts[ROOT / "docs" / "EVENTS.md"] = emit_event_table(schemas[ROOT / "schema" / "events.json"])
