--- a/src/include/toucan/settings.h
+++ b/src/include/toucan/settings.h
@@ -39,7 +39,19 @@
 
 /// Copies the settings that may change while the program runs from `loaded` to `running`.
 template <class T>
-settings_change takeReloadable(T &running, const T &loaded);
+settings_change takeReloadable(T &running, const T &loaded)
+{
+    settings_change change;
+    forEachField<T>([&](const auto &spec) {
+        auto &value = running.*spec.member;
+        if (value == loaded.*spec.member)
+            return;
+        if (spec.reload)
+            value = loaded.*spec.member;
+        (spec.reload ? change.applied : change.atNextStart).emplace_back(spec.name);
+    });
+    return change;
+}
 
 /// Reads "250ms", "3s", "0.5s" or "2min"; nullopt for anything else.
 std::optional<std::chrono::milliseconds> parseDuration(std::string_view text);
--- a/src/libtoucanbase/settings.cpp
+++ b/src/libtoucanbase/settings.cpp
@@ -273,21 +273,6 @@
     return parse<T>(text.str(), fileName);
 }
 
-template <class T>
-settings_change takeReloadable(T &running, const T &loaded)
-{
-    settings_change change;
-    forEachField<T>([&](const auto &spec) {
-        auto &value = running.*spec.member;
-        if (value == loaded.*spec.member)
-            return;
-        if (spec.reload)
-            value = loaded.*spec.member;
-        (spec.reload ? change.applied : change.atNextStart).emplace_back(spec.name);
-    });
-    return change;
-}
-
 template <class T>
 std::string example()
 {
@@ -337,7 +322,6 @@
 #define TOUCAN_SETTINGS(type)                                                                      \
     template int runWith(const std::string &, bool, const std::function<int(const type &)> &);     \
     template result<type> parse(std::string_view, std::string_view);                               \
-    template settings_change takeReloadable(type &, const type &);                                 \
     template result<type> load(const std::string &);                                               \
     template std::string example<type>();
 
