Name a test without a semicolon, which CMake's discovery took for a list

'relay: a changed settings file ...' stood in ctest as two cases that matched nothing and passed. It is one case now: 4 of 4 'relay: ...' program tests passed under ctest.

--- a/testsuite/relay_program_test.cpp
+++ b/testsuite/relay_program_test.cpp
@@ -244,7 +244,7 @@
     }
 }
 
-TEST_CASE("relay: a changed settings file is read with and without a signal; a bad one is refused")
+TEST_CASE("relay: a changed settings file is read with and without a signal, a bad one is refused")
 {
     relay_deployment deployment;
     startSmall(deployment);
