Give out loopback networks that nothing uses; stop notices apart from the loop

Change: a network is reserved by a socket, and passed over while the kernel lists any other socket in it; the store's tests take theirs there too.

--- a/src/include/toucan/lab/child_process.h
+++ b/src/include/toucan/lab/child_process.h
@@ -13,7 +13,8 @@
 namespace toucan::lab {
 
 /// Address of a network of 256 loopback addresses that nothing else on the machine uses, for the
-/// programs of one experiment.
+/// programs of one experiment; reserved while this program runs. One thread at a time. Throws
+/// std::runtime_error when there is none.
 std::uint32_t newLoopbackNetwork();
 
 /// A running program whose output is appended to a file. Killed when destroyed. One thread.
--- a/src/libtoucanlab/promise_test.cpp
+++ b/src/libtoucanlab/promise_test.cpp
@@ -257,23 +257,36 @@
     CHECK(answered.size() * 100 >= submitted * 95);
 }
 
+namespace {
+
+coap::message getOf(std::uint16_t id)
+{
+    coap::message message{
+        .messageCode = coap::code::get, .id = id, .token = {9, static_cast<std::uint8_t>(id)}};
+    message.addText(coap::option_number::uri_path, "item");
+    return message;
+}
+
+coap::message watchOf(std::uint16_t id)
+{
+    auto message = getOf(id);
+    message.addNumber(coap::option_number::observe, 0);
+    return message;
+}
+
+} // namespace
+
 TEST_CASE("silence: a flow whose local socket has gone silent is reopened before the deadline")
 {
     engine_driver driver({.seed = 3, .drop = 0, .duplicate = 0, .late = instant(0)});
-    const auto get = [](std::uint16_t id) {
-        coap::message message{
-            .messageCode = coap::code::get, .id = id, .token = {9, static_cast<std::uint8_t>(id)}};
-        message.addText(coap::option_number::uri_path, "item");
-        return message;
-    };
-    driver.request(700, get(1));
+    driver.request(700, getOf(1));
     driver.run(500ms);
     REQUIRE(driver.answers().size() == 1);
     driver.silence(700);
-    driver.request(700, get(2));
+    driver.request(700, getOf(2));
     // Other flows go on, which tells a silent flow from a silent target.
     for (std::uint16_t port = 800; port < 1000; ++port) {
-        driver.request(port, get(static_cast<std::uint16_t>(port - 700)));
+        driver.request(port, getOf(static_cast<std::uint16_t>(port - 700)));
         driver.run(8ms);
     }
     driver.run(300ms);
@@ -282,20 +295,6 @@
     CHECK(answered == 202);
 }
 
-namespace {
-
-coap::message getOf(std::uint16_t id, bool watches)
-{
-    coap::message message{
-        .messageCode = coap::code::get, .id = id, .token = {9, static_cast<std::uint8_t>(id)}};
-    if (watches)
-        message.addNumber(coap::option_number::observe, 0);
-    message.addText(coap::option_number::uri_path, "item");
-    return message;
-}
-
-} // namespace
-
 // Notifications went to a stopped entry for 1.5 s; with one more lost, a watch broke.
 TEST_CASE("promise 1: an answer takes another entry as soon as its own one has stopped in order")
 {
@@ -308,7 +307,7 @@
         .serviceTime = 500ms});
     constexpr std::uint16_t requests = 30;
     for (std::uint16_t i = 1; i <= requests; ++i)
-        driver.request(700 + i, getOf(i, false));
+        driver.request(700 + i, getOf(i));
     driver.run(100ms);
     driver.leaveEntry(0);
     driver.run(900ms);
@@ -325,14 +324,14 @@
         .duplicate = 0,
         .late = instant(0),
         .serviceTime = 400ms});
-    driver.request(700, getOf(1, true));
+    driver.request(700, watchOf(1));
     driver.run(1s);
     REQUIRE(driver.notifications(700) == 1);
     for (std::uint16_t i = 2; i <= 40; ++i)
-        driver.request(700 + i, getOf(i, false));
+        driver.request(700 + i, getOf(i));
     driver.run(20ms);
     const auto before = driver.answers().size();
-    driver.request(700, getOf(1, true));
+    driver.request(700, watchOf(1));
     driver.run(60ms);
     CHECK(driver.answers().size() == before);
     driver.run(1s);
--- a/src/libtoucanlab/store_follower_test.cpp
+++ b/src/libtoucanlab/store_follower_test.cpp
@@ -3,8 +3,8 @@
 #include <platform/adapter.h>
 #include <thread>
 #include <toucan/entry_directory.h>
+#include <toucan/lab/child_process.h>
 #include <toucan/lab/platform_stand_in.h>
-#include <unistd.h>
 
 using namespace toucan;
 using namespace toucan::lab;
@@ -17,9 +17,7 @@
 
 endpoint storeAddress()
 {
-    static std::uint32_t count = 0;
-    const auto own = static_cast<std::uint32_t>(::getpid()) % 0xff00U;
-    return {.ip = 0x7f000000U | (own << 8U) | (++count & 0xffU), .port = 8101};
+    return {.ip = newLoopbackNetwork() | 1U, .port = 8101};
 }
 
 // A store and a follower of its kind "config", which remembers the newest value.
--- a/src/toucanbridge/bridge_server.cpp
+++ b/src/toucanbridge/bridge_server.cpp
@@ -14,7 +14,7 @@
 constexpr auto statusInterval = 200ms;
 constexpr long pollMicroseconds = 10'000;
 // Target processes are told so often that the entry stops: of a thousand notices ten are lost.
-constexpr int leaveNotices = 3;
+constexpr int mostLeaveNotices = 3;
 constexpr auto leaveNoticeInterval = 30ms;
 // Answers that were sent before a notice arrived are passed on.
 constexpr auto leaveTime = 150ms;
@@ -67,19 +67,8 @@
 
 void bridge_server::loop()
 {
-    std::optional<instant> stoppingSince;
-    int said = 0;
     while (true) {
-        if (!stoppingSince && node::stopRequested())
-            stoppingSince = monotonicNow();
-        // Packets that are under way are passed on meanwhile.
-        const bool last = stoppingSince && monotonicNow() - *stoppingSince >= leaveTime;
-        if (stoppingSince && monotonicNow() - *stoppingSince >= leaveNoticeInterval * said
-            && said < leaveNotices) {
-            ++said;
-            m_engine.sayLeaving();
-            carryOut();
-        }
+        const bool last = tendStop(monotonicNow());
         const auto ready = m_poll.poll(Poco::Timespan(last ? 0 : pollMicroseconds));
         if (const auto config = m_mailbox.take())
             applyConfig(config);
@@ -106,6 +95,23 @@
     }
 }
 
+// Once a stop signal came, tells target processes; true when the process may end. Packets that are
+// under way are passed on meanwhile.
+bool bridge_server::tendStop(instant now)
+{
+    if (!m_stoppingSince && node::stopRequested())
+        m_stoppingSince = now;
+    if (!m_stoppingSince)
+        return false;
+    const auto passed = now - *m_stoppingSince;
+    if (m_leaveNotices < mostLeaveNotices && passed >= leaveNoticeInterval * m_leaveNotices) {
+        ++m_leaveNotices;
+        m_engine.sayLeaving();
+        carryOut();
+    }
+    return passed >= leaveTime;
+}
+
 void bridge_server::applyConfig(const config_ptr &config)
 {
     m_engine.onConfig(monotonicNow(), config);
--- a/src/toucanbridge/bridge_server.h
+++ b/src/toucanbridge/bridge_server.h
@@ -23,6 +23,7 @@
 
 private:
     void loop();
+    bool tendStop(instant now);
     void readDataSocket();
     void readServiceSocket(const endpoint &service, udp_socket &socket);
     void passToMember(const endpoint &caller, const endpoint &service, byte_view payload);
@@ -50,6 +51,8 @@
     std::array<std::uint8_t, maximumDatagram> m_buffer{};
     instant m_lastTick{};
     instant m_lastStatus{};
+    std::optional<instant> m_stoppingSince;
+    int m_leaveNotices = 0;
 };
 
 } // namespace toucan
