Let processes find entries by the store from their start

The store knew all entries.

A target process now reads the list of entries (an old answer is enough) when it starts, beside asking its seeds. An entry reads the list first and writes its record only when the list lacks it: one cheap call a restart in place of three.

Census: whether the own record is missing is now decided with its addresses, at the begin of a round; its test asks for more than before.

--- a/src/include/toucan/directory_census.h
+++ b/src/include/toucan/directory_census.h
@@ -16,13 +16,17 @@
 {
     std::string name; ///< Name of the VM.
     endpoint peer; ///< Address for other processes.
+    endpoint control; ///< Address of its control link; none when the record names none.
     std::uint64_t version = 0; ///< Version of the record.
 };
 
+/// True when a list has the record of an entry with these addresses, so that it need not be
+/// written.
+bool isListed(std::span<const listed_entry> records, const listed_entry &entry);
+
 /// What a round of asking found.
 struct census_finding
 {
-    bool ownIsMissing = false; ///< The list has no record of this entry.
     std::vector<listed_entry> gone; ///< Records to remove, each at its version.
     std::size_t listed = 0; ///< Other entries on the list.
     std::size_t heard = 0; ///< Those of them that were heard.
--- a/src/include/toucan/entry_directory.h
+++ b/src/include/toucan/entry_directory.h
@@ -31,9 +31,9 @@
 /// Reads all records; those that cannot be read are left out.
 result<std::vector<directory_entry>> readDirectory(platform_client &client, std::string_view kind);
 
-/// Keeps an entry's record: writes it, conditionally, until it stands, hands out the list, and from
-/// time to time removes, conditionally too, the records of entries that are gone and writes its own
-/// again when it is missing.
+/// Keeps an entry's record: reads the list, hands it out, and writes the own record, conditionally,
+/// until it stands, unless it does already. From time to time does so again and removes,
+/// conditionally too, the records of entries that are gone.
 class entry_registration
 {
 public:
@@ -48,6 +48,7 @@
 
 private:
     void run(const std::stop_token &stop);
+    bool keepRecord(const std::stop_token &stop, std::span<const listed_entry> records);
     bool stand(const std::stop_token &stop, retry_pause &pause);
     void compare(const std::stop_token &stop, std::vector<listed_entry> records);
     void remove(const listed_entry &record, const census_finding &found);
--- a/src/libtoucanlab/store_follower_test.cpp
+++ b/src/libtoucanlab/store_follower_test.cpp
@@ -123,7 +123,9 @@
             changed.notify_all();
         });
     std::unique_lock lock(mutex);
-    CHECK(changed.wait_for(lock, 5s, [&] { return listed == std::vector{*address}; }));
+    CHECK(changed.wait_for(lock, 5s, [&] { return !listed.empty() && listed.back() == *address; }));
+    CHECK(store.platform.get("entries", "e1").body.dump().find("127.0.0.1:7000")
+        != std::string::npos);
 }
 
 namespace {
--- a/src/libtoucannet/entry_directory.cpp
+++ b/src/libtoucannet/entry_directory.cpp
@@ -32,7 +32,10 @@
     std::vector<listed_entry> records;
     for (const auto &object : all->objects) {
         if (const auto peer = readAddress(object.body, peerField))
-            records.push_back({.name = object.name, .peer = *peer, .version = object.version});
+            records.push_back({.name = object.name,
+                .peer = *peer,
+                .control = readAddress(object.body, controlField).value_or(endpoint{}),
+                .version = object.version});
     }
     return records;
 }
@@ -116,8 +119,6 @@
 void entry_registration::run(const std::stop_token &stop)
 {
     retry_pause pause(std::random_device{}());
-    if (!stand(stop, pause))
-        return;
     std::mt19937_64 random(std::random_device{}());
     // Entries that started together must not read together for ever.
     std::uniform_int_distribution<std::int64_t> shorter(0, m_rhythm.interval.count() / 4);
@@ -126,11 +127,30 @@
         if (!records)
             continue;
         pause.reset();
+        if (!keepRecord(stop, *records))
+            return;
         compare(stop, std::move(*records));
         pauseThread(stop, m_rhythm.interval - std::chrono::milliseconds(shorter(random)));
     }
 }
 
+// Hands out the list at once, since a starting entry knows nobody, and writes the own record unless
+// it stands there already, as it does after most restarts.
+bool entry_registration::keepRecord(
+    const std::stop_token &stop, std::span<const listed_entry> records)
+{
+    auto peers = peersOf(records);
+    m_handler(peers);
+    if (isListed(records, {.name = m_self.name, .peer = m_self.peer, .control = m_self.control}))
+        return true;
+    retry_pause pause(std::random_device{}());
+    if (!stand(stop, pause))
+        return false;
+    peers.push_back(m_self.peer);
+    m_handler(std::move(peers));
+    return true;
+}
+
 // Writes the record until it stands; false when the thread is to stop.
 bool entry_registration::stand(const std::stop_token &stop, retry_pause &pause)
 {
@@ -148,13 +168,11 @@
 
 void entry_registration::compare(const std::stop_token &stop, std::vector<listed_entry> records)
 {
-    auto peers = peersOf(records);
     {
         const std::lock_guard lock(m_mutex);
         m_census.begin(std::move(records));
     }
     m_asking = true;
-    m_handler(std::move(peers));
     const bool goesOn = pauseThread(stop, m_rhythm.answerTime);
     m_asking = false;
     if (!goesOn)
@@ -166,9 +184,6 @@
     }
     for (const auto &record : found.gone)
         remove(record, found);
-    retry_pause pause(std::random_device{}());
-    if (found.ownIsMissing)
-        stand(stop, pause);
 }
 
 // Another entry may be first, or the record may have changed: then there is nothing left to do.
--- a/src/libtoucanrelay/directory_census.cpp
+++ b/src/libtoucanrelay/directory_census.cpp
@@ -3,6 +3,14 @@
 
 namespace toucan {
 
+bool isListed(std::span<const listed_entry> records, const listed_entry &entry)
+{
+    return std::ranges::any_of(records, [&](const listed_entry &record) {
+        return record.name == entry.name && record.peer == entry.peer
+            && record.control == entry.control;
+    });
+}
+
 void directory_census::begin(std::vector<listed_entry> records)
 {
     m_records = std::move(records);
@@ -11,13 +19,11 @@
 
 census_finding directory_census::conclude()
 {
-    census_finding found{.ownIsMissing = true};
+    census_finding found;
     std::map<std::string, std::uint64_t> silent;
     for (const auto &record : m_records) {
-        if (record.name == m_self) {
-            found.ownIsMissing = false;
+        if (record.name == m_self)
             continue;
-        }
         ++found.listed;
         if (m_heard.contains(record.peer)) {
             ++found.heard;
--- a/src/libtoucanrelay/directory_census_test.cpp
+++ b/src/libtoucanrelay/directory_census_test.cpp
@@ -60,10 +60,12 @@
     CHECK(round(census, entries(4), {peerOf(2), peerOf(3)}).gone.size() == 1);
 }
 
-TEST_CASE("directory: an entry notices that its own record is missing")
+TEST_CASE("directory: an entry notices that its own record is missing or names old addresses")
 {
-    directory_census census("e9");
-    CHECK(round(census, entries(1), {}).ownIsMissing);
-    directory_census listed("e1");
-    CHECK_FALSE(round(listed, entries(1), {}).ownIsMissing);
+    const auto records = entries(1);
+    CHECK(isListed(records, records[0]));
+    CHECK_FALSE(isListed(records, {.name = "e9", .peer = records[0].peer}));
+    CHECK_FALSE(isListed(records, {.name = "e1", .peer = peerOf(9)}));
+    CHECK_FALSE(
+        isListed(records, {.name = "e1", .peer = records[0].peer, .control = records[0].peer}));
 }
--- a/src/toucantarget/target_relay_server.cpp
+++ b/src/toucantarget/target_relay_server.cpp
@@ -8,8 +8,7 @@
 constexpr auto pollInterval = relay_target::tickInterval;
 // Entries hear that the process stops before it does, so that no opening meets a closed socket.
 constexpr auto leaveTime = 150ms;
-// Seeds answer within milliseconds when they are up; then the store is asked for other entries.
-constexpr auto lookupAfter = 1500ms;
+// A process that no entry has answered for this long asks the store for entries once more.
 constexpr auto lookupInterval = 10s;
 
 relay_target_options engineOptions(const target_relay_settings &settings, std::uint64_t boot)
@@ -46,8 +45,9 @@
     });
     const auto control
         = serveControl([this](const platform_question &question) { return answer(question); });
-    m_entriesHeard = monotonicNow();
     logStart();
+    // Seeds may be down or start later than other entries.
+    startLookup(monotonicNow());
     loop();
     logStop("ended", m_engine.flowCount());
     return 0;
@@ -107,13 +107,16 @@
 void target_relay_server::lookUpEntries(instant now)
 {
     if (m_engine.hearsEntries(now)) {
-        m_entriesHeard = now;
         m_lookup.reset();
-        return;
+        m_lookupAt = now;
+    } else if (now - m_lookupAt >= lookupInterval) {
+        startLookup(now);
     }
-    if (now - m_entriesHeard < (m_lookup ? instant(lookupInterval) : instant(lookupAfter)))
-        return;
-    m_entriesHeard = now;
+}
+
+void target_relay_server::startLookup(instant now)
+{
+    m_lookupAt = now;
     m_lookup = std::make_unique<directory_lookup>(storeAccess(),
         std::string(m_adapter.kinds.entries),
         [this](std::vector<endpoint> peers) { m_mailbox.put(entries_event{std::move(peers)}); });
--- a/src/toucantarget/target_relay_server.h
+++ b/src/toucantarget/target_relay_server.h
@@ -24,6 +24,7 @@
     http_response answerReport(const target_liveness &report);
     void loop();
     void lookUpEntries(instant now);
+    void startLookup(instant now);
     void handle(instant now, const config_event &event);
     void handle(instant now, const domains_event &event);
     void handle(instant now, const entries_event &event);
@@ -33,7 +34,7 @@
     std::optional<udp_socket> m_outbound;
     relay_target m_engine;
     std::unique_ptr<directory_lookup> m_lookup;
-    instant m_entriesHeard{};
+    instant m_lookupAt{}; ///< Of the newest lookup, or of the newest word from an entry.
 };
 
 } // namespace toucan
--- a/testsuite/relay_program_test.cpp
+++ b/testsuite/relay_program_test.cpp
@@ -73,6 +73,13 @@
         return m_directory / (name + ".ini");
     }
 
+    std::size_t directorySize()
+    {
+        platform_client client(at(1, storePort), 1s, platform::objects());
+        const auto listed = client.list(platform::adapter().kinds.entries);
+        return valueOf(listed) ? valueOf(listed)->objects.size() : 0;
+    }
+
     void publishConfig(std::uint64_t version)
     {
         relay_config config;
@@ -244,6 +251,22 @@
     }
 }
 
+TEST_CASE("relay: a target process whose seeds are down finds entries by the store at once")
+{
+    relay_deployment deployment;
+    deployment.publishConfig(1);
+    // The seed of all processes is host 2, which does not run.
+    deployment.start("entry-2", 3, true);
+    const auto isReady = [&](const char *name) {
+        return deployment.newestLine(name, "process_ready").is_object();
+    };
+    REQUIRE(waitFor([&] { return isReady("entry-2") || deployment.directorySize() > 0; }, 10s));
+    deployment.start("target-1", 4, false);
+    REQUIRE(waitFor([&] { return isReady("target-1"); }, 10s));
+    // Callers' attempts to open a flow end 1.4 s after they began.
+    CHECK(deployment.newestLine("target-1", "process_ready")["startMs"].get<int>() < 1000);
+}
+
 TEST_CASE("relay: a changed settings file is read with and without a signal, a bad one is refused")
 {
     relay_deployment deployment;
