Let openings wait at the process beside a target, timely ones first

An opening now waits at one target process, the one with the shortest queue of those asked, and is served when a slot is free: first those whose callers can still be answered within their route's objective, then the others by the end of their attempts. What would wait past its attempt is refused at once. A target is given a request for each slot, those on their way meanwhile, and one. The entry is told, so that copies go to the same process. Entries hand out what they parked newest first, two rounds of slots for each report of a member.

--- a/src/include/toucan/opening_gate.h
+++ b/src/include/toucan/opening_gate.h
@@ -23,12 +23,13 @@
     cold, ///< The target is cold and has had its openings for this second.
     full, ///< The target holds as many flows as it can.
     busy, ///< All slots are taken and another candidate can be asked.
-    overloaded, ///< So many requests wait that a new one would be late.
+    waits, ///< All slots are taken, and nobody else can be asked: it waits for one.
+    overloaded, ///< It would wait for longer than its caller's attempt lasts.
     silent, ///< The target does not answer openings.
 };
 
 /// Number of verdicts.
-inline constexpr std::size_t openingVerdicts = 11;
+inline constexpr std::size_t openingVerdicts = 12;
 
 /// Name of a verdict in logs.
 std::string_view toString(opening_verdict verdict);
@@ -45,16 +46,11 @@
     bool hasAlternative = false; ///< Another candidate can still be asked.
     std::uint64_t flows = 0;
     std::uint64_t flowLimit = 0; ///< 0 when not stated.
-    std::uint64_t waiting = 0; ///< Requests without an answer.
+    std::uint64_t waiting = 0; ///< Requests without an answer, and those expected on new flows.
     std::uint64_t slots = 0;
+    std::uint64_t limit = 0; ///< Requests that the target is given at once; 0: no limit.
 };
 
-/// Requests that may wait for each slot before openings are refused: three rounds of requests take
-/// about as long as callers find acceptable, and targets queue more than that. Cold targets are
-/// about half as fast.
-inline constexpr std::uint64_t waitingForEachSlot = 3;
-inline constexpr std::uint64_t waitingForEachColdSlot = 2;
-
 /// Decides on one opening.
 opening_verdict judgeOpening(const opening_circumstances &circumstances);
 
--- a/src/include/toucan/relay_config.h
+++ b/src/include/toucan/relay_config.h
@@ -4,6 +4,7 @@
 
 #include <boost/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <chrono>
 #include <string>
 #include <toucan/endpoint.h>
 #include <unordered_map>
@@ -25,6 +26,7 @@
     std::string name;
     endpoint address;
     std::vector<route_share> shares; ///< At least one.
+    std::chrono::milliseconds objective{0}; ///< Time in which callers want answers; 0: not stated.
 
     /// The service that a flow with this hash belongs to.
     const std::string &serviceFor(std::uint64_t flowHash) const;
--- a/src/include/toucan/relay_entry.h
+++ b/src/include/toucan/relay_entry.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <toucan/event_log.h>
 #include <toucan/metrics.h>
+#include <toucan/opening_queue.h>
 #include <toucan/relay_packet.h>
 #include <toucan/relay_placement.h>
 #include <toucan/relay_port.h>
@@ -106,10 +107,12 @@
         bool established = false; ///< A segment other than an opening was seen.
         bool confirmed = false; ///< The owner said that it is.
         bool finishing = false; ///< The caller closes the flow.
+        instant begun{}; ///< When the caller's attempt to open it began.
+        std::optional<instant> keptAt; ///< When its owner said that the opening waits there.
         std::uint16_t searches = 0; ///< Searches begun since the owner was last known.
         std::unique_ptr<search_progress> progress; ///< The newest search since then.
+        bool wasParked = false; ///< Its opening waited here.
         bool refusedOnce = false; ///< All candidates of an opening turned it away before.
-        std::optional<instant> refusedSince; ///< When that happened first.
     };
 
     /// An opening that waits for a configuration or for the first reports of targets.
@@ -117,7 +120,8 @@
     {
         segment head;
         byte_buffer bytes;
-        instant until{}; ///< The caller's attempt is over then.
+        instant begun{}; ///< When the caller's attempt began.
+        instant notBefore{}; ///< It is not tried again before.
     };
 
     struct entry_peer
@@ -126,7 +130,8 @@
         std::uint64_t revision = 0;
     };
 
-    void onOpening(instant now, const segment &head, const route_rule &route, byte_view bytes);
+    void onOpening(
+        instant now, const segment &head, const route_rule &route, byte_view bytes, instant begun);
     void place(instant now, const segment &head, const route_rule &route, cached_flow &cached,
         byte_view bytes);
     void onEstablished(
@@ -148,12 +153,16 @@
     void onRefused(instant now, const segment &head, byte_view bytes);
     void onNotFound(instant now, const relay_header &header, const segment &head, byte_view bytes);
     void suspectOwner(instant now, const flow_key &flow);
-    void park(instant now, const segment &head, byte_view bytes);
+    void park(const segment &head, byte_view bytes, instant begun, instant notBefore = {});
     void retryParked(instant now);
-    void takeOpening(instant now, const segment &head, byte_view bytes);
+    void takeOpening(instant now, const segment &head, byte_view bytes, instant begun);
+    bool isKept(const cached_flow &cached, instant now) const;
+    relay_header openingHeader(
+        instant now, const route_rule &route, const segment &head, const cached_flow &cached) const;
+    bool mayBePlaced(instant now, const parked_opening &item) const;
     bool isLearning(instant now) const;
     bool knowsMembers(instant now) const;
-    bool mayBecomeReady(std::string_view service);
+    bool mayBecomeReady(std::span<relay_member *const> members) const;
     void resetFlow(instant now, const segment &head, std::string_view reason);
     void logOpening(instant now, const segment &head, std::string_view outcome,
         const relay_member *target, std::size_t eligible);
@@ -165,6 +174,7 @@
     void handle(instant now, const endpoint &from, const target_report &message);
     void handle(instant now, const endpoint &from, const entry_notice &message);
     void handle(instant now, const endpoint &from, const flow_owner &message);
+    void handle(instant now, const endpoint &from, const opening_kept &message);
     void handlePacket(instant now, const relay_packet &packet);
     void logMember(instant now, const member_change &change);
     void meetMembers(instant now, std::span<const endpoint> members);
--- a/src/include/toucan/relay_packet.h
+++ b/src/include/toucan/relay_packet.h
@@ -31,6 +31,10 @@
     std::uint64_t serviceTag = 0; ///< serviceTagOf() the flow's service.
     std::uint64_t search = 0; ///< 1 + members asked before this list; 0 when nobody is searched.
     bool doubtful = false; ///< A target on the way gave no word on whether it holds the flow.
+    std::uint64_t ageMs = 0; ///< Age of the caller's attempt to open the flow.
+    std::uint64_t objectiveMs = 0; ///< Time in which callers want their answers; 0 when unknown.
+    std::uint64_t shortestWaitMs = 0; ///< Shortest wait at the candidates that were busy.
+    endpoint shortestAt; ///< That candidate; none before the first busy one.
     candidate_list candidates; ///< Who to pass the packet on to, in this order.
 };
 
@@ -38,7 +42,7 @@
 std::uint64_t serviceTagOf(std::string_view service);
 
 /// Bytes that a relay header takes at most.
-inline constexpr std::size_t maximumRelayHeader = 128;
+inline constexpr std::size_t maximumRelayHeader = 160;
 
 /// True when a datagram starts like a forwarded segment rather than a message.
 bool isRelayPacket(byte_view datagram);
@@ -57,7 +61,7 @@
 std::optional<relay_packet> decodeRelayPacket(std::span<std::uint8_t> datagram);
 
 /// Messages between entries and target processes.
-using relay_message = std::variant<target_report, entry_notice, flow_owner>;
+using relay_message = std::variant<target_report, entry_notice, flow_owner, opening_kept>;
 
 /// Writes a message as one datagram.
 byte_buffer encodeRelayMessage(const relay_message &message);
--- a/src/include/toucan/relay_placement.h
+++ b/src/include/toucan/relay_placement.h
@@ -28,6 +28,8 @@
     const domains_out &out;
     std::span<const endpoint> tried; ///< Members that got an earlier copy; left out.
     instant now{};
+    /// Openings for each slot that a member may have been sent since its newest report; 0: any.
+    std::uint64_t roundsForEachReport = 0;
 };
 
 /// Candidates in the order in which they are asked.
@@ -43,6 +45,9 @@
 
 /// True when the member may get openings now.
 bool takesOpenings(const relay_member &item, const domains_out &out, instant now);
+/// True when the member has been sent fewer openings since its newest report than `rounds` of its
+/// slots; always when `rounds` is 0.
+bool hasCredit(const relay_member &item, std::uint64_t rounds);
 
 /// Chooses candidates for an opening by their load.
 placement placeByLoad(std::span<relay_member *const> members, const placement_request &request);
--- a/src/include/toucan/relay_target.h
+++ b/src/include/toucan/relay_target.h
@@ -7,6 +7,7 @@
 #include <toucan/event_log.h>
 #include <toucan/metrics.h>
 #include <toucan/opening_gate.h>
+#include <toucan/opening_queue.h>
 #include <toucan/relay_config.h>
 #include <toucan/relay_packet.h>
 #include <toucan/relay_port.h>
@@ -52,6 +53,8 @@
     void setOptions(relay_target_options options) { m_options = std::move(options); }
     /// Time passed. Call at least each tickInterval.
     void onTick(instant now);
+    /// The process stood still: what waits here was sent under conditions that are gone.
+    void onPause(instant now);
     /// A stop signal came: entries are told to place no more openings here.
     void startLeaving(instant now);
 
@@ -93,6 +96,8 @@
         std::optional<instant> waitingSince; ///< A request has no answer since then.
         std::uint32_t requests = 0;
         std::chrono::milliseconds slowest{0};
+        bool expected = false; ///< Its first request counts as waiting although it has not come.
+        bool showsPace = false; ///< The request that waits began while the target had free slots.
         bool callerFinished = false;
         bool targetFinished = false;
     };
@@ -111,6 +116,21 @@
         instant now, const endpoint &from, const segment &head, const relay_packet &packet);
     void onReturned(instant now, const segment &head, std::span<std::uint8_t> bytes);
     opening_verdict judge(instant now, const relay_header &header);
+    void acceptOpening(
+        instant now, const segment &head, const relay_header &header, byte_view bytes);
+    opening_verdict keepOpening(instant now, const segment &head, const relay_packet &packet);
+    void serveQueue(instant now);
+    void dropEnded(instant now);
+    void expectRequest(instant now, const flow_key &key, flow &item);
+    void forgetExpected(flow &item);
+    void sweepExpected(instant now);
+    std::uint64_t occupied() const { return m_waiting + m_expected; }
+    std::uint64_t slots() const;
+    void noteLoad(instant now);
+    std::uint64_t expectedWait(instant now, const relay_header &header) const;
+    std::uint64_t excess() const { return occupied() - std::min(occupied(), slots()); }
+    void noteWait(instant now, relay_header &header) const;
+    endpoint shorterQueue(instant now, const relay_header &header) const;
     void passOn(const relay_header &header, relay_kind unclaimed, byte_view bytes);
     void offerElsewhere(instant now, flow &item, byte_view opening);
     void noteCaller(instant now, flow &item, const segment &head);
@@ -136,6 +156,7 @@
     void handle(instant now, const endpoint &from, const target_report &message);
     void handle(instant now, const endpoint &from, const entry_notice &message);
     void handle(instant now, const endpoint &from, const flow_owner &message);
+    void handle(instant now, const endpoint &from, const opening_kept &message);
     void sendReports(instant now, bool atOnce);
     void logOpening(instant now, const segment &head, std::string_view outcome);
 
@@ -162,7 +183,10 @@
     opening_window m_window;
     smoothed_level m_load;
     failure_share m_failures;
+    opening_queue m_queue;
     std::uint64_t m_waiting = 0;
+    std::uint64_t m_expected = 0; ///< Flows that opened lately and have sent no request yet.
+    std::deque<std::pair<instant, flow_key>> m_expectedFlows; ///< Oldest first.
     std::uint64_t m_reportOrder = 0;
     std::vector<std::pair<instant, flow_key>> m_unanswered; ///< Openings, oldest first.
     std::vector<std::pair<instant, flow_key>> m_probes; ///< Segments at the target, oldest first.
--- a/src/libtoucanlab/relay_fleet_test.cpp
+++ b/src/libtoucanlab/relay_fleet_test.cpp
@@ -91,6 +91,29 @@
     }
 }
 
+TEST_CASE("relay: an entry that joins a fleet of 150 targets resets no open flow")
+{
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        auto fleet = makeFleet(
+            {.entries = 60, .targets = 140, .domains = {"a", "b", "c", "d", "e"}, .seed = seed});
+        fleet.run(8s);
+        const auto flows = openFlows(fleet, 300);
+        std::set<std::size_t> added;
+        for (int i = 0; i < 5; ++i)
+            added.insert(fleet.addEntry());
+        fleet.useEntries(added);
+        for (std::size_t round = 0; round < 15; ++round) {
+            fleet.run(100ms);
+            for (std::size_t i = round * 20; i < round * 20 + 20; ++i)
+                fleet.request(flows[i]);
+        }
+        fleet.run(3s);
+        INFO("seed " << seed);
+        CHECK(countReset(fleet, flows) == 0);
+        CHECK(listOf(fleet.violations()).empty());
+    }
+}
+
 TEST_CASE("relay: flows survive the restart of all entries")
 {
     auto fleet = makeFleet();
--- a/src/libtoucanrelay/opening_gate.cpp
+++ b/src/libtoucanrelay/opening_gate.cpp
@@ -14,15 +14,15 @@
 constexpr std::chrono::milliseconds failureMemory = 2s;
 // Requests that a target may fail before much is concluded.
 constexpr double unjudgedRequests = 2;
-// Load of a target that fails all requests, thousandths of a slot: more than any queue allows.
-constexpr double penaltyOfFailingAll = 1000 * (waitingForEachSlot + 1);
+// Load of a target that fails all requests, thousandths of a slot: more than queues reach.
+constexpr double penaltyOfFailingAll = 4000;
 
 } // namespace
 
 std::string_view toString(opening_verdict verdict)
 {
     constexpr std::array<std::string_view, openingVerdicts> names{"accepted", "standing unknown",
-        "draining", "domain out", "wrong service", "route stale", "cold", "full", "busy",
+        "draining", "domain out", "wrong service", "route stale", "cold", "full", "busy", "waits",
         "overloaded", "target silent"};
     return names[static_cast<std::size_t>(verdict)];
 }
@@ -48,10 +48,8 @@
         return opening_verdict::silent;
     if (now.hasAlternative && now.slots != 0 && now.waiting >= now.slots)
         return opening_verdict::busy;
-    const auto bearable
-        = now.standing == target_standing::cold ? waitingForEachColdSlot : waitingForEachSlot;
-    if (now.slots != 0 && now.waiting >= now.slots * bearable)
-        return opening_verdict::overloaded;
+    if (now.limit != 0 && now.waiting >= now.limit)
+        return opening_verdict::waits;
     return opening_verdict::accepted;
 }
 
--- /dev/null
+++ b/src/libtoucanrelay/opening_queue.cpp
@@ -0,0 +1,155 @@
+#include <algorithm>
+#include <cmath>
+#include <toucan/opening_queue.h>
+
+namespace toucan {
+namespace {
+
+using namespace std::chrono_literals;
+using std::chrono::milliseconds;
+
+// An answer to an opening takes a few milliseconds to its caller, who then acknowledges it.
+constexpr auto answerReserve = 20ms;
+// Weight of the newest request in the smoothed service time: about the last ten count.
+constexpr double newestWeight = 0.1;
+// Requests shorter or longer than these say nothing about a queue's pace.
+constexpr auto shortestService = 2ms;
+constexpr auto longestService = 1000ms;
+
+// Callers that take longer than this between opening and request have stopped waiting.
+constexpr auto longestHandshake = 100ms;
+
+void smooth(double &value, milliseconds newest)
+{
+    value += newestWeight * (static_cast<double>(newest.count()) - value);
+}
+
+flow_key flowOf(const waiting_opening &item)
+{
+    return item.head.flowFromCaller();
+}
+
+} // namespace
+
+instant attemptBegin(instant now, std::uint32_t copy)
+{
+    return now - copyTimes[std::min<std::size_t>(copy, copyTimes.size() - 1)];
+}
+
+instant waiting_opening::end() const
+{
+    return begun + attemptTime - answerReserve;
+}
+
+std::optional<instant> waiting_opening::latestTimelyStart(instant now, milliseconds answer) const
+{
+    const auto latest = begun + objective - answer;
+    return objective > 0ms && now <= latest ? std::optional(latest) : std::nullopt;
+}
+
+bool timelyFirst(
+    const waiting_opening &left, const waiting_opening &right, instant now, milliseconds answer)
+{
+    const auto leftStart = left.latestTimelyStart(now, answer);
+    const auto rightStart = right.latestTimelyStart(now, answer);
+    if (leftStart.has_value() != rightStart.has_value())
+        return leftStart.has_value();
+    return leftStart ? *leftStart < *rightStart : left.end() < right.end();
+}
+
+bool byArrival(const waiting_opening &left, const waiting_opening &right, instant, milliseconds)
+{
+    return left.begun < right.begun;
+}
+
+void opening_queue::noteService(milliseconds took)
+{
+    smooth(m_serviceMs, std::clamp<milliseconds>(took, shortestService, longestService));
+}
+
+void opening_queue::noteHandshake(milliseconds took)
+{
+    smooth(m_handshakeMs, std::clamp<milliseconds>(took, 0ms, longestHandshake));
+}
+
+std::uint64_t opening_queue::concurrencyLimit(std::uint64_t slots) const
+{
+    const auto onTheWay = std::ceil(static_cast<double>(slots) * m_handshakeMs / m_serviceMs);
+    return slots + std::min(static_cast<std::uint64_t>(onTheWay), slots) + 1;
+}
+
+milliseconds opening_queue::serviceTime() const
+{
+    return milliseconds(static_cast<std::int64_t>(m_serviceMs));
+}
+
+milliseconds opening_queue::answerTime() const
+{
+    return milliseconds(static_cast<std::int64_t>(m_handshakeMs + m_serviceMs));
+}
+
+milliseconds opening_queue::expectedWait(
+    instant now, const waiting_opening &opening, std::uint64_t slots, std::uint64_t ahead) const
+{
+    const auto answer = answerTime();
+    const auto before = std::ranges::count_if(m_openings,
+        [&](const waiting_opening &item) { return !m_order(opening, item, now, answer); });
+    const auto requests = static_cast<double>(before) + static_cast<double>(ahead) + 1;
+    return milliseconds(static_cast<std::int64_t>(
+        requests * m_serviceMs / static_cast<double>(std::max<std::uint64_t>(slots, 1))));
+}
+
+bool opening_queue::offer(
+    instant now, waiting_opening opening, std::uint64_t slots, std::uint64_t ahead)
+{
+    const auto same = find(flowOf(opening));
+    if (same != m_openings.end()) {
+        opening.begun = std::min(opening.begun, same->begun);
+        *same = std::move(opening);
+        return true;
+    }
+    if (now + expectedWait(now, opening, slots, ahead) > opening.end())
+        return false;
+    m_openings.push_back(std::move(opening));
+    return true;
+}
+
+const waiting_opening *opening_queue::next(instant now) const
+{
+    const auto answer = answerTime();
+    const auto first = std::ranges::min_element(m_openings,
+        [&](const auto &left, const auto &right) { return m_order(left, right, now, answer); });
+    return first == m_openings.end() ? nullptr : &*first;
+}
+
+std::vector<waiting_opening> opening_queue::takeEnded(instant now)
+{
+    const auto firstEnded = std::stable_partition(m_openings.begin(), m_openings.end(),
+        [&](const waiting_opening &item) { return now < item.end(); });
+    std::vector<waiting_opening> ended(
+        std::make_move_iterator(firstEnded), std::make_move_iterator(m_openings.end()));
+    m_openings.erase(firstEnded, m_openings.end());
+    return ended;
+}
+
+std::vector<waiting_opening>::iterator opening_queue::find(const flow_key &flow)
+{
+    return std::ranges::find(m_openings, flow, flowOf);
+}
+
+bool opening_queue::contains(const flow_key &flow) const
+{
+    return std::ranges::find(m_openings, flow, flowOf) != m_openings.end();
+}
+
+std::optional<waiting_opening> opening_queue::take(const flow_key &flow)
+{
+    const auto found = find(flow);
+    if (found == m_openings.end())
+        return std::nullopt;
+    auto taken = std::move(*found);
+    m_openings.erase(found);
+    return taken;
+}
+
+} // namespace toucan
--- a/src/libtoucanrelay/relay_entry.cpp
+++ b/src/libtoucanrelay/relay_entry.cpp
@@ -10,17 +10,19 @@
 // Targets report within this time of a start of everything: the platform's targets report about
 // each 1.2 s. Until then "no target" is not yet known to be true.
 constexpr auto learningTime = 3s;
-// A caller's attempt to open a flow ends this long after its first opening, and the age of its
-// copies.
-constexpr auto attemptTime = 1400ms;
-constexpr std::array copyAges{instant(0ms), instant(200ms), instant(600ms)};
 // Targets answer openings within a few milliseconds, also across failure domains.
 constexpr auto answerLimit = 100ms;
 // Openings that wait are tried again this often.
 constexpr auto parkedInterval = 40ms;
-// An opening that all targets refuse is tried again for this long, less than a caller's first aim,
-// and then reset so that the caller can decide.
-constexpr auto refusedWait = 200ms;
+// Openings that all targets asked have refused are tried again after this long while the process
+// learns about its members: others may be ready by then.
+constexpr auto refusedPause = 100ms;
+// A target process that keeps an opening says so again for each copy, which come 400 ms apart at
+// most.
+constexpr auto keptLimit = 450ms;
+// Openings that waited here are handed to a member in these rounds of its slots for each report, so
+// that members that are heard first do not get all of them.
+constexpr std::uint64_t parkedRounds = 2;
 // Openings that wait, a few hundred bytes each.
 constexpr std::size_t mostParked = 2000;
 // A flow whose caller has closed it needs the owner for a few retransmissions.
@@ -61,7 +63,7 @@
     if (head->isOpening()) {
         if (head->copy > 0)
             suspectOwner(now, head->flowFromCaller());
-        takeOpening(now, *head, bytes);
+        takeOpening(now, *head, bytes, attemptBegin(now, head->copy));
     } else if (m_config) {
         onEstablished(now, *head, m_config->routeAt(head->destination), bytes);
     } else {
@@ -70,66 +72,108 @@
     }
 }
 
-void relay_entry::takeOpening(instant now, const segment &head, byte_view bytes)
+void relay_entry::takeOpening(instant now, const segment &head, byte_view bytes, instant begun)
 {
     if (!m_config) {
-        park(now, head, bytes);
+        park(head, bytes, begun);
         return;
     }
     const auto *route = m_config->routeAt(head.destination);
     if (route)
-        onOpening(now, head, *route, bytes);
+        onOpening(now, head, *route, bytes, begun);
     else
         resetFlow(now, head, "no route has the address");
 }
 
 // Keeps an opening for the short time in which the process learns what it needs, instead of leaving
 // it to the caller's next copy, which may come much later or not at all.
-void relay_entry::park(instant now, const segment &head, byte_view bytes)
+void relay_entry::park(const segment &head, byte_view bytes, instant begun, instant notBefore)
 {
-    const auto age = copyAges[std::min<std::size_t>(head.copy, copyAges.size() - 1)];
-    if (m_parked.size() >= mostParked && !m_parked.contains(head.flowFromCaller())) {
+    const auto flow = head.flowFromCaller();
+    if (m_parked.size() >= mostParked && !m_parked.contains(flow)) {
         m_dropped.add();
         return;
     }
-    m_parked[head.flowFromCaller()] = {.head = head,
+    m_flows[flow].wasParked = true;
+    m_parked[flow] = {.head = head,
         .bytes = byte_buffer(bytes.begin(), bytes.end()),
-        .until = now + attemptTime - age};
+        .begun = begun,
+        .notBefore = notBefore};
 }
 
+// Those whose callers have waited least come first: they can still be answered in time.
 void relay_entry::retryParked(instant now)
 {
     if (m_parked.empty() || !m_config || now - m_lastRetry < parkedInterval)
         return;
     m_lastRetry = now;
-    for (auto &[flow, item] : std::exchange(m_parked, {})) {
-        if (now < item.until)
-            takeOpening(now, item.head, item.bytes);
-        else
-            m_dropped.add();
+    const auto ended = std::erase_if(
+        m_parked, [&](const auto &item) { return now >= item.second.begun + attemptTime; });
+    m_dropped.add(ended);
+    std::vector<parked_opening> due;
+    for (const auto &[flow, item] : m_parked) {
+        if (mayBePlaced(now, item))
+            due.push_back(item);
+    }
+    std::ranges::sort(due, std::greater<>(), &parked_opening::begun);
+    for (const auto &item : due) {
+        m_parked.erase(item.head.flowFromCaller());
+        takeOpening(now, item.head, item.bytes, item.begun);
     }
 }
 
+// False while a new try would end where the last one did.
+bool relay_entry::mayBePlaced(instant now, const parked_opening &item) const
+{
+    const auto *route = m_config->routeAt(item.head.destination);
+    if (!route || now < item.notBefore)
+        return !route;
+    const auto members
+        = m_members.membersOf(route->serviceFor(hashFlow(item.head.flowFromCaller())));
+    const auto canTake = [&](const relay_member *member) {
+        return takesOpenings(*member, m_domains, now) && hasCredit(*member, parkedRounds);
+    };
+    return std::ranges::any_of(members, canTake) || !(isLearning(now) || mayBecomeReady(members));
+}
+
 void relay_entry::onOpening(
-    instant now, const segment &head, const route_rule &route, byte_view bytes)
+    instant now, const segment &head, const route_rule &route, byte_view bytes, instant begun)
 {
     auto &cached = m_flows[head.flowFromCaller()];
     cached.lastPacket = now;
-    if (cached.established && cached.owner) {
-        // A late copy: the owner answers it again.
-        auto header
-            = headerFor(relay_kind::opening, route.serviceFor(hashFlow(head.flowFromCaller())));
-        forward(cached.owner, header, bytes);
+    if (cached.begun == instant{} || begun < cached.begun)
+        cached.begun = begun;
+    if (cached.owner && (cached.established || isKept(cached, now))) {
+        // A late copy: the owner answers it again, or knows that it waits.
+        forward(cached.owner, openingHeader(now, route, head, cached), bytes);
         return;
     }
     place(now, head, route, cached, bytes);
 }
 
+bool relay_entry::isKept(const cached_flow &cached, instant now) const
+{
+    return cached.keptAt && now - *cached.keptAt < keptLimit;
+}
+
+relay_header relay_entry::openingHeader(
+    instant now, const route_rule &route, const segment &head, const cached_flow &cached) const
+{
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    auto header = headerFor(relay_kind::opening, route.serviceFor(hashFlow(head.flowFromCaller())));
+    header.ageMs = static_cast<std::uint64_t>(
+        duration_cast<milliseconds>(std::max(now - cached.begun, instant{})).count());
+    header.objectiveMs = static_cast<std::uint64_t>(route.objective.count());
+    return header;
+}
+
 // A copy of an opening means that the first one went unanswered for longer than any target takes.
 void relay_entry::suspectOwner(instant now, const flow_key &flow)
 {
     const auto found = m_flows.find(flow);
-    if (found == m_flows.end() || found->second.established || !found->second.owner)
+    if (found == m_flows.end() || found->second.established || !found->second.owner
+        || isKept(found->second, now))
         return;
     auto *member = m_members.at(found->second.owner);
     if (!member || member->heard > found->second.openedAt
@@ -150,7 +194,8 @@
         .domain = m_options.domain,
         .out = m_domains,
         .tried = {cached.tried.data(), cached.tried.size()},
-        .now = now};
+        .now = now,
+        .roundsForEachReport = cached.wasParked ? parkedRounds : 0};
     auto chosen = m_options.place(members, request);
     if (chosen.order.empty()) {
         cached.tried.clear();
@@ -158,16 +203,16 @@
         chosen = m_options.place(members, request);
     }
     if (chosen.order.empty()) {
-        if (isLearning(now) || mayBecomeReady(service)) {
+        if (isLearning(now) || mayBecomeReady(members)) {
             logOpening(now, head, "parked: targets have not reported yet", nullptr, 0);
-            park(now, head, bytes);
+            park(head, bytes, cached.begun);
             return;
         }
         logOpening(now, head, "reset: no target takes flows", nullptr, 0);
         resetFlow(now, head, "no target takes flows");
         return;
     }
-    auto header = headerFor(relay_kind::opening, service);
+    auto header = openingHeader(now, route, head, cached);
     for (const auto *other : std::span(chosen.order.data(), chosen.order.size()).subspan(1))
         header.candidates.push_back(other->address);
     auto *first = chosen.order.front();
@@ -175,6 +220,7 @@
     ++first->openedSince;
     cached.owner = first->address;
     cached.openedAt = now;
+    cached.keptAt.reset();
     for (auto *member : chosen.order) {
         if (cached.tried.size() < cached.tried.capacity())
             cached.tried.push_back(member->address);
@@ -237,9 +283,9 @@
     return now - m_started < learningTime;
 }
 
-bool relay_entry::mayBecomeReady(std::string_view service)
+bool relay_entry::mayBecomeReady(std::span<relay_member *const> members) const
 {
-    return std::ranges::any_of(m_members.membersOf(service), [&](const relay_member *item) {
+    return std::ranges::any_of(members, [&](const relay_member *item) {
         return !item->lost && !m_domains.contains(item->domain)
             && item->standing != target_standing::draining
             && item->standing != target_standing::gone;
@@ -269,6 +315,7 @@
         return;
     auto &cached = found->second;
     cached.owner = {};
+    cached.keptAt.reset();
     for (const auto &address : cached.tried) {
         if (auto *member = m_members.at(address))
             member->refusedAt = now;
@@ -285,14 +332,11 @@
         place(now, head, *route, cached, bytes);
         return;
     }
-    if (!cached.refusedSince)
-        cached.refusedSince = now;
-    // Queues are short: a target that refuses now often has room a moment later.
-    if (isLearning(now) || now - *cached.refusedSince < refusedWait) {
+    if (isLearning(now) && now < cached.begun + attemptTime) {
         logOpening(now, head, "parked: refused by all targets asked", nullptr, 0);
         cached.refusedOnce = false;
         cached.tried.clear();
-        park(now, head, bytes);
+        park(head, bytes, cached.begun, now + refusedPause);
         return;
     }
     logOpening(now, head, "reset: refused by all targets asked", nullptr, 0);
--- a/src/libtoucanrelay/relay_entry_search.cpp
+++ b/src/libtoucanrelay/relay_entry_search.cpp
@@ -314,6 +314,15 @@
             .target = member ? member->name : toString(from)});
 }
 
+void relay_entry::handle(instant now, const endpoint &from, const opening_kept &message)
+{
+    const auto found = m_flows.find({.caller = message.caller, .service = message.service});
+    if (found == m_flows.end() || found->second.established)
+        return;
+    found->second.owner = from;
+    found->second.keptAt = now;
+}
+
 // What came while the owner was searched; the segment that found it is with the owner already.
 void relay_entry::forwardHeld(const search_progress &progress, const endpoint &owner)
 {
--- a/src/libtoucanrelay/relay_packet.cpp
+++ b/src/libtoucanrelay/relay_packet.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // A header is a flat CBOR array of numbers: these, then the candidates.
-constexpr std::size_t fixedFields = 6;
+constexpr std::size_t fixedFields = 10;
 constexpr std::size_t mostFields = fixedFields + maximumCandidates;
 constexpr std::uint8_t cborArrayBase = 0x80;
 constexpr std::uint64_t serviceTagMask = 0xffffffff;
@@ -70,6 +70,10 @@
     append(header.serviceTag);
     append(header.search);
     append(header.doubtful ? 1 : 0);
+    append(header.ageMs);
+    append(header.objectiveMs);
+    append(header.shortestWaitMs);
+    append(packEndpoint(header.shortestAt));
     for (const auto &candidate : header.candidates)
         append(packEndpoint(candidate));
     return size;
@@ -99,7 +103,11 @@
                             .entry = unpackEndpoint(numbers[2]),
                             .serviceTag = numbers[3],
                             .search = numbers[4],
-                            .doubtful = numbers[5] != 0},
+                            .doubtful = numbers[5] != 0,
+                            .ageMs = numbers[6],
+                            .objectiveMs = numbers[7],
+                            .shortestWaitMs = numbers[8],
+                            .shortestAt = unpackEndpoint(numbers[9])},
         .bytes = datagram.subspan(offset)};
     for (std::size_t i = fixedFields; i < numbers.size(); ++i)
         packet.header.candidates.push_back(unpackEndpoint(numbers[i]));
--- a/src/libtoucanrelay/relay_placement.cpp
+++ b/src/libtoucanrelay/relay_placement.cpp
@@ -52,6 +52,7 @@
 {
     return rank(members, request.flowHash, [&](const relay_member &item) {
         return takesOpenings(item, request.out, request.now)
+            && hasCredit(item, request.roundsForEachReport)
             && std::ranges::find(request.tried, item.address) == request.tried.end();
     });
 }
@@ -67,6 +68,11 @@
     return item.standing == target_standing::ready;
 }
 
+bool hasCredit(const relay_member &item, std::uint64_t rounds)
+{
+    return rounds == 0 || item.openedSince < rounds * std::max<std::uint64_t>(item.slots, 1);
+}
+
 placement placeByLoad(std::span<relay_member *const> members, const placement_request &request)
 {
     const auto ranked = rankCandidates(members, request);
--- a/src/libtoucanrelay/relay_target.cpp
+++ b/src/libtoucanrelay/relay_target.cpp
@@ -76,30 +76,49 @@
         m_port.sendTarget(packet.bytes);
         return;
     }
-    const auto verdict = judge(now, header);
+    auto next = header;
+    auto verdict = judge(now, header);
+    // A copy of an opening that waits does not overtake others.
+    if (m_queue.contains(key)) {
+        verdict = keepOpening(now, head, packet);
+    } else if (verdict == opening_verdict::busy) {
+        noteWait(now, next);
+    } else if (verdict == opening_verdict::waits) {
+        const auto better = shorterQueue(now, header);
+        next.shortestAt = {};
+        if (better)
+            next.candidates.assign(1, better);
+        verdict = better ? opening_verdict::busy : keepOpening(now, head, packet);
+    }
     logOpening(now, head, toString(verdict));
     m_verdicts[static_cast<std::size_t>(verdict)]->add();
-    if (verdict != opening_verdict::accepted) {
-        passOn(header, relay_kind::refused_opening, packet.bytes);
-        return;
-    }
+    if (verdict == opening_verdict::accepted)
+        acceptOpening(now, head, header, packet.bytes);
+    else if (verdict != opening_verdict::waits)
+        passOn(next, relay_kind::refused_opening, packet.bytes);
+}
+
+void relay_target::acceptOpening(
+    instant now, const segment &head, const relay_header &header, byte_view bytes)
+{
+    const auto key = head.flowFromCaller();
     m_window.add(now);
     auto &item = m_flows[key];
     item = {.entry = header.entry,
         .candidates = header.candidates,
         .serviceTag = header.serviceTag,
         .revision = header.revision,
-        .opening = byte_buffer(packet.bytes.begin(), packet.bytes.end()),
+        .opening = byte_buffer(bytes.begin(), bytes.end()),
         .opened = now,
         .lastPacket = now};
     m_unanswered.emplace_back(now, key);
-    m_port.sendTarget(packet.bytes);
+    expectRequest(now, key, item);
+    m_port.sendTarget(bytes);
 }
 
 opening_verdict relay_target::judge(instant now, const relay_header &header)
 {
     const bool stale = header.revision < m_revision && now - m_revisionAt > staleRouteLimit;
-    const auto &latest = m_liveness.latest();
     return judgeOpening({.standing = standing(now),
         .domainOut = m_domains.contains(m_options.domain),
         .serviceMatches = header.serviceTag == serviceTagOf(service()),
@@ -109,8 +128,9 @@
         .hasAlternative = !header.candidates.empty(),
         .flows = heldFlows(),
         .flowLimit = m_bounds.flows,
-        .waiting = m_waiting + m_unanswered.size(),
-        .slots = latest ? latest->slots : 0});
+        .waiting = occupied(),
+        .slots = slots(),
+        .limit = slots() == 0 ? 0 : m_queue.concurrencyLimit(slots())});
 }
 
 // Passes a packet to its next candidate, or back to the entry when there is none left.
@@ -255,11 +275,17 @@
 
 void relay_target::beginRequest(instant now, flow &item)
 {
+    forgetExpected(item);
     if (item.waitingSince)
         return;
+    if (item.requests == 0)
+        m_queue.noteHandshake(
+            std::chrono::duration_cast<std::chrono::milliseconds>(now - item.opened));
     ++item.requests;
     item.waitingSince = now;
-    m_load.set(now, static_cast<double>(++m_waiting));
+    item.showsPace = m_waiting < slots();
+    ++m_waiting;
+    noteLoad(now);
 }
 
 void relay_target::endRequest(instant now, flow &item, bool answered)
@@ -270,12 +296,15 @@
         = std::chrono::duration_cast<std::chrono::milliseconds>(now - *item.waitingSince);
     item.slowest = std::max(item.slowest, took);
     item.waitingSince.reset();
-    m_load.set(now, static_cast<double>(--m_waiting));
+    --m_waiting;
+    noteLoad(now);
     m_failures.add(now, !answered);
     if (answered)
         m_firstAnswer.add(static_cast<double>(took.count()));
     else
         m_unansweredRequests.add();
+    if (answered && item.showsPace)
+        m_queue.noteService(took);
 }
 
 void relay_target::onTargetBytes(instant now, std::span<std::uint8_t> bytes)
@@ -311,6 +340,7 @@
     }
     m_port.sendCaller(key.caller, bytes);
     noteTarget(now, found, *head);
+    serveQueue(now);
 }
 
 void relay_target::noteTarget(instant now, flow_map::iterator place, const segment &head)
@@ -388,15 +418,18 @@
 void relay_target::onTick(instant now)
 {
     checkUnanswered(now);
+    sweepExpected(now);
     passOnProbes(now);
     if (m_resetFlowsAt && now >= *m_resetFlowsAt)
         endLifetime(now, now, "the target ended");
+    serveQueue(now);
     sendReports(now, standing(now) != m_reportedStanding);
     if (now - m_lastSweep >= sweepInterval) {
         m_lastSweep = now;
         sweepFlows(now);
         m_metrics.numberOf("toucan_flows").set(m_flows.size());
         m_metrics.numberOf("toucan_requests_waiting").set(m_waiting);
+        m_metrics.numberOf("toucan_openings_waiting").set(m_queue.size());
         m_metrics.numberOf("toucan_standing").set(static_cast<std::uint64_t>(standing(now)));
         m_metrics.numberOf("toucan_config_revision").set(m_revision);
         m_metrics.numberOf("toucan_domains_revision").set(m_domains.revision);
@@ -429,6 +462,7 @@
 void relay_target::erase(instant now, flow_map::iterator place, std::string_view outcome)
 {
     auto &item = place->second;
+    forgetExpected(item);
     endRequest(now, item, false);
     using std::chrono::duration_cast;
     using std::chrono::milliseconds;
@@ -451,7 +485,7 @@
             .copy = head.copy,
             .outcome = std::string(outcome),
             .target = m_options.name,
-            .load = m_waiting,
+            .load = occupied() + m_queue.size(),
             .eligible = m_flows.size(),
             .revision = m_revision,
             .domainsRevision = m_domains.revision});
--- a/src/libtoucanrelay/relay_target_entries.cpp
+++ b/src/libtoucanrelay/relay_target_entries.cpp
@@ -29,6 +29,11 @@
     m_malformed.add();
 }
 
+void relay_target::handle(instant, const endpoint &, const opening_kept &)
+{
+    m_malformed.add();
+}
+
 void relay_target::handle(instant now, const endpoint &from, const entry_notice &message)
 {
     auto &entry = m_entries[from];
@@ -97,8 +102,7 @@
     const auto interval = std::max<std::chrono::milliseconds>(
         reportInterval, intervalForEachEntry * static_cast<std::int64_t>(m_entries.size()));
     m_reportedStanding = standing(now);
-    const auto &latest = m_liveness.latest();
-    const auto slots = latest ? std::max<std::uint64_t>(latest->slots, 1) : 1;
+    const auto known = std::max<std::uint64_t>(slots(), 1);
     constexpr double thousand = 1000;
     target_report report{.member = m_options.name,
         .service = service(),
@@ -106,10 +110,10 @@
         .boot = m_options.boot,
         .lifetime = m_liveness.lifetime(),
         .standing = static_cast<std::uint64_t>(m_reportedStanding),
-        .slots = slots,
+        .slots = known,
         .flows = heldFlows(),
-        .waiting = m_waiting,
-        .load = static_cast<std::uint64_t>(m_load.read(now) * thousand / static_cast<double>(slots))
+        .waiting = occupied() + m_queue.size(),
+        .load = static_cast<std::uint64_t>(m_load.read(now) * thousand / static_cast<double>(known))
             + m_failures.penalty(now),
         .openRate = coldLimit(),
         .leaving = m_leaving,
--- /dev/null
+++ b/src/libtoucanrelay/relay_target_queue.cpp
@@ -0,0 +1,135 @@
+// Openings that wait at a target process for a slot of its target.
+
+#include <algorithm>
+#include <toucan/relay_target.h>
+
+namespace toucan {
+namespace {
+
+using namespace std::chrono_literals;
+
+// A caller's first request comes a network round trip after its flow opened.
+constexpr auto expectedWithin = 150ms;
+// Another target's queue has to be shorter by this much to be worth one more hop.
+constexpr std::uint64_t worthwhileMs = 10;
+
+waiting_opening makeWaiting(instant now, const segment &head, const relay_packet &packet)
+{
+    auto header = packet.header;
+    header.candidates.clear();
+    header.shortestAt = {};
+    return {.head = head,
+        .header = std::move(header),
+        .bytes = byte_buffer(packet.bytes.begin(), packet.bytes.end()),
+        .begun = now - std::chrono::milliseconds(packet.header.ageMs),
+        .objective = std::chrono::milliseconds(packet.header.objectiveMs)};
+}
+
+} // namespace
+
+std::uint64_t relay_target::slots() const
+{
+    return m_liveness.latest() ? m_liveness.latest()->slots : 0;
+}
+
+void relay_target::noteLoad(instant now)
+{
+    m_load.set(now, static_cast<double>(m_waiting + m_queue.size()));
+}
+
+// A flow that opened brings a request within a moment; the slot is kept for it until then.
+void relay_target::expectRequest(instant now, const flow_key &key, flow &item)
+{
+    item.expected = true;
+    ++m_expected;
+    m_expectedFlows.emplace_back(now, key);
+}
+
+void relay_target::forgetExpected(flow &item)
+{
+    if (std::exchange(item.expected, false))
+        --m_expected;
+}
+
+void relay_target::sweepExpected(instant now)
+{
+    while (!m_expectedFlows.empty() && now - m_expectedFlows.front().first > expectedWithin) {
+        const auto found = m_flows.find(m_expectedFlows.front().second);
+        if (found != m_flows.end() && found->second.opened == m_expectedFlows.front().first)
+            forgetExpected(found->second);
+        m_expectedFlows.pop_front();
+    }
+}
+
+// Milliseconds that an opening would wait here.
+std::uint64_t relay_target::expectedWait(instant now, const relay_header &header) const
+{
+    const waiting_opening opening{.begun = now - std::chrono::milliseconds(header.ageMs),
+        .objective = std::chrono::milliseconds(header.objectiveMs)};
+    const auto wait = m_queue.expectedWait(now, opening, slots(), excess());
+    return static_cast<std::uint64_t>(wait.count());
+}
+
+// Leaves word of the wait here for the candidates that are asked next.
+void relay_target::noteWait(instant now, relay_header &header) const
+{
+    const auto wait = expectedWait(now, header);
+    if (!header.shortestAt || wait < header.shortestWaitMs) {
+        header.shortestWaitMs = wait;
+        header.shortestAt = m_options.peer;
+    }
+}
+
+// The candidate asked before that has a shorter queue than this one; none when this one is best.
+endpoint relay_target::shorterQueue(instant now, const relay_header &header) const
+{
+    const bool isBetter = header.shortestAt && header.shortestAt != m_options.peer
+        && header.shortestWaitMs + worthwhileMs < expectedWait(now, header);
+    return isBetter ? header.shortestAt : endpoint{};
+}
+
+opening_verdict relay_target::keepOpening(
+    instant now, const segment &head, const relay_packet &packet)
+{
+    if (!m_queue.offer(now, makeWaiting(now, head, packet), slots(), excess()))
+        return opening_verdict::overloaded;
+    noteLoad(now);
+    m_port.sendPeer(packet.header.entry,
+        encodeRelayMessage(opening_kept{.caller = head.source, .service = head.destination}), {});
+    return opening_verdict::waits;
+}
+
+void relay_target::dropEnded(instant now)
+{
+    for (const auto &item : m_queue.takeEnded(now))
+        logOpening(now, item.head, "dropped: its caller's attempt ended while it waited");
+}
+
+// The gate is asked again: the target may drain, fall silent or be out of service meanwhile.
+void relay_target::serveQueue(instant now)
+{
+    if (m_queue.empty())
+        return;
+    dropEnded(now);
+    while (const auto *next = m_queue.next(now)) {
+        const auto verdict = judge(now, next->header);
+        if (verdict == opening_verdict::waits)
+            break;
+        const auto item = *m_queue.take(next->head.flowFromCaller());
+        logOpening(now, item.head, toString(verdict));
+        m_verdicts[static_cast<std::size_t>(verdict)]->add();
+        if (verdict == opening_verdict::accepted)
+            acceptOpening(now, item.head, item.header, item.bytes);
+        else
+            passOn(item.header, relay_kind::refused_opening, item.bytes);
+    }
+    noteLoad(now);
+}
+
+void relay_target::onPause(instant now)
+{
+    m_queue.clear();
+    noteLoad(now);
+}
+
+} // namespace toucan
--- /dev/null
+++ b/src/libtoucanrelay/relay_target_queue_test.cpp
@@ -0,0 +1,223 @@
+#include "engine_fixtures.h"
+
+#include <catch2/catch.hpp>
+
+using namespace toucan;
+using namespace toucan::testing;
+
+namespace {
+
+constexpr std::uint64_t slots = 2;
+// One request for each slot, one on its way and one that waits, while callers answer at once.
+constexpr std::uint64_t limit = 4;
+
+// A target process whose target runs two requests at once, and callers told apart by their ports.
+struct queue_fixture : engine_fixture
+{
+    relay_target engine;
+
+    queue_fixture()
+        : engine({.name = "t1", .domain = "a", .service = "main", .peer = processAddress}, codec,
+            port, metrics, log, now)
+    {
+        report(target_standing::ready);
+    }
+
+    void report(target_standing standing)
+    {
+        static std::uint64_t sequence = 0;
+        engine.onLiveness(now,
+            {.id = "i1",
+                .service = "main",
+                .startedMs = 1,
+                .sequence = ++sequence,
+                .slots = slots,
+                .draining = standing == target_standing::draining});
+    }
+    void open(std::uint16_t callerPort, const relay_header &extra = {})
+    {
+        auto head = opening;
+        head.source.port = callerPort;
+        auto header = extra;
+        header.kind = relay_kind::opening;
+        header.entry = entryAddress;
+        header.serviceTag = serviceTagOf("main");
+        auto bytes = packet(header, head);
+        engine.onPeerBytes(now, entryAddress, bytes);
+    }
+    // The target takes the flow, and its caller sends a request.
+    void request(std::uint16_t callerPort)
+    {
+        fromTarget(callerPort, {.synchronize = true, .acknowledge = true, .sequence = 9});
+        auto head = toucan::testing::request(10);
+        head.source.port = callerPort;
+        auto bytes = packet({.kind = relay_kind::established, .entry = entryAddress}, head);
+        engine.onPeerBytes(now, entryAddress, bytes);
+    }
+    void answer(std::uint16_t callerPort)
+    {
+        fromTarget(callerPort, {.acknowledge = true, .sequence = 10, .length = 50});
+    }
+    void fromTarget(std::uint16_t callerPort, segment head)
+    {
+        head.source = service;
+        head.destination = {.ip = caller.ip, .port = callerPort};
+        auto bytes = codec.encode(head, byte_buffer(head.length, 'r'));
+        engine.onTargetBytes(now, bytes);
+    }
+    // Takes the whole of the target's capacity; the callers' ports count from 1.
+    void fill()
+    {
+        for (std::uint16_t each = 1; each <= limit; ++each) {
+            open(each);
+            request(each);
+        }
+        port = {};
+    }
+    // Ports of the callers whose openings reached the target since the last call.
+    std::vector<std::uint16_t> takeOpened()
+    {
+        std::vector<std::uint16_t> ports;
+        for (const auto &bytes : std::exchange(port.toTarget, {})) {
+            const auto head = codec.decode(bytes);
+            if (head->isOpening())
+                ports.push_back(head->source.port);
+        }
+        return ports;
+    }
+    // Openings that the entry was told are kept.
+    std::size_t countKept() const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(port.toPeers, [](const auto &sent) {
+            const auto message = decodeRelayMessage(sent.second);
+            return valueOf(message) && std::holds_alternative<opening_kept>(*valueOf(message));
+        }));
+    }
+};
+
+} // namespace
+
+TEST_CASE("target queue: an opening waits for a slot, its entry is told, and it is served then")
+{
+    queue_fixture target;
+    target.fill();
+    target.open(10);
+    CHECK(target.takeOpened().empty());
+    CHECK(target.countKept() == 1);
+    CHECK(target.port.takePackets().empty());
+    target.answer(1);
+    CHECK(target.takeOpened() == std::vector<std::uint16_t>{10});
+}
+
+TEST_CASE("target queue: callers that can still be answered in time are served first")
+{
+    queue_fixture target;
+    target.fill();
+    target.open(10, {.ageMs = 700, .objectiveMs = 300});
+    target.open(11, {.ageMs = 0, .objectiveMs = 300});
+    target.answer(1);
+    CHECK(target.takeOpened() == std::vector<std::uint16_t>{11});
+    target.request(11);
+    target.answer(2);
+    CHECK(target.takeOpened() == std::vector<std::uint16_t>{10});
+}
+
+TEST_CASE("target queue: a copy of a waiting opening does not reach the target twice")
+{
+    queue_fixture target;
+    target.fill();
+    target.open(10);
+    target.now += 200ms;
+    target.open(10, {.ageMs = 200});
+    CHECK(target.takeOpened().empty());
+    CHECK(target.countKept() == 2);
+    target.answer(1);
+    CHECK(target.takeOpened() == std::vector<std::uint16_t>{10});
+    target.answer(2);
+    CHECK(target.takeOpened().empty());
+}
+
+TEST_CASE("target queue: a flow that opened counts against the slots until its request comes")
+{
+    queue_fixture target;
+    for (std::uint16_t each = 1; each <= limit + 1; ++each)
+        target.open(each);
+    CHECK(target.takeOpened().size() == limit);
+    for (std::uint16_t each = 1; each <= limit; ++each)
+        target.fromTarget(each, {.synchronize = true, .acknowledge = true, .sequence = 9});
+    // Callers that never send a request hold no slot for long.
+    target.now += 200ms;
+    target.engine.onTick(target.now);
+    CHECK(target.takeOpened().size() == 1);
+}
+
+TEST_CASE("target queue: the gate is asked again when an opening's turn comes")
+{
+    queue_fixture target;
+    target.fill();
+    target.open(10);
+    target.port = {};
+    target.report(target_standing::draining);
+    target.engine.onTick(target.now);
+    CHECK(target.takeOpened().empty());
+    const auto packets = target.port.takePackets();
+    REQUIRE(packets.size() == 1);
+    CHECK(packets.front() == std::pair(relay_kind::refused_opening, entryAddress));
+}
+
+TEST_CASE("target queue: an opening whose caller gave up is not offered to the target")
+{
+    queue_fixture target;
+    target.fill();
+    target.open(10);
+    target.now += 1500ms;
+    target.report(target_standing::ready);
+    target.engine.onTick(target.now);
+    target.answer(1);
+    CHECK(target.takeOpened().empty());
+}
+
+TEST_CASE("target queue: openings that waited while the process stood still are not served")
+{
+    queue_fixture target;
+    target.fill();
+    target.open(10);
+    target.engine.onPause(target.now);
+    target.answer(1);
+    CHECK(target.takeOpened().empty());
+}
+
+TEST_CASE("target queue: an opening that would wait too long goes back to its entry at once")
+{
+    queue_fixture target;
+    target.fill();
+    // One request takes 50 ms of one of two slots until others were seen.
+    for (std::uint16_t each = 100; each < 200; ++each)
+        target.open(each);
+    target.port = {};
+    target.open(10);
+    const auto packets = target.port.takePackets();
+    REQUIRE(packets.size() == 1);
+    CHECK(packets.front() == std::pair(relay_kind::refused_opening, entryAddress));
+}
+
+TEST_CASE("target queue: the last candidate sends an opening to the one with the shorter queue")
+{
+    queue_fixture target;
+    target.fill();
+    target.open(10, {.shortestWaitMs = 30, .shortestAt = otherProcess});
+    target.port = {};
+    target.open(11, {.shortestWaitMs = 10, .shortestAt = otherProcess});
+    auto packets = target.port.takePackets();
+    REQUIRE(packets.size() == 1);
+    CHECK(packets.front() == std::pair(relay_kind::opening, otherProcess));
+    // A busy candidate leaves word of its own wait.
+    relay_header asked;
+    asked.candidates.push_back(otherProcess);
+    target.open(12, asked);
+    REQUIRE(target.port.toPeers.size() == 1);
+    const auto passedOn = decodeRelayPacket(target.port.toPeers.front().second);
+    REQUIRE(passedOn);
+    CHECK(passedOn->header.shortestAt == processAddress);
+    CHECK(passedOn->header.shortestWaitMs > 0);
+}
--- a/src/toucantarget/target_relay_server.cpp
+++ b/src/toucantarget/target_relay_server.cpp
@@ -82,7 +82,9 @@
         // A report comes first: what it forbids must not be let through with the same batch.
         for (const auto &event : m_mailbox.take())
             std::visit([&](const auto &item) { handle(now, item); }, event);
-        if (!discardAfterPause(now, *m_peers)) {
+        if (discardAfterPause(now, *m_peers)) {
+            m_engine.onPause(now);
+        } else {
             readBatch(*m_outbound, m_buffer, [&](const endpoint &, std::span<std::uint8_t> bytes) {
                 m_engine.onTargetBytes(now, bytes);
             });
