--- a/src/include/toucan/directory_census.h
+++ b/src/include/toucan/directory_census.h
@@ -17,11 +17,11 @@
     std::string name; ///< Name of the VM.
     endpoint peer; ///< Address for other processes.
     endpoint control; ///< Address of its control link; none when the record names none.
+    std::string domain; ///< Failure domain; empty when the record names none.
     std::uint64_t version = 0; ///< Version of the record.
 };
 
-/// True when a list has the record of an entry with these addresses, so that it need not be
-/// written.
+/// True when a list has this record of an entry, so that it need not be written.
 bool isListed(std::span<const listed_entry> records, const listed_entry &entry);
 
 /// What a round of asking found.
--- a/src/include/toucan/entry_directory.h
+++ b/src/include/toucan/entry_directory.h
@@ -4,6 +4,7 @@
 /// processes whose seeds are all down find the others by it.
 
 #include <toucan/directory_census.h>
+#include <toucan/generated/relay.h>
 #include <toucan/store_follower.h>
 
 namespace toucan {
@@ -14,10 +15,11 @@
     std::string name; ///< Name of the VM.
     endpoint peer; ///< Address for other processes.
     endpoint control; ///< Address of its control link.
+    std::string domain; ///< Its failure domain.
 };
 
-/// Called on the directory's thread with the peer addresses of all entries on the list.
-using directory_handler = std::function<void(std::vector<endpoint>)>;
+/// Called on the directory's thread with all entries on the list.
+using directory_handler = std::function<void(std::vector<entry_place>)>;
 
 /// Rhythm in which an entry compares the list with the entries that answer.
 struct directory_rhythm
@@ -33,7 +35,7 @@
 
 /// Keeps an entry's record: reads the list, hands it out, and writes the own record, conditionally,
 /// until it stands, unless it does already. From time to time does so again and removes,
-/// conditionally too, the records of entries that are gone.
+/// conditionally too, the records of entries of its failure domain that are gone.
 class entry_registration
 {
 public:
--- a/src/include/toucan/lab/relay_fleet.h
+++ b/src/include/toucan/lab/relay_fleet.h
@@ -105,6 +105,7 @@
     void tickTarget(std::size_t target, std::uint64_t start);
     void reportTarget(std::size_t target, std::uint64_t lifetime);
     std::vector<endpoint> seeds() const;
+    std::vector<entry_place> listedEntries() const;
 
     relay_fleet_options m_options;
     const segment_codec &m_codec;
--- a/src/include/toucan/relay_entry.h
+++ b/src/include/toucan/relay_entry.h
@@ -5,6 +5,8 @@
 
 #include <map>
 #include <set>
+#include <toucan/digest_book.h>
+#include <toucan/entry_roster.h>
 #include <toucan/event_log.h>
 #include <toucan/metrics.h>
 #include <toucan/opening_queue.h>
@@ -24,6 +26,7 @@
     std::string domain;
     endpoint peer; ///< Own address for other processes.
     std::vector<endpoint> seeds; ///< Peer addresses of entries to start from.
+    std::vector<std::string> domains; ///< All failure domains; those that are heard when empty.
     std::chrono::milliseconds flowLifetime{60000}; ///< Silence after which a flow is forgotten.
     std::chrono::milliseconds grace{6000}; ///< Time between a stop signal and the kill.
     placement_policy place = placeByLoad; ///< How candidates for an opening are chosen.
@@ -45,8 +48,13 @@
     void onConfig(instant now, const relay_config_ptr &config, std::string_view source);
     /// Failure domains out of service; older ones are ignored.
     void onDomains(instant now, const domains_out &domains, std::string_view source);
-    /// Peer addresses of entries that the platform knows.
-    void onEntries(instant now, std::span<const endpoint> peers);
+    /// Entries that the platform knows.
+    void onEntries(instant now, std::span<const entry_place> entries);
+    /// How this entry gets on with the platform's store; others are told.
+    void onStore(instant now, store_standing standing);
+    /// True when this entry has to follow the store for its failure domain; nullopt while the
+    /// process has just started and has not heard the others.
+    std::optional<bool> shouldFollowStore(instant now) const;
     /// Options that changed while the engine runs; names, addresses and `boot` must stay.
     void setOptions(relay_entry_options options) { m_options = std::move(options); }
     /// Time passed. Call at least each tickInterval.
@@ -68,7 +76,7 @@
     std::size_t memberCount() const { return m_members.aliveCount(); }
     const member_table &members() const { return m_members; }
     /// Peer addresses of the other entries that were heard within the last seconds.
-    std::vector<endpoint> heardEntries(instant now) const;
+    std::vector<endpoint> heardEntries(instant now) const { return m_roster.heard(now); }
 
 private:
     /// Members that an opening and its copies were sent to.
@@ -79,7 +87,15 @@
     {
         endpoint address;
         bool denied = false; ///< It said that its target does not hold the flow.
-        bool doubtful = false; ///< It, or another one of its batch, had no word of its target.
+        bool doubtful = false; ///< It, or another one of its chain, had no word of its target.
+        bool hasSegment = false; ///< It got the segment itself, to ask its target.
+    };
+
+    /// How far a search is.
+    enum class search_stage : std::uint8_t {
+        chain, ///< The segment travels along the likeliest owners.
+        questions, ///< All others are asked whether they hold the flow.
+        ended,
     };
 
     /// A search for a flow's owner with one segment.
@@ -91,12 +107,13 @@
         byte_buffer bytes; ///< The segment.
         std::vector<byte_buffer> held; ///< Segments that came meanwhile.
         std::vector<search_place> order; ///< Members to ask, fixed when the search began.
-        std::size_t first = 0; ///< Begin of the batch that is asked now, in the order.
-        std::size_t end = 0; ///< End of that batch.
-        bool oneByOne = false; ///< Its members are asked each on their own.
+        std::size_t chainLength = 0; ///< Those at the begin of the order that form the chain.
+        search_stage stage = search_stage::chain;
         instant askedAt{};
-        bool ended = false;
+        std::size_t rounds = 0; ///< Times that questions were sent.
     };
+    /// Questions that are gathered for one datagram to each member.
+    using question_batch = std::map<endpoint, std::vector<flow_inquiry>>;
 
     struct cached_flow
     {
@@ -124,12 +141,6 @@
         instant notBefore{}; ///< It is not tried again before.
     };
 
-    struct entry_peer
-    {
-        instant heard{};
-        std::uint64_t revision = 0;
-    };
-
     void onOpening(
         instant now, const segment &head, const route_rule &route, byte_view bytes, instant begun);
     void place(instant now, const segment &head, const route_rule &route, cached_flow &cached,
@@ -138,20 +149,26 @@
         instant now, const segment &head, const route_rule *route, std::span<std::uint8_t> bytes);
     void search(instant now, const segment &head, const route_rule &route, cached_flow &cached,
         byte_view bytes);
-    void askNext(instant now, cached_flow &cached);
-    void sendSearch(instant now, cached_flow &cached, std::span<const search_place> places);
+    void sendSegment(instant now, cached_flow &cached, std::span<const search_place> places);
     void noteDenial(instant now, cached_flow &cached, std::size_t place, bool doubtful);
-    void onMissingAnswer(instant now, cached_flow &cached);
+    void goOn(instant now, cached_flow &cached);
+    void goOnLate(instant now, cached_flow &cached, question_batch &batch);
+    void askAll(instant now, cached_flow &cached, question_batch &batch);
+    void sendQuestions(const question_batch &batch);
+    void adoptOwner(instant now, const flow_key &flow, cached_flow &cached, const endpoint &owner,
+        bool hasSegment);
     void concludeSearch(instant now, cached_flow &cached);
     void resetLostFlow(instant now, const segment &head);
     void tendSearches(instant now);
-    void forwardHeld(const search_progress &progress, const endpoint &owner);
+    void forwardHeld(const search_progress &progress, const endpoint &owner, bool hasSegment);
     void retryWaitingSearches(instant now);
     std::vector<relay_member *> wholeSearchOrder(
         instant now, const route_rule &route, const flow_key &flow) const;
+    bool maySpeakOf(const relay_member &item, instant now) const;
     std::string doubtAbout(instant now, const search_progress &progress) const;
     void onRefused(instant now, const segment &head, byte_view bytes);
-    void onNotFound(instant now, const relay_header &header, const segment &head, byte_view bytes);
+    void onNotFound(instant now, const endpoint &from, const relay_header &header,
+        const segment &head, byte_view bytes);
     void suspectOwner(instant now, const flow_key &flow);
     void park(const segment &head, byte_view bytes, instant begun, instant notBefore = {});
     void retryParked(instant now);
@@ -162,6 +179,9 @@
     bool mayBePlaced(instant now, const parked_opening &item) const;
     bool isLearning(instant now) const;
     bool knowsMembers(instant now) const;
+    bool knowsOwnDomain(instant now) const;
+    bool knowsDomain(std::string_view domain, instant now) const;
+    std::vector<std::string> otherDomains() const;
     bool mayBecomeReady(std::span<relay_member *const> members) const;
     void resetFlow(instant now, const segment &head, std::string_view reason);
     void logOpening(instant now, const segment &head, std::string_view outcome,
@@ -175,16 +195,28 @@
     void handle(instant now, const endpoint &from, const entry_notice &message);
     void handle(instant now, const endpoint &from, const flow_owner &message);
     void handle(instant now, const endpoint &from, const opening_kept &message);
-    void handlePacket(instant now, const relay_packet &packet);
+    void handle(instant now, const endpoint &from, const member_digest &message);
+    void handle(instant now, const endpoint &from, const digest_request &message);
+    void handle(instant now, const endpoint &from, const flow_question &message);
+    void handle(instant now, const endpoint &from, const flow_answer &message);
+    void handlePacket(instant now, const endpoint &from, const relay_packet &packet);
     void logMember(instant now, const member_change &change);
-    void meetMembers(instant now, std::span<const endpoint> members);
     entry_notice makeNotice(instant now) const;
-    void sendNotice(const endpoint &to, const entry_notice &notice);
-    void tellEntry(instant now, const endpoint &to, bool wantsNotice);
-    void answerEntry(instant now, const endpoint &to);
+    void send(const endpoint &to, const relay_message &message);
+    void meetEntry(instant now, const endpoint &to);
     void tellMember(instant now, const relay_member &member);
+    void greetMembers(instant now);
+    void hearEntry(instant now, const entry_place &place, std::string_view name);
     void sendNotices(instant now);
     void tendPeers(instant now);
+    void sendDigests(instant now);
+    void sendWholeDigest(instant now, const endpoint &to, std::string_view domain);
+    void introduce(instant now, const endpoint &to);
+    void noteCompleteness(instant now);
+    void askForMembers(instant now);
+    std::vector<std::string> vouchedDomains(instant now) const;
+    digest_origin originOf() const;
+    void noteMembers(instant now, std::span<const member_change> changes);
     bool shouldKeepCopy(const relay_member &member) const;
     void noteRevision(instant now, const endpoint &from, std::uint64_t revision);
     void sweepFlows(instant now);
@@ -205,10 +237,15 @@
     domains_out m_domains;
     std::unordered_set<endpoint> m_droppedRoutes; ///< Addresses that had a route before.
     member_table m_members;
-    std::map<endpoint, entry_peer> m_entries;
-    std::map<endpoint, instant>
-        m_named; ///< Members that entries named lately and are not heard yet.
-    std::optional<instant> m_introducedAt; ///< When an entry first named its members.
+    entry_roster m_roster;
+    digest_book m_digests;
+    bool m_ownComplete = false; ///< All members of the own domain have been known once.
+    store_standing m_store = store_standing::not_asked;
+    instant m_storeLostAt{};
+    std::uint64_t m_noticeRounds = 0;
+    instant m_lastDigests{};
+    instant m_lastMembersAsked{};
+    instant m_digestDue = instant::max(); ///< When changes are told before the next interval.
     std::unordered_map<flow_key, cached_flow> m_flows;
     std::map<flow_key, parked_opening> m_parked;
     std::set<flow_key> m_searching; ///< Flows whose search is watched for missing answers.
--- a/src/include/toucan/relay_members.h
+++ b/src/include/toucan/relay_members.h
@@ -1,9 +1,11 @@
 #pragma once
 
-/// An entry's beliefs about target processes, from their reports.
+/// An entry's beliefs about target processes: from their own reports inside its failure domain,
+/// from other entries' digests outside of it.
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <toucan/generated/relay.h>
 #include <toucan/target_liveness.h>
@@ -30,15 +32,27 @@
     std::uint64_t load = 0; ///< Smoothed waiting requests for each slot, thousandths.
     std::uint64_t openRate = 0; ///< Openings that a cold target still bears in a second.
     std::uint64_t openedSince = 0; ///< Openings sent its way since the newest report.
-    std::chrono::milliseconds interval{250}; ///< Time between its reports.
+    std::chrono::milliseconds interval{250}; ///< Time between two pieces of news of it.
     instant heard{};
     instant suspectedSince{}; ///< An opening sent its way went unanswered; zero when none did.
     instant refusedAt{}; ///< When it last turned an opening of this entry away.
     bool lost = false; ///< Silent for so long that nothing is sent its way.
     bool leaving = false; ///< Its process said that it stops, maybe to start again.
+    instant reportedAt{}; ///< When it last reported to this entry itself; zero when never.
+    std::chrono::milliseconds reportInterval{250}; ///< Time between its own reports to this entry.
+    instant vouchedAt{}; ///< When its domain's entries last heard it; zero when they never said.
+    bool toldLost = false; ///< Its domain's entries say that it is gone.
+    instant changedAt{}; ///< When something changed that other entries want to know.
+    std::uint64_t toldLoad = 0; ///< Load that counted as a change last.
+    std::uint64_t stateHash = 0; ///< Over what other entries must agree on.
 
     /// True while no report of it is missing: one may be late or lost.
     bool isFresh(instant now) const { return !lost && now - heard < interval * 5 / 2; }
+    /// True while it reports to this entry itself.
+    bool isFirstHand(instant now) const
+    {
+        return reportedAt != instant{} && now - reportedAt < reportInterval * 5 / 2;
+    }
     /// True when no target runs there, so that no flow can be open there.
     bool holdsNothing() const { return standing == target_standing::gone && flows == 0; }
     /// True when it is heard and answers.
@@ -68,9 +82,29 @@
     /// Silence after which a member is forgotten: flows live for a minute at most.
     static constexpr std::chrono::milliseconds forgetAfter{60000};
 
+    /// Silence after which a member that only digests tell of is not used: three digests.
+    static constexpr std::chrono::milliseconds digestSilenceLimit{3000};
+
     /// Takes a report in; nullopt when it changes no belief worth a log line, or is late.
     std::optional<member_change> apply(
         instant now, const endpoint &from, const target_report &report);
+    /// Takes in what another entry believes of a member of `domain`; what this entry knows better
+    /// is left alone.
+    std::optional<member_change> apply(
+        instant now, std::string_view domain, const member_state &state);
+    /// Other entries confirm what is believed of a domain's members.
+    void confirm(instant now, std::string_view domain);
+    /// Members of a domain that are in use but not in `names` are gone.
+    std::vector<member_change> removeOthers(
+        instant now, std::string_view domain, const std::set<std::string> &names);
+    /// Number of members of a domain that are not lost, and a hash over what others must agree on.
+    struct summary
+    {
+        std::uint64_t count = 0;
+        std::uint64_t hash = 0;
+        bool operator==(const summary &) const = default;
+    };
+    summary summaryOf(std::string_view domain) const;
     /// Notes silence; returns what changed.
     std::vector<member_change> onTick(instant now);
     /// Members of a service, in no order; empty when there are none.
@@ -93,6 +127,7 @@
 
 private:
     relay_member *find(std::string_view name) const;
+    relay_member *place(const endpoint &from, const std::string &name);
     void remove(const endpoint &address);
     void rebuildIndex();
 
--- a/src/include/toucan/relay_packet.h
+++ b/src/include/toucan/relay_packet.h
@@ -38,6 +38,13 @@
     candidate_list candidates; ///< Who to pass the packet on to, in this order.
 };
 
+/// What a target process knows of a flow.
+enum class flow_knowledge : std::uint8_t {
+    not_held, ///< Its target does not hold it.
+    held, ///< Its target holds it.
+    unknown, ///< Only the target itself can tell.
+};
+
 /// Short tag of a service name, the same in every process.
 std::uint64_t serviceTagOf(std::string_view service);
 
@@ -61,7 +68,8 @@
 std::optional<relay_packet> decodeRelayPacket(std::span<std::uint8_t> datagram);
 
 /// Messages between entries and target processes.
-using relay_message = std::variant<target_report, entry_notice, flow_owner, opening_kept>;
+using relay_message = std::variant<target_report, entry_notice, flow_owner, opening_kept,
+    member_digest, digest_request, flow_question, flow_answer>;
 
 /// Writes a message as one datagram.
 byte_buffer encodeRelayMessage(const relay_message &message);
--- a/src/include/toucan/relay_process.h
+++ b/src/include/toucan/relay_process.h
@@ -10,6 +10,7 @@
 #include <poll.h>
 #include <thread>
 #include <toucan/event_log.h>
+#include <toucan/generated/relay.h>
 #include <toucan/node.h>
 #include <toucan/platform_adapter.h>
 #include <toucan/udp_socket.h>
@@ -29,10 +30,10 @@
     domains_out domains;
 };
 
-/// Peer addresses of entries from the store.
+/// Entries on the store's list.
 struct entries_event
 {
-    std::vector<endpoint> peers;
+    std::vector<entry_place> entries;
 };
 
 /// Somebody asks for the process's state.
@@ -69,13 +70,20 @@
     void put(const relay_config_ptr &config);
     relay_config_ptr get() const;
     /// Answers a control link that asks for what is newer than `have`; null when nothing is.
-    nlohmann::json newerThan(const nlohmann::json &have) const;
+    nlohmann::json newerThan(const nlohmann::json &have);
 
 private:
     mutable std::mutex m_mutex;
     relay_config_ptr m_config;
+    byte_buffer m_packed; ///< The text of one revision as peers get it.
+    std::uint64_t m_packedRevision = 0;
 };
 
+/// Compresses a configuration's text for peers.
+byte_buffer packText(const std::string &text);
+/// The text of `size` bytes again; nullopt when the bytes are no packed text, or are cut short.
+std::optional<std::string> unpackText(byte_view packed, std::size_t size);
+
 /// Fetches configurations from peers on a thread of its own.
 class config_fetcher
 {
--- a/src/include/toucan/relay_target.h
+++ b/src/include/toucan/relay_target.h
@@ -47,8 +47,8 @@
     void onLiveness(instant now, const target_liveness &report);
     /// A copy of the configuration is kept here, for entries that start without one.
     void setCopyRevision(std::uint64_t revision) { m_copyRevision = revision; }
-    /// Peer addresses of entries that the platform knows.
-    void onEntries(instant now, std::span<const endpoint> peers);
+    /// Entries that the platform knows.
+    void onEntries(instant now, std::span<const entry_place> entries);
     /// Options that changed while the engine runs; names, addresses and `boot` must stay.
     void setOptions(relay_target_options options) { m_options = std::move(options); }
     /// Time passed. Call at least each tickInterval.
@@ -105,6 +105,7 @@
 
     struct entry_state
     {
+        std::string domain; ///< Empty while it is not known.
         instant heard{};
         instant reported{};
         std::uint64_t boot = 0;
@@ -139,7 +140,8 @@
     void passOnProbes(instant now);
     void passOnProbe(flow_map::iterator place);
     static relay_header headerOf(const flow &item);
-    bool isMine(const flow &item, const segment &head) const;
+    bool isMine(const flow &item, std::uint32_t acknowledged) const;
+    flow_knowledge knowledgeOf(instant now, const flow_key &key, std::uint32_t acknowledged) const;
     void tellOwner(const flow_key &key, flow &item);
     void beginRequest(instant now, flow &item);
     void endRequest(instant now, flow &item, bool answered);
@@ -157,6 +159,11 @@
     void handle(instant now, const endpoint &from, const entry_notice &message);
     void handle(instant now, const endpoint &from, const flow_owner &message);
     void handle(instant now, const endpoint &from, const opening_kept &message);
+    void handle(instant now, const endpoint &from, const member_digest &message);
+    void handle(instant now, const endpoint &from, const digest_request &message);
+    void handle(instant now, const endpoint &from, const flow_question &message);
+    void handle(instant now, const endpoint &from, const flow_answer &message);
+    std::vector<endpoint> reportedEntries(instant now) const;
     void sendReports(instant now, bool atOnce);
     void logOpening(instant now, const segment &head, std::string_view outcome);
 
--- a/src/include/toucan/store_follower.h
+++ b/src/include/toucan/store_follower.h
@@ -3,6 +3,8 @@
 /// Follows one kind of objects in the platform's store on a thread of its own: lists it, then waits
 /// for changes. Calls that fail are repeated with a growing, random pause.
 
+#include <atomic>
+#include <condition_variable>
 #include <functional>
 #include <map>
 #include <random>
@@ -13,7 +15,7 @@
 
 namespace toucan {
 
-/// Pauses between failed calls: doubled from 100 ms up to 1 s, each shortened at random by up to
+/// Pauses between failed calls: doubled from 100 ms up to 0.8 s, each shortened at random by up to
 /// half, so that the processes that wait for a store do not return together.
 class retry_pause
 {
@@ -59,20 +61,38 @@
     using snapshot = std::map<std::string, stored_object>;
     using handler = std::function<void(std::uint64_t revision, const snapshot &objects)>;
 
-    store_follower(store_access access, std::string kind, handler onChange);
+    /// Watches wait for up to `watchTime`, which must be less than the store keeps its history.
+    store_follower(store_access access, std::string kind, handler onChange,
+        std::chrono::milliseconds watchTime = std::chrono::seconds(18));
     ~store_follower();
 
+    /// Whether changes are to be followed. Active at first; one that is not makes no calls, but for
+    /// the one that is under way. Thread-safe.
+    void setActive(bool active);
+    /// True while the follower is active and the store answers it. Thread-safe.
+    bool isHeard() const { return m_heard; }
+    /// True when the newest call failed. Thread-safe.
+    bool isLost() const { return m_lost; }
+
 private:
     void run(const std::stop_token &stop);
     bool follow(const std::stop_token &stop, retry_pause &pause);
+    bool waitUntil(const std::stop_token &stop, const std::function<bool()> &condition);
     void noteAnswer();
     void noteFailure(const error &failure);
 
     store_access m_store;
     std::string m_kind;
     handler m_handler;
+    std::chrono::milliseconds m_watchTime;
     platform_client m_client;
-    bool m_lost = false;
+    /// Whether the follower makes calls.
+    enum class call_mode : std::uint8_t { first_list, active, inactive };
+    std::atomic<call_mode> m_mode = call_mode::first_list;
+    std::atomic<bool> m_heard = false;
+    std::atomic<bool> m_lost = false;
+    std::mutex m_mutex;
+    std::condition_variable_any m_wake;
     std::jthread m_thread;
 };
 
--- a/src/libtoucanbase/settings.cpp
+++ b/src/libtoucanbase/settings.cpp
@@ -93,6 +93,14 @@
     return std::nullopt;
 }
 
+std::optional<std::string> readValue(const std::string &text, std::vector<std::string> &out)
+{
+    const Poco::StringTokenizer words(
+        text, ", ", Poco::StringTokenizer::TOK_IGNORE_EMPTY | Poco::StringTokenizer::TOK_TRIM);
+    out.assign(words.begin(), words.end());
+    return std::nullopt;
+}
+
 std::optional<std::string> readValue(const std::string &text, std::chrono::milliseconds &out)
 {
     const auto value = parseDuration(text);
@@ -191,6 +199,11 @@
 {
     return std::to_string(value.count()) + "ms";
 }
+std::string defaultText(const std::vector<std::string> &)
+{
+    return {};
+}
+
 std::string defaultText(const std::vector<endpoint> &)
 {
     return "";
--- a/src/libtoucanlab/relay_fleet.cpp
+++ b/src/libtoucanlab/relay_fleet.cpp
@@ -164,6 +164,16 @@
     return list;
 }
 
+// The list of entries in the store: all that ever started.
+std::vector<entry_place> relay_fleet::listedEntries() const
+{
+    std::vector<entry_place> list(m_entries.size());
+    std::ranges::transform(m_entries, list.begin(), [](const auto &node) {
+        return entry_place{.address = node->peer, .domain = node->domain};
+    });
+    return list;
+}
+
 std::size_t relay_fleet::addEntry()
 {
     m_entries.push_back(std::make_unique<entry_node>(*this, m_entries.size()));
@@ -177,6 +187,7 @@
         .domain = node.domain,
         .peer = node.peer,
         .seeds = seeds(),
+        .domains = m_options.domains,
         .boot = m_random()};
 }
 
@@ -187,8 +198,11 @@
         entryOptions(node), m_codec, node, node.metrics, node.log, m_now);
     const auto start = ++node.starts;
     after(20ms, [this, entry, start] {
-        if (m_entries[entry]->starts == start)
-            publish(*m_entries[entry]);
+        if (m_entries[entry]->starts != start)
+            return;
+        if (m_storeReachable)
+            m_entries[entry]->engine->onEntries(m_now, listedEntries());
+        publish(*m_entries[entry]);
     });
     tickEntry(entry, start);
 }
@@ -215,12 +229,23 @@
     if (!node.engine || node.starts != start)
         return;
     node.engine->onTick(m_now);
+    // An entry that has to follow the store from now on reads it.
+    const auto follows = node.engine->shouldFollowStore(m_now).value_or(true);
+    if (follows != std::exchange(node.follows, follows))
+        publish(node);
     after(fleet_layout::tick, [this, entry, start] { tickEntry(entry, start); });
 }
 
 void relay_fleet::publish(entry_node &entry)
 {
-    if (!m_storeReachable || !entry.engine)
+    if (!entry.engine)
+        return;
+    const bool follows = entry.engine->shouldFollowStore(m_now).value_or(true);
+    entry.engine->onStore(m_now,
+        !follows               ? store_standing::not_asked
+            : m_storeReachable ? store_standing::followed
+                               : store_standing::lost);
+    if (!m_storeReachable || !follows)
         return;
     entry.engine->onConfig(m_now, m_storeConfig, "store");
     entry.engine->onDomains(m_now, m_storeDomains, "store");
@@ -231,8 +256,6 @@
 void relay_fleet::setStore(bool reachable)
 {
     m_storeReachable = reachable;
-    if (!reachable)
-        return;
     for (const auto &entry : m_entries)
         after(5ms, [this, number = entry->number] { publish(*m_entries[number]); });
 }
--- a/src/libtoucanlab/relay_fleet_targets.cpp
+++ b/src/libtoucanlab/relay_fleet_targets.cpp
@@ -56,6 +56,10 @@
         targetOptions(node, first), m_codec, node, node.metrics, node.log, m_now);
     const auto start = ++node.starts;
     node.copy = nullptr;
+    after(20ms, [this, target, start] {
+        if (m_targets[target]->starts == start && m_storeReachable)
+            m_targets[target]->engine->onEntries(m_now, listedEntries());
+    });
     tickTarget(target, start);
 }
 
--- a/src/libtoucanlab/store_follower_test.cpp
+++ b/src/libtoucanlab/store_follower_test.cpp
@@ -41,7 +41,7 @@
             .metrics = metrics,
             .log = log};
     }
-    void start()
+    void start(bool isNeeded = true)
     {
         follower.emplace(
             access(), "config", [this](std::uint64_t, const store_follower::snapshot &objects) {
@@ -51,6 +51,8 @@
                                                : std::optional(found->second.body.get<int>());
                 changed.notify_all();
             });
+        if (isNeeded)
+            follower->setActive(true);
     }
     void write(int newValue) { platform.put("config", "main", newValue, std::nullopt); }
     bool follows(int expected, std::chrono::milliseconds limit = returnBound)
@@ -75,6 +77,24 @@
     CHECK(std::chrono::steady_clock::now() - before < 1s);
 }
 
+TEST_CASE("store: a follower that is not needed lists once and makes no calls until it is")
+{
+    followed_store store;
+    const auto calls = [&] { return store.platform.counts()["reads"].get<int>(); };
+    store.write(1);
+    store.start(false);
+    CHECK(store.follows(1));
+    store.follower->setActive(false);
+    const auto before = calls();
+    store.write(3);
+    std::this_thread::sleep_for(300ms);
+    CHECK(calls() == before);
+    CHECK_FALSE(store.follower->isHeard());
+    store.follower->setActive(true);
+    CHECK(store.follows(3));
+    CHECK(store.follower->isHeard());
+}
+
 // Five entries of one fleet missed a version this way.
 TEST_CASE("store: a change that no watch heard before the history was dropped is found")
 {
@@ -115,15 +135,16 @@
     store.platform.setFaults({.loseWriteAnswers = true});
     std::mutex mutex;
     std::condition_variable changed;
-    std::vector<endpoint> listed;
+    std::vector<entry_place> listed;
     const entry_registration registration(store.access(), "entries",
-        {.name = "e1", .peer = *address}, [&](std::vector<endpoint> peers) {
+        {.name = "e1", .peer = *address}, [&](std::vector<entry_place> peers) {
             const std::lock_guard lock(mutex);
             listed = std::move(peers);
             changed.notify_all();
         });
     std::unique_lock lock(mutex);
-    CHECK(changed.wait_for(lock, 5s, [&] { return !listed.empty() && listed.back() == *address; }));
+    CHECK(changed.wait_for(
+        lock, 5s, [&] { return !listed.empty() && listed.back().address == *address; }));
     CHECK(store.platform.get("entries", "e1").body.dump().find("127.0.0.1:7000")
         != std::string::npos);
 }
@@ -143,7 +164,7 @@
     {
         registration.emplace(
             store.access(), "entries", directory_entry{.name = "e1", .peer = self, .control = self},
-            [this](const std::vector<endpoint> &) {
+            [this](const std::vector<entry_place> &) {
                 const std::lock_guard lock(mutex);
                 ++rounds;
             },
--- a/src/libtoucannet/entry_directory.cpp
+++ b/src/libtoucannet/entry_directory.cpp
@@ -10,6 +10,7 @@
 
 constexpr const char *peerField = "peer";
 constexpr const char *controlField = "control";
+constexpr const char *domainField = "domain";
 
 std::optional<endpoint> readAddress(const json &record, const char *field)
 {
@@ -17,6 +18,12 @@
     return text.is_string() ? parseEndpoint(text.get<std::string>()) : std::nullopt;
 }
 
+std::string readText(const json &record, const char *field)
+{
+    const auto text = record.is_object() ? record.value(field, json()) : json();
+    return text.is_string() ? text.get<std::string>() : std::string();
+}
+
 // Reads the list; nullopt after a failure that was logged and waited for.
 std::optional<std::vector<listed_entry>> readList(platform_client &client,
     const store_access &store, const std::string &kind, retry_pause &pause,
@@ -35,23 +42,27 @@
             records.push_back({.name = object.name,
                 .peer = *peer,
                 .control = readAddress(object.body, controlField).value_or(endpoint{}),
+                .domain = readText(object.body, domainField),
                 .version = object.version});
     }
     return records;
 }
 
-std::vector<endpoint> peersOf(std::span<const listed_entry> records)
+std::vector<entry_place> placesOf(std::span<const listed_entry> records)
 {
-    std::vector<endpoint> peers(records.size());
-    std::ranges::transform(records, peers.begin(), &listed_entry::peer);
-    return peers;
+    std::vector<entry_place> places(records.size());
+    std::ranges::transform(records, places.begin(), [](const listed_entry &record) {
+        return entry_place{.address = record.peer, .domain = record.domain};
+    });
+    return places;
 }
 
 // One try to make the record stand; true when it does.
 result<bool> writeRecord(platform_client &client, const store_access &store,
     const std::string &kind, const directory_entry &self)
 {
-    const json record{{peerField, toString(self.peer)}, {controlField, toString(self.control)}};
+    const json record{{peerField, toString(self.peer)}, {controlField, toString(self.control)},
+        {domainField, self.domain}};
     countCall(store, "put");
     const auto created = client.put(kind, self.name, record, 0);
     if (valueOf(created))
@@ -139,15 +150,19 @@
 bool entry_registration::keepRecord(
     const std::stop_token &stop, std::span<const listed_entry> records)
 {
-    auto peers = peersOf(records);
-    m_handler(peers);
-    if (isListed(records, {.name = m_self.name, .peer = m_self.peer, .control = m_self.control}))
+    auto places = placesOf(records);
+    m_handler(places);
+    if (isListed(records,
+            {.name = m_self.name,
+                .peer = m_self.peer,
+                .control = m_self.control,
+                .domain = m_self.domain}))
         return true;
     retry_pause pause(std::random_device{}());
     if (!stand(stop, pause))
         return false;
-    peers.push_back(m_self.peer);
-    m_handler(std::move(peers));
+    places.push_back({.address = m_self.peer, .domain = m_self.domain});
+    m_handler(std::move(places));
     return true;
 }
 
@@ -169,6 +184,8 @@
 void entry_registration::compare(const std::stop_token &stop, std::vector<listed_entry> records)
 {
     {
+        // Entries of other failure domains are not all heard here.
+        std::erase_if(records, [&](const auto &record) { return record.domain != m_self.domain; });
         const std::lock_guard lock(m_mutex);
         m_census.begin(std::move(records));
     }
@@ -214,7 +231,7 @@
         retry_pause pause(std::random_device{}());
         while (!stop.stop_requested()) {
             if (const auto records = readList(m_client, m_store, m_kind, pause, stop)) {
-                m_handler(peersOf(*records));
+                m_handler(placesOf(*records));
                 return;
             }
         }
--- a/src/libtoucannet/relay_process.cpp
+++ b/src/libtoucannet/relay_process.cpp
@@ -1,3 +1,6 @@
+#include <Poco/DeflatingStream.h>
+#include <Poco/InflatingStream.h>
+#include <sstream>
 #include <time.h>
 #include <toucan/config_agent.h>
 #include <toucan/relay_process.h>
@@ -12,6 +15,8 @@
 // Freezes shorter than this leave nothing in a socket that would be harmful to pass on.
 constexpr auto shortestPause = 500ms;
 constexpr auto lookInterval = 2s;
+// The store holds values up to a megabyte; text that grows beyond this is no configuration.
+constexpr std::size_t largestConfig = 16U << 20U;
 // Operators' commands wait 700 ms for a process; the traffic thread looks each 50 ms.
 constexpr auto statusTimeout = 500ms;
 
@@ -66,12 +71,49 @@
     return m_config;
 }
 
-json config_shelf::newerThan(const json &have) const
+json config_shelf::newerThan(const json &have)
 {
-    const auto config = get();
-    if (!config || (have.is_number_unsigned() && have.get<std::uint64_t>() >= config->revision))
+    const std::lock_guard lock(m_mutex);
+    if (!m_config || (have.is_number_unsigned() && have.get<std::uint64_t>() >= m_config->revision))
         return nullptr;
-    return {{"revision", config->revision}, {"text", config->text}};
+    // Many peers fetch the same revision, over links that carry callers' packets as well.
+    if (m_packedRevision != m_config->revision) {
+        m_packed = packText(m_config->text);
+        m_packedRevision = m_config->revision;
+    }
+    return {{"revision", m_config->revision}, {"size", m_config->text.size()},
+        {"packed", json::binary(m_packed)}};
+}
+
+byte_buffer packText(const std::string &text)
+{
+    std::ostringstream packed;
+    Poco::DeflatingOutputStream stream(packed, Poco::DeflatingStreamBuf::STREAM_ZLIB);
+    stream << text;
+    stream.close();
+    const auto bytes = packed.str();
+    return {bytes.begin(), bytes.end()};
+}
+
+std::optional<std::string> unpackText(byte_view packed, std::size_t size)
+{
+    if (size > largestConfig)
+        return std::nullopt;
+    std::istringstream bytes(std::string(packed.begin(), packed.end()));
+    Poco::InflatingInputStream stream(bytes, Poco::InflatingStreamBuf::STREAM_ZLIB);
+    std::string text;
+    std::array<char, 4096> part{};
+    try {
+        while (stream.read(part.data(), part.size()) || stream.gcount() > 0) {
+            text.append(part.data(), static_cast<std::size_t>(stream.gcount()));
+            if (text.size() > size)
+                return std::nullopt;
+        }
+    } catch (const Poco::Exception &) {
+        return std::nullopt;
+    }
+    // What was cut short unpacks to a part.
+    return text.size() == size ? std::optional(std::move(text)) : std::nullopt;
 }
 
 json askTrafficThread(relay_mailbox &mailbox)
@@ -136,11 +178,14 @@
     if (answer->is_null())
         return;
     const auto revision = answer->is_object() ? answer->value("revision", json()) : json();
-    const auto text = answer->is_object() ? answer->value("text", json()) : json();
-    if (!revision.is_number_unsigned() || !text.is_string())
+    const auto size = answer->is_object() ? answer->value("size", json()) : json();
+    const auto packed = answer->is_object() ? answer->value("packed", json()) : json();
+    const auto text = packed.is_binary() && size.is_number_unsigned()
+        ? unpackText(packed.get_binary(), size.get<std::size_t>())
+        : std::nullopt;
+    if (!revision.is_number_unsigned() || !text)
         return fail("its configuration is malformed");
-    const auto config
-        = m_adapter.readConfig(revision.get<std::uint64_t>(), text.get<std::string>());
+    const auto config = m_adapter.readConfig(revision.get<std::uint64_t>(), *text);
     if (const auto *value = valueOf(config))
         m_handler(*value, item.control);
     else
--- a/src/libtoucannet/store_follower.cpp
+++ b/src/libtoucannet/store_follower.cpp
@@ -9,11 +9,9 @@
 
 using namespace std::chrono_literals;
 
-// The store lets a watch wait for 30 s; each wait is a call that is paid for. A connection that
-// went silent is found by its keep-alive probes meanwhile.
-constexpr auto watchTime = 28s;
 constexpr auto shortestPause = 100ms;
-constexpr std::uint64_t mostDoublings = 4; // up to 1.6 s, which random shortening brings below 2 s
+// Up to 0.8 s: processes that start while the store is away serve nobody until it is back.
+constexpr std::uint64_t mostDoublings = 3;
 
 } // namespace
 
@@ -53,10 +51,12 @@
     return pauseThread(stop, time);
 }
 
-store_follower::store_follower(store_access access, std::string kind, handler onChange)
+store_follower::store_follower(
+    store_access access, std::string kind, handler onChange, std::chrono::milliseconds watchTime)
     : m_store(access)
     , m_kind(std::move(kind))
     , m_handler(std::move(onChange))
+    , m_watchTime(watchTime)
     , m_client(m_store.address, m_store.timeout, m_store.dialect)
     , m_thread([this](const std::stop_token &stop) { run(stop); })
 { }
@@ -70,12 +70,33 @@
 void store_follower::run(const std::stop_token &stop)
 {
     retry_pause pause(std::random_device{}());
+    const auto mayCall = [this] { return m_mode != call_mode::inactive; };
     while (!stop.stop_requested()) {
-        if (!follow(stop, pause))
+        if (!waitUntil(stop, mayCall) || !follow(stop, pause))
             return;
     }
 }
 
+void store_follower::setActive(bool active)
+{
+    const auto mode = active ? call_mode::active : call_mode::inactive;
+    if (m_mode == mode)
+        return;
+    const std::lock_guard lock(m_mutex);
+    m_mode = mode;
+    m_wake.notify_all();
+}
+
+// False when the thread is to stop.
+bool store_follower::waitUntil(const std::stop_token &stop, const std::function<bool()> &condition)
+{
+    std::unique_lock lock(m_mutex);
+    if (condition())
+        return true;
+    m_heard = false;
+    return m_wake.wait(lock, stop, condition);
+}
+
 // Lists and then watches until a call fails; false when the thread is to stop.
 bool store_follower::follow(const std::stop_token &stop, retry_pause &pause)
 {
@@ -84,7 +105,9 @@
     const auto *all = valueOf(listed);
     if (!all) {
         noteFailure(*errorOf(listed));
-        return pauseAfterFailure(m_store, pause, "list " + m_kind, *errorOf(listed), stop);
+        // One failure tells enough until it is known who has to go on trying.
+        return pauseAfterFailure(m_store, pause, "list " + m_kind, *errorOf(listed), stop)
+            && waitUntil(stop, [this] { return m_mode != call_mode::first_list; });
     }
     noteAnswer();
     snapshot objects;
@@ -93,8 +116,16 @@
     m_handler(all->version, objects);
     auto revision = all->version;
     while (!stop.stop_requested()) {
+        if (m_mode != call_mode::active) {
+            // What changes meanwhile is not heard: a list comes first again.
+            const bool wasListed = m_mode == call_mode::first_list;
+            if (!wasListed || !waitUntil(stop, [this] { return m_mode != call_mode::first_list; }))
+                return !stop.stop_requested();
+            if (m_mode != call_mode::active)
+                return true;
+        }
         countCall(m_store, "watch");
-        const auto outcome = m_client.changesAfter(revision, watchTime, m_kind);
+        const auto outcome = m_client.changesAfter(revision, m_watchTime, m_kind);
         const auto *changes = valueOf(outcome);
         if (stop.stop_requested())
             return false;
@@ -126,7 +157,8 @@
 
 void store_follower::noteAnswer()
 {
-    if (!std::exchange(m_lost, false))
+    m_heard = true;
+    if (!m_lost.exchange(false))
         return;
     m_store.log.write(monotonicNow(),
         dependency_changed{
@@ -135,7 +167,8 @@
 
 void store_follower::noteFailure(const error &failure)
 {
-    if (std::exchange(m_lost, true))
+    m_heard = false;
+    if (m_lost.exchange(true))
         return;
     m_store.log.write(monotonicNow(),
         dependency_changed{
--- /dev/null
+++ b/src/libtoucanrelay/digest_book.cpp
@@ -0,0 +1,156 @@
+#include <algorithm>
+#include <toucan/digest_book.h>
+#include <utility>
+
+namespace toucan {
+namespace {
+
+using namespace std::chrono_literals;
+
+// A digest repeats what changed in this long, so that two of them may be lost.
+constexpr instant repeatTime = digestInterval * 3;
+// Members on one page, so that it fits a datagram.
+constexpr std::size_t membersOnPage = 16;
+// Changes that are under way make hashes differ for a moment.
+constexpr auto patience = 300ms;
+// Between two requests for a whole digest of the same domain.
+constexpr auto askInterval = 500ms;
+
+member_state stateOf(instant now, const relay_member &item)
+{
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    const auto silent = duration_cast<milliseconds>(std::max(now - item.heard, instant{})).count();
+    return {.name = item.name,
+        .service = item.service,
+        .address = item.address,
+        .boot = item.boot,
+        .lifetime = item.lifetime,
+        .order = item.order,
+        .standing = static_cast<std::uint64_t>(item.standing),
+        .slots = item.slots,
+        .flows = item.flows,
+        .load = item.load,
+        .openRate = item.openRate,
+        .leaving = item.leaving,
+        .lost = item.lost,
+        .silentMs = static_cast<std::uint64_t>(silent)};
+}
+
+std::pair<endpoint, std::string> keyOf(const member_digest &page)
+{
+    return {page.origin, page.domain};
+}
+
+} // namespace
+
+std::vector<member_digest> digest_book::make(instant now, const member_table &members,
+    std::string_view domain, const digest_origin &origin, bool complete, bool whole)
+{
+    const auto summary = members.summaryOf(domain);
+    const member_digest head{.origin = origin.address,
+        .originDomain = origin.domain,
+        .boot = origin.boot,
+        .number = ++m_number,
+        .domain = std::string(domain),
+        .complete = complete,
+        .whole = whole,
+        .count = summary.count,
+        .hash = summary.hash,
+        .revision = origin.revision,
+        .domainsRevision = origin.domainsRevision,
+        .domainsOut = origin.domainsOut};
+    std::vector<member_digest> pages{head};
+    members.forEach([&](const relay_member &item) {
+        if (item.domain != domain || (!whole && now - item.changedAt > repeatTime))
+            return;
+        if (pages.back().members.size() == membersOnPage)
+            pages.push_back(head);
+        pages.back().members.push_back(stateOf(now, item));
+    });
+    return pages;
+}
+
+// Pages of one digest share a number, and may come in any order.
+bool digest_book::isNews(const member_digest &page)
+{
+    auto &seen = m_seen[keyOf(page)];
+    if (seen.boot == page.boot && page.number < seen.newest)
+        return false;
+    seen.boot = page.boot;
+    seen.newest = page.number;
+    return true;
+}
+
+digest_outcome digest_book::apply(instant now, member_table &members, const member_digest &page)
+{
+    digest_outcome outcome{.isNew = isNews(page)};
+    if (!outcome.isNew)
+        return outcome;
+    auto &view = m_views[page.domain];
+    if (page.originDomain == page.domain)
+        view.heard = now;
+    for (const auto &state : page.members) {
+        if (auto change = members.apply(now, page.domain, state))
+            outcome.changes.push_back(std::move(*change));
+    }
+    // Who does not know the whole domain has no say in who is gone.
+    if (!page.complete)
+        return outcome;
+    if (page.whole)
+        collect(now, members, page, outcome);
+    compare(now, members, page, view, outcome);
+    return outcome;
+}
+
+// Once all pages of a whole digest are here, members that are on none of them are gone.
+void digest_book::collect(
+    instant now, member_table &members, const member_digest &page, digest_outcome &outcome)
+{
+    auto &pages = m_pages[keyOf(page)];
+    if (pages.boot != page.boot || pages.number != page.number)
+        pages = {.boot = page.boot, .number = page.number};
+    for (const auto &state : page.members) {
+        if (!state.lost && !state.leaving)
+            pages.names.insert(state.name);
+    }
+    if (pages.names.size() < page.count || std::exchange(pages.pruned, true))
+        return;
+    for (auto &change : members.removeOthers(now, page.domain, pages.names))
+        outcome.changes.push_back(std::move(change));
+}
+
+void digest_book::compare(instant now, member_table &members, const member_digest &page,
+    domain_view &view, digest_outcome &outcome)
+{
+    const member_table::summary theirs{.count = page.count, .hash = page.hash};
+    auto &differsSince = m_seen[keyOf(page)].differsSince;
+    if (members.summaryOf(page.domain) == theirs) {
+        differsSince.reset();
+        view.complete = true;
+        members.confirm(now, page.domain);
+        return;
+    }
+    if (!differsSince)
+        differsSince = now;
+    // A domain of which little is known is asked for at once.
+    const bool isDue = !view.complete || now - *differsSince > patience;
+    if (isDue && now - view.askedAt > askInterval) {
+        view.askedAt = now;
+        outcome.wantsWhole = true;
+    }
+}
+
+bool digest_book::isComplete(std::string_view domain) const
+{
+    const auto found = m_views.find(domain);
+    return found != m_views.end() && found->second.complete;
+}
+
+std::optional<instant> digest_book::heard(std::string_view domain) const
+{
+    const auto found = m_views.find(domain);
+    return found == m_views.end() ? std::nullopt : found->second.heard;
+}
+
+} // namespace toucan
--- /dev/null
+++ b/src/libtoucanrelay/digest_book_test.cpp
@@ -0,0 +1,230 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <toucan/digest_book.h>
+
+using namespace toucan;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr endpoint delegate{.ip = 0x0a010001, .port = 7000};
+
+endpoint addressOf(std::uint32_t number)
+{
+    return {.ip = 0x0a020000 + number, .port = 7000};
+}
+
+target_report reportOf(std::uint32_t number, std::uint64_t order,
+    target_standing standing = target_standing::ready, std::uint64_t boot = 1)
+{
+    return {.member = "t" + std::to_string(number),
+        .service = "main",
+        .domain = "b",
+        .boot = boot,
+        .lifetime = 1,
+        .order = order,
+        .standing = static_cast<std::uint64_t>(standing),
+        .slots = 4};
+}
+
+// An entry of domain "b" that hears its members, and one of domain "a" that hears of them.
+struct told_domain
+{
+    member_table near;
+    digest_book nearBook;
+    member_table far;
+    digest_book farBook;
+    instant now = 100s;
+    std::uint64_t order = 0;
+    std::uint32_t members = 0;
+
+    explicit told_domain(std::uint32_t count)
+        : members(count)
+    {
+        report();
+    }
+    void report(std::optional<std::uint32_t> except = {})
+    {
+        ++order;
+        for (std::uint32_t i = 0; i < members; ++i) {
+            if (i != except)
+                near.apply(now, addressOf(i), reportOf(i, order));
+        }
+    }
+    std::vector<member_digest> make(bool whole, bool complete = true)
+    {
+        return nearBook.make(now, near, "b",
+            {.address = delegate, .domain = "b", .boot = 7, .revision = 3}, complete, whole);
+    }
+    digest_outcome tell(const std::vector<member_digest> &pages)
+    {
+        digest_outcome last;
+        for (const auto &page : pages)
+            last = farBook.apply(now, far, page);
+        return last;
+    }
+    void pass(std::chrono::milliseconds time)
+    {
+        now += time;
+        near.onTick(now);
+        far.onTick(now);
+    }
+};
+
+} // namespace
+
+TEST_CASE("digest: a whole digest on several pages makes the domain known")
+{
+    told_domain domain(50);
+    domain.pass(0ms);
+    CHECK_FALSE(domain.farBook.isComplete("b"));
+    const auto pages = domain.make(true);
+    CHECK(pages.size() > 1);
+    domain.tell(pages);
+    CHECK(domain.farBook.isComplete("b"));
+    CHECK(domain.far.aliveCount() == 50);
+    CHECK(domain.far.summaryOf("b") == domain.near.summaryOf("b"));
+}
+
+TEST_CASE("digest: only what changed lately travels, and it keeps the rest in use")
+{
+    told_domain domain(50);
+    domain.tell(domain.make(true));
+    for (int second = 0; second < 10; ++second) {
+        domain.pass(1s);
+        domain.report();
+        const auto pages = domain.make(false);
+        CHECK_FALSE(domain.tell(pages).wantsWhole);
+        if (second < 3)
+            continue;
+        REQUIRE(pages.size() == 1);
+        CHECK(pages.front().members.empty());
+    }
+    CHECK(domain.far.aliveCount() == 50);
+}
+
+// Seen on the users' bench: such members were taken for gone, and their flows were reset.
+TEST_CASE("digest: a member that once reported here itself stays in use while others vouch for it")
+{
+    told_domain domain(3);
+    domain.far.apply(domain.now, addressOf(0), reportOf(0, 1));
+    domain.tell(domain.make(true));
+    for (int second = 0; second < 10; ++second) {
+        domain.pass(1s);
+        domain.report();
+        domain.tell(domain.make(second % 2 == 1));
+        CHECK(domain.far.aliveCount() == 3);
+    }
+}
+
+// Seen on the users' bench: a target process reported to an entry of another domain for a moment,
+// and that entry took it for lost when these reports ended.
+TEST_CASE("digest: a member whose own reports end stays in use while its domain vouches for it")
+{
+    // Reports end at any time between two digests.
+    for (auto offset = 0ms; offset < digestInterval; offset += 50ms) {
+        told_domain domain(3);
+        domain.tell(domain.make(true));
+        domain.pass(offset);
+        domain.report();
+        domain.far.apply(domain.now, addressOf(0), reportOf(0, domain.order + 20));
+        domain.pass(digestInterval - offset);
+        for (int second = 0; second < 5; ++second) {
+            domain.report();
+            domain.tell(domain.make(false));
+            for (int step = 0; step < 20; ++step) {
+                domain.pass(50ms);
+                domain.report();
+            }
+            CHECK(domain.far.aliveCount() == 3);
+        }
+    }
+}
+
+TEST_CASE("digest: a member that is lost by mistake is in use again after the next digests")
+{
+    told_domain domain(3);
+    domain.tell(domain.make(true));
+    for (int second = 0; second < 4; ++second) {
+        domain.pass(1s);
+        domain.report();
+        domain.tell(domain.make(false));
+    }
+    domain.far.at(addressOf(0))->lost = true;
+    CHECK_FALSE(domain.tell(domain.make(false)).wantsWhole);
+    domain.pass(1s);
+    domain.report();
+    REQUIRE(domain.tell(domain.make(false)).wantsWhole);
+    domain.tell(domain.make(true));
+    CHECK(domain.far.aliveCount() == 3);
+}
+
+TEST_CASE("digest: who missed a change asks for all, and then knows it")
+{
+    told_domain domain(5);
+    domain.tell(domain.make(true));
+    const auto drain = [&] {
+        domain.report(1);
+        domain.near.apply(
+            domain.now, addressOf(1), reportOf(1, domain.order, target_standing::draining));
+    };
+    drain();
+    // The digests that tell of it are lost.
+    for (int second = 0; second < 4; ++second) {
+        domain.pass(1s);
+        drain();
+    }
+    CHECK_FALSE(domain.tell(domain.make(false)).wantsWhole);
+    domain.pass(1s);
+    drain();
+    CHECK(domain.tell(domain.make(false)).wantsWhole);
+    domain.tell(domain.make(true));
+    CHECK(domain.far.summaryOf("b") == domain.near.summaryOf("b"));
+}
+
+TEST_CASE("digest: a member that falls silent near is lost far away, and named as such")
+{
+    told_domain domain(3);
+    domain.tell(domain.make(true));
+    for (int step = 0; step < 8; ++step) {
+        domain.pass(250ms);
+        domain.report(2);
+    }
+    CHECK(domain.near.aliveCount() == 2);
+    const auto outcome = domain.tell(domain.make(false));
+    REQUIRE(outcome.changes.size() == 1);
+    CHECK(outcome.changes.front().to == "lost");
+    CHECK(domain.far.at(addressOf(2))->toldLost);
+    CHECK(domain.far.aliveCount() == 2);
+}
+
+TEST_CASE("digest: members that a whole digest does not name are gone")
+{
+    told_domain domain(3);
+    domain.far.apply(domain.now, "b",
+        member_state{.name = "t9", .service = "main", .address = addressOf(9), .boot = 1});
+    domain.tell(domain.make(true));
+    CHECK(domain.far.at(addressOf(9))->lost);
+    CHECK(domain.farBook.isComplete("b"));
+}
+
+TEST_CASE("digest: a domain of which nothing is heard is not used any more")
+{
+    told_domain domain(3);
+    domain.tell(domain.make(true));
+    domain.pass(2s);
+    CHECK(domain.far.aliveCount() == 3);
+    domain.pass(2s);
+    CHECK(domain.far.aliveCount() == 0);
+}
+
+TEST_CASE("digest: old pages change nothing, and an unfinished view is not passed off as complete")
+{
+    told_domain domain(3);
+    const auto old = domain.make(true);
+    domain.near.apply(domain.now, addressOf(0), reportOf(0, 2, target_standing::draining));
+    domain.tell(domain.make(true, false));
+    CHECK_FALSE(domain.farBook.isComplete("b"));
+    CHECK_FALSE(domain.tell(old).isNew);
+    CHECK(domain.far.at(addressOf(0))->standing == target_standing::draining);
+}
--- a/src/libtoucanrelay/directory_census.cpp
+++ b/src/libtoucanrelay/directory_census.cpp
@@ -7,7 +7,7 @@
 {
     return std::ranges::any_of(records, [&](const listed_entry &record) {
         return record.name == entry.name && record.peer == entry.peer
-            && record.control == entry.control;
+            && record.control == entry.control && record.domain == entry.domain;
     });
 }
 
--- a/src/libtoucanrelay/engine_fixtures.h
+++ b/src/libtoucanrelay/engine_fixtures.h
@@ -4,6 +4,7 @@
 /// clock that the test moves.
 
 #include <platform/adapter.h>
+#include <set>
 #include <toucan/relay_entry.h>
 #include <toucan/relay_target.h>
 
@@ -157,18 +158,57 @@
     {
         for (auto &[to, bytes] : std::exchange(port.toPeers, {}))
             deny(to, bytes);
+        now += 20ms;
+        engine.onTick(now);
+        for (auto &[to, bytes] : std::exchange(port.toPeers, {}))
+            deny(to, bytes);
     }
     // The last one on the way of a searched segment says that nobody on it holds the flow.
     void deny(const endpoint &from, byte_buffer &bytes)
     {
         auto packet = decodeRelayPacket(bytes);
-        if (!packet)
+        if (!packet) {
+            answerQuestion(from, bytes, flow_knowledge::not_held);
             return;
+        }
         packet->header.kind = relay_kind::not_found;
         packet->header.candidates.clear();
         auto reply = this->packet(packet->header, *codec.decode(packet->bytes));
         engine.onPeerBytes(now, from, reply);
     }
+    void answerQuestion(const endpoint &from, byte_view bytes, flow_knowledge word)
+    {
+        const auto message = decodeRelayMessage(bytes);
+        const auto *question
+            = valueOf(message) ? std::get_if<flow_question>(valueOf(message)) : nullptr;
+        if (!question)
+            return;
+        flow_answer answer;
+        for (const auto &item : question->flows)
+            answer.flows.push_back({.caller = item.caller,
+                .service = item.service,
+                .search = item.search,
+                .word = static_cast<std::uint64_t>(word)});
+        auto reply = encodeRelayMessage(answer);
+        engine.onPeerBytes(now, from, reply);
+    }
+    // Members that were asked since the last call, by a segment on its way or by a question.
+    std::set<endpoint> asked() const
+    {
+        std::set<endpoint> members;
+        for (const auto &[to, sent] : port.toPeers) {
+            auto bytes = sent;
+            if (const auto packet = decodeRelayPacket(bytes)) {
+                members.insert(to);
+                members.insert(packet->header.candidates.begin(), packet->header.candidates.end());
+                continue;
+            }
+            const auto message = decodeRelayMessage(bytes);
+            if (valueOf(message) && std::holds_alternative<flow_question>(*valueOf(message)))
+                members.insert(to);
+        }
+        return members;
+    }
     void pass(std::chrono::milliseconds time)
     {
         now += time;
--- /dev/null
+++ b/src/libtoucanrelay/entry_roster.cpp
@@ -0,0 +1,207 @@
+#include <algorithm>
+#include <set>
+#include <toucan/entry_roster.h>
+#include <toucan/ranking.h>
+
+namespace toucan {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Entries of a domain of which too few are heard are tried in turn for this long each.
+constexpr auto trialTime = 1s;
+
+std::uint64_t rankOf(const endpoint &address)
+{
+    return hashText(toString(address));
+}
+
+} // namespace
+
+entry_roster::entry_roster(const endpoint &self, std::string domain)
+    : m_self(self)
+    , m_domain(std::move(domain))
+    , m_ownRank(rankOf(self))
+{ }
+
+bool entry_roster::name(instant now, const entry_place &place)
+{
+    if (place.address == m_self || !place.address)
+        return false;
+    const auto [found, isNew] = m_peers.try_emplace(
+        place.address, entry_peer{.rank = rankOf(place.address), .heard = now - silenceLimit});
+    if (found->second.domain.empty())
+        found->second.domain = place.domain;
+    return isNew;
+}
+
+bool entry_roster::hear(instant now, const entry_place &place)
+{
+    if (place.address == m_self)
+        return false;
+    name(now, place);
+    auto &peer = m_peers.at(place.address);
+    const bool wasHeard = isHeard(peer, now);
+    peer.heard = now;
+    peer.domain = place.domain;
+    return !wasHeard;
+}
+
+void entry_roster::leave(instant now, const endpoint &address)
+{
+    if (auto *peer = at(address)) {
+        peer->heard = now - silenceLimit;
+        peer->store = store_standing::lost;
+    }
+}
+
+void entry_roster::sweep(instant now, std::span<const endpoint> kept)
+{
+    std::erase_if(m_peers, [&](const auto &item) {
+        return now - item.second.heard > forgetAfter
+            && std::ranges::find(kept, item.first) == kept.end();
+    });
+}
+
+entry_peer *entry_roster::at(const endpoint &address)
+{
+    const auto found = m_peers.find(address);
+    return found == m_peers.end() ? nullptr : &found->second;
+}
+
+bool entry_roster::isHeard(const endpoint &address, instant now) const
+{
+    const auto found = m_peers.find(address);
+    return found != m_peers.end() && isHeard(found->second, now);
+}
+
+std::vector<endpoint> entry_roster::heardIn(std::string_view domain, instant now) const
+{
+    std::vector<endpoint> list;
+    for (const auto &[address, peer] : m_peers) {
+        if (peer.domain == domain && isHeard(peer, now))
+            list.push_back(address);
+    }
+    return list;
+}
+
+std::vector<endpoint> entry_roster::heard(instant now) const
+{
+    std::vector<endpoint> list;
+    for (const auto &[address, peer] : m_peers) {
+        if (isHeard(peer, now))
+            list.push_back(address);
+    }
+    return list;
+}
+
+std::vector<endpoint> entry_roster::knownIn(std::string_view domain) const
+{
+    std::vector<endpoint> list;
+    for (const auto &[address, peer] : m_peers) {
+        if (peer.domain == domain || peer.domain.empty())
+            list.push_back(address);
+    }
+    return list;
+}
+
+std::vector<std::string> entry_roster::otherDomains() const
+{
+    std::set<std::string> names;
+    for (const auto &[address, peer] : m_peers) {
+        if (!peer.domain.empty() && peer.domain != m_domain)
+            names.insert(peer.domain);
+    }
+    return {names.begin(), names.end()};
+}
+
+std::vector<entry_roster::ranked_entry> entry_roster::orderOf(std::string_view domain) const
+{
+    std::vector<ranked_entry> order;
+    for (const auto &[address, peer] : m_peers) {
+        if (peer.domain == domain)
+            order.push_back({.address = address, .peer = &peer});
+    }
+    std::ranges::sort(
+        order, std::greater<>(), [](const ranked_entry &item) { return item.peer->rank; });
+    return order;
+}
+
+std::vector<endpoint> entry_roster::delegatesOf(std::string_view domain, instant now) const
+{
+    std::vector<endpoint> chosen;
+    std::vector<endpoint> silent;
+    for (const auto &item : orderOf(domain)) {
+        if (!isHeard(*item.peer, now))
+            silent.push_back(item.address);
+        else if (chosen.size() < delegatesForEachDomain)
+            chosen.push_back(item.address);
+    }
+    const auto turn = static_cast<std::size_t>(now / trialTime);
+    for (std::size_t i = 0; i < silent.size() && chosen.size() < delegatesForEachDomain; ++i)
+        chosen.push_back(silent[(turn * delegatesForEachDomain + i) % silent.size()]);
+    return chosen;
+}
+
+bool entry_roster::isDelegate(instant now) const
+{
+    const auto order = orderOf(m_domain);
+    const auto before = std::ranges::count_if(order, [&](const ranked_entry &item) {
+        return item.peer->rank > m_ownRank && isHeard(*item.peer, now);
+    });
+    return static_cast<std::size_t>(before) < delegatesForEachDomain;
+}
+
+bool entry_roster::shouldFollowStore(instant now, store_standing own) const
+{
+    std::size_t following = 0;
+    std::size_t ableBefore = 0;
+    std::size_t lostBefore = 0;
+    for (const auto &item : orderOf(m_domain)) {
+        if (!isHeard(*item.peer, now))
+            continue;
+        const bool comesBefore = item.peer->rank > m_ownRank;
+        const bool isLost = item.peer->store == store_standing::lost;
+        following += item.peer->store == store_standing::followed;
+        ableBefore += comesBefore && !isLost;
+        lostBefore += comesBefore && isLost;
+    }
+    const auto others = own == store_standing::lost ? following : ableBefore;
+    return others < delegatesForEachDomain && lostBefore < mostFollowers;
+}
+
+endpoint entry_roster::sourceOf(
+    std::uint64_t revision, const endpoint &teller, std::uint64_t choice, instant now) const
+{
+    std::vector<endpoint> sources{teller};
+    for (const auto &[address, peer] : m_peers) {
+        if (address != teller && peer.domain == m_domain && peer.revision >= revision
+            && isHeard(peer, now))
+            sources.push_back(address);
+    }
+    return sources[choice % sources.size()];
+}
+
+std::vector<entry_place> entry_roster::placesFor(std::string_view domain, instant now) const
+{
+    std::vector<entry_place> places;
+    const auto add = [&](std::span<const endpoint> addresses, std::string_view in) {
+        for (const auto &address : addresses)
+            places.push_back({.address = address, .domain = std::string(in)});
+    };
+    auto domains = otherDomains();
+    domains.push_back(m_domain);
+    for (const auto &each : domains) {
+        if (each != domain)
+            add(delegatesOf(each, now), each);
+        else if (each == m_domain)
+            add(heardIn(each, now), each);
+        else
+            add(knownIn(each), each);
+    }
+    if (domain == m_domain || isDelegate(now))
+        places.push_back({.address = m_self, .domain = m_domain});
+    return places;
+}
+
+} // namespace toucan
--- /dev/null
+++ b/src/libtoucanrelay/entry_roster_test.cpp
@@ -0,0 +1,195 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <set>
+#include <toucan/entry_roster.h>
+
+using namespace toucan;
+using namespace std::chrono_literals;
+
+namespace {
+
+endpoint entryAt(std::uint32_t number)
+{
+    return {.ip = 0x0a010000 + number, .port = 7000};
+}
+
+// Entries of one failure domain, each with a roster of its own; all hear each other but for those
+// in `silent`.
+struct domain_of_entries
+{
+    std::vector<entry_roster> rosters;
+    std::vector<store_standing> standing;
+    instant now = 100s;
+
+    explicit domain_of_entries(std::uint32_t count)
+    {
+        for (std::uint32_t i = 0; i < count; ++i)
+            rosters.emplace_back(entryAt(i), "a");
+        standing.resize(count, store_standing::not_asked);
+        hear({});
+    }
+    void hear(const std::set<std::uint32_t> &silent)
+    {
+        for (auto &roster : rosters) {
+            for (std::uint32_t from = 0; from < rosters.size(); ++from) {
+                if (!silent.contains(from))
+                    roster.hear(now, {.address = entryAt(from), .domain = "a"});
+            }
+        }
+    }
+    // Lets each entry call the store if it has to, and tell the others; those in `cut` fail.
+    void settle(const std::set<std::uint32_t> &cut)
+    {
+        for (std::size_t round = 0; round < rosters.size(); ++round) {
+            for (std::uint32_t each = 0; each < rosters.size(); ++each) {
+                if (rosters[each].shouldFollowStore(now, standing[each]))
+                    standing[each]
+                        = cut.contains(each) ? store_standing::lost : store_standing::followed;
+                else if (standing[each] == store_standing::followed)
+                    standing[each] = store_standing::not_asked;
+                for (auto &other : rosters) {
+                    if (auto *peer = other.at(entryAt(each)))
+                        peer->store = standing[each];
+                }
+            }
+        }
+    }
+    // Entries that make calls.
+    std::vector<std::uint32_t> callers() const
+    {
+        std::vector<std::uint32_t> list;
+        for (std::uint32_t each = 0; each < rosters.size(); ++each) {
+            if (rosters[each].shouldFollowStore(now, standing[each]))
+                list.push_back(each);
+        }
+        return list;
+    }
+    std::size_t followers() const
+    {
+        return static_cast<std::size_t>(std::ranges::count(standing, store_standing::followed));
+    }
+    std::vector<std::uint32_t> delegates() const
+    {
+        std::vector<std::uint32_t> list;
+        for (std::uint32_t each = 0; each < rosters.size(); ++each) {
+            if (rosters[each].isDelegate(now))
+                list.push_back(each);
+        }
+        return list;
+    }
+};
+
+} // namespace
+
+TEST_CASE("roster: two entries stand for a domain, and others take over from silent ones")
+{
+    domain_of_entries domain(12);
+    const auto first = domain.delegates();
+    CHECK(first.size() == delegatesForEachDomain);
+    domain.now += entry_roster::silenceLimit;
+    domain.hear({first[0]});
+    const auto second = domain.delegates();
+    // The silent one may think that it still is one; nobody else does.
+    CHECK(std::ranges::count_if(second, [&](auto each) { return each != first[0]; })
+        == delegatesForEachDomain);
+    CHECK(std::ranges::find(second, first[1]) != second.end());
+}
+
+TEST_CASE("roster: two entries follow the store, and others take over when it answers them no more")
+{
+    domain_of_entries domain(12);
+    domain.settle({});
+    const auto first = domain.callers();
+    CHECK(first.size() == delegatesForEachDomain);
+    CHECK(domain.followers() == delegatesForEachDomain);
+    for (std::size_t lost = 1; lost < mostFollowers; ++lost) {
+        domain_of_entries again(12);
+        std::set<std::uint32_t> cut;
+        for (std::size_t i = 0; i < lost; ++i) {
+            again.settle(cut);
+            cut.insert(again.callers().front());
+        }
+        again.settle(cut);
+        INFO("lost by " << lost);
+        CHECK(again.followers() == delegatesForEachDomain);
+        // Those that are cut off need not try while two others follow.
+        CHECK(again.callers().size() == delegatesForEachDomain);
+    }
+}
+
+TEST_CASE(
+    "roster: while the store answers nobody a few entries try, and two follow when it is back")
+{
+    domain_of_entries domain(12);
+    domain.settle({0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11});
+    CHECK(domain.callers().size() == mostFollowers);
+    CHECK(domain.followers() == 0);
+    domain.settle({});
+    CHECK(domain.followers() >= delegatesForEachDomain);
+    CHECK(domain.callers().size() == delegatesForEachDomain);
+}
+
+TEST_CASE("roster: silent delegates of another domain are tried in turn until one is heard")
+{
+    entry_roster roster(entryAt(1), "a");
+    const instant now = 100s;
+    for (std::uint32_t i = 10; i < 16; ++i)
+        roster.name(now, {.address = entryAt(i), .domain = "b"});
+    std::set<endpoint> tried;
+    for (int second = 0; second < 6; ++second) {
+        const auto asked = roster.delegatesOf("b", now + second * 1s);
+        CHECK(asked.size() == delegatesForEachDomain);
+        tried.insert(asked.begin(), asked.end());
+    }
+    CHECK(tried.size() == 6);
+    roster.hear(now, {.address = entryAt(12), .domain = "b"});
+    roster.hear(now, {.address = entryAt(13), .domain = "b"});
+    const auto heard = roster.delegatesOf("b", now);
+    CHECK(std::set<endpoint>(heard.begin(), heard.end())
+        == std::set<endpoint>{entryAt(12), entryAt(13)});
+}
+
+TEST_CASE("roster: a process is named all entries of its domain and some of each other one")
+{
+    entry_roster roster(entryAt(1), "a");
+    const instant now = 100s;
+    for (std::uint32_t i = 2; i < 6; ++i)
+        roster.hear(now, {.address = entryAt(i), .domain = "a"});
+    for (std::uint32_t i = 10; i < 16; ++i)
+        roster.name(now, {.address = entryAt(i), .domain = "b"});
+    const auto countIn = [&](std::string_view recipient, std::string_view domain) {
+        const auto places = roster.placesFor(recipient, now);
+        return std::ranges::count(places, domain, &entry_place::domain);
+    };
+    CHECK(countIn("a", "a") == 5);
+    CHECK(countIn("a", "b") == delegatesForEachDomain);
+    CHECK(countIn("b", "b") == 6);
+}
+
+TEST_CASE("roster: an entry that says that it stops is not used, one that is silent is forgotten")
+{
+    entry_roster roster(entryAt(1), "a");
+    const instant now = 100s;
+    CHECK(roster.hear(now, {.address = entryAt(2), .domain = "a"}));
+    CHECK_FALSE(roster.hear(now, {.address = entryAt(2), .domain = "a"}));
+    CHECK(roster.isHeard(entryAt(2), now));
+    roster.leave(now, entryAt(2));
+    CHECK_FALSE(roster.isHeard(entryAt(2), now));
+    roster.sweep(now + entry_roster::forgetAfter, {});
+    CHECK(roster.at(entryAt(2)) == nullptr);
+}
+
+TEST_CASE("roster: a configuration is fetched from any entry of the domain that has it")
+{
+    const instant now = 100s;
+    std::set<endpoint> sources;
+    for (std::uint64_t choice = 0; choice < 6; ++choice) {
+        entry_roster roster(entryAt(1), "a");
+        for (std::uint32_t i = 2; i < 6; ++i) {
+            roster.hear(now, {.address = entryAt(i), .domain = i == 5 ? "b" : "a"});
+            roster.at(entryAt(i))->revision = i == 4 ? 6 : 7;
+        }
+        sources.insert(roster.sourceOf(7, entryAt(2), choice, now));
+    }
+    CHECK(sources == std::set<endpoint>{entryAt(2), entryAt(3)});
+}
--- a/src/libtoucanrelay/relay_entry.cpp
+++ b/src/libtoucanrelay/relay_entry.cpp
@@ -28,6 +28,9 @@
 // A flow whose caller has closed it needs the owner for a few retransmissions.
 constexpr auto finishedLifetime = 8s;
 constexpr auto sweepInterval = 2s;
+// An entry that knows some members but may not know all serves from then on: callers that the
+// fabric sends to others meanwhile wait in their place.
+constexpr auto readyAnyway = 1s;
 // The fabric asks each 0.5 s and needs two misses, both answered late at worst.
 constexpr auto leaveRotation = 1300ms;
 // Packets that still come show that the fabric has not noticed yet.
@@ -49,6 +52,7 @@
     , m_searches(metrics.numberOf("toucan_searches_total", "outcome", "asked"))
     , m_dropped(metrics.numberOf("toucan_segments_dropped_total"))
     , m_malformed(metrics.numberOf("toucan_malformed_datagrams_total"))
+    , m_roster(m_options.peer, m_options.domain)
     , m_started(now)
 { }
 
@@ -393,7 +397,7 @@
     if (m_leavingSince || !m_config)
         return false;
     // Without members nothing can be served, but other entries may be no better off.
-    return (m_members.aliveCount() > 0 && m_named.empty()) || now - m_started > learningTime;
+    return (m_members.aliveCount() > 0 && knowsMembers(now)) || now - m_started > readyAnyway;
 }
 
 void relay_entry::startLeaving(instant now)
--- /dev/null
+++ b/src/libtoucanrelay/relay_entry_digests.cpp
@@ -0,0 +1,171 @@
+// What entries of different failure domains tell each other, and how an entry that starts learns of
+// all members.
+
+#include <algorithm>
+#include <toucan/relay_entry.h>
+
+namespace toucan {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Changes are told apart from each other by this at least.
+constexpr auto shortestDigestGap = 100ms;
+// An entry that starts asks others for all members in this rhythm until it knows them.
+constexpr auto askInterval = 100ms;
+// Entries that it asks at a time.
+constexpr std::size_t askedAtOnce = 2;
+// Silence after which a domain's own entries do not vouch for its members any more.
+constexpr instant voucherSilence = digestInterval * 2;
+
+} // namespace
+
+digest_origin relay_entry::originOf() const
+{
+    return {.address = m_options.peer,
+        .domain = m_options.domain,
+        .boot = m_options.boot,
+        .revision = m_config ? m_config->revision : 0,
+        .domainsRevision = m_domains.revision,
+        .domainsOut = m_domains.names};
+}
+
+// Failure domains whose members this entry tells others of: its own when it is a delegate, and
+// those without entries whose members report here instead.
+std::vector<std::string> relay_entry::vouchedDomains(instant now) const
+{
+    std::set<std::string> domains;
+    if (m_roster.isDelegate(now))
+        domains.insert(m_options.domain);
+    m_members.forEach([&](const relay_member &item) {
+        const auto heard = m_digests.heard(item.domain);
+        if (item.isFirstHand(now) && !item.lost && item.domain != m_options.domain
+            && (!heard || now - *heard > voucherSilence))
+            domains.insert(item.domain);
+    });
+    return {domains.begin(), domains.end()};
+}
+
+void relay_entry::sendDigests(instant now)
+{
+    const bool isDue = now - m_lastDigests >= digestInterval
+        || (now >= m_digestDue && now - m_lastDigests >= shortestDigestGap);
+    if (!isDue || m_leavingSince)
+        return;
+    m_lastDigests = now;
+    m_digestDue = instant::max();
+    for (const auto &domain : vouchedDomains(now)) {
+        const auto pages
+            = m_digests.make(now, m_members, domain, originOf(), knowsDomain(domain, now), false);
+        std::vector<endpoint> recipients;
+        for (const auto &other : m_roster.otherDomains()) {
+            const auto delegates = m_roster.delegatesOf(other, now);
+            recipients.insert(recipients.end(), delegates.begin(), delegates.end());
+        }
+        if (domain != m_options.domain) {
+            const auto own = m_roster.heardIn(m_options.domain, now);
+            recipients.insert(recipients.end(), own.begin(), own.end());
+        }
+        for (const auto &page : pages) {
+            const auto bytes = encodeRelayMessage(page);
+            for (const auto &to : recipients)
+                m_port.sendPeer(to, bytes, {});
+        }
+    }
+}
+
+void relay_entry::sendWholeDigest(instant now, const endpoint &to, std::string_view domain)
+{
+    for (const auto &page :
+        m_digests.make(now, m_members, domain, originOf(), knowsDomain(domain, now), true))
+        send(to, page);
+}
+
+// Tells an entry that starts of all domains whose members are all known here.
+void relay_entry::introduce(instant now, const endpoint &to)
+{
+    auto domains = otherDomains();
+    domains.push_back(m_options.domain);
+    for (const auto &domain : domains) {
+        if (knowsDomain(domain, now))
+            sendWholeDigest(now, to, domain);
+    }
+}
+
+// Others hear at once that this domain is known, and need not wait for the next digest.
+void relay_entry::noteCompleteness(instant now)
+{
+    if (!m_ownComplete && knowsOwnDomain(now)) {
+        m_ownComplete = true;
+        m_digestDue = now;
+    }
+}
+
+void relay_entry::handle(instant now, const endpoint &from, const digest_request &message)
+{
+    sendWholeDigest(now, from, message.domain);
+}
+
+void relay_entry::handle(instant now, const endpoint &from, const member_digest &message)
+{
+    if (message.origin == m_options.peer)
+        return;
+    if (from == message.origin)
+        hearEntry(now, {.address = from, .domain = message.originDomain}, toString(from));
+    const auto outcome = m_digests.apply(now, m_members, message);
+    if (!outcome.isNew)
+        return;
+    noteRevision(now, from, message.revision);
+    onDomains(now, {.revision = message.domainsRevision, .names = message.domainsOut}, "entry");
+    // Delegates hear of other domains first and tell the entries of their own.
+    if (from == message.origin && message.originDomain != m_options.domain && !message.whole) {
+        const auto bytes = encodeRelayMessage(message);
+        for (const auto &to : m_roster.heardIn(m_options.domain, now))
+            m_port.sendPeer(to, bytes, {});
+    }
+    for (const auto &change : outcome.changes)
+        logMember(now, change);
+    if (!outcome.changes.empty())
+        retryParked(now);
+    if (outcome.wantsWhole)
+        send(from, digest_request{.domain = message.domain});
+}
+
+// An entry that starts takes the members from others of its domain, and from those of other domains
+// while nobody answers in its own.
+void relay_entry::askForMembers(instant now)
+{
+    if (!isLearning(now) || now - m_lastMembersAsked < askInterval || knowsMembers(now))
+        return;
+    auto candidates = m_roster.heardIn(m_options.domain, now);
+    if (candidates.empty())
+        candidates = m_roster.knownIn(m_options.domain);
+    if (candidates.empty()) {
+        for (const auto &domain : m_roster.otherDomains()) {
+            const auto delegates = m_roster.delegatesOf(domain, now);
+            candidates.insert(candidates.end(), delegates.begin(), delegates.end());
+        }
+    }
+    if (candidates.empty())
+        return;
+    m_lastMembersAsked = now;
+    const auto turn = static_cast<std::size_t>(now / askInterval) * askedAtOnce;
+    auto notice = makeNotice(now);
+    notice.wantsMembers = true;
+    for (std::size_t i = 0; i < std::min(askedAtOnce, candidates.size()); ++i)
+        send(candidates[(turn + i) % candidates.size()], notice);
+}
+
+std::vector<std::string> relay_entry::otherDomains() const
+{
+    auto domains = m_options.domains.empty() ? m_roster.otherDomains() : m_options.domains;
+    std::erase(domains, m_options.domain);
+    return domains;
+}
+
+bool relay_entry::knowsDomain(std::string_view domain, instant now) const
+{
+    return domain == m_options.domain ? knowsOwnDomain(now) : m_digests.isComplete(domain);
+}
+
+} // namespace toucan
--- a/src/libtoucanrelay/relay_entry_peers.cpp
+++ b/src/libtoucanrelay/relay_entry_peers.cpp
@@ -1,4 +1,4 @@
-// What an entry learns from other processes and the store, and tells them.
+// What an entry learns from other processes of its failure domain and the store, and tells them.
 
 #include <algorithm>
 #include <toucan/relay_entry.h>
@@ -8,21 +8,21 @@
 
 using namespace std::chrono_literals;
 
-// Entries tell each other their revisions this often; a configuration has seconds to be in force.
+// Entries of a failure domain tell each other their revisions this often; a configuration has
+// seconds to be in force.
 constexpr auto noticeInterval = 500ms;
-// Entries that are told in one round.
+// Entries that are told in one round, at least.
 constexpr std::size_t noticesPerRound = 16;
-// Entries that are named in one notice, so that it fits a datagram.
-constexpr std::size_t namedEntries = 64;
-constexpr std::size_t namedMembers = 96;
-// Silence after which an entry is no longer named to others.
-constexpr auto entrySilence = 4s;
-// A member that other entries name but that stays unheard by this one is cut off from it.
-constexpr auto namedLifetime = 4s;
-// Silence after which an entry is forgotten.
-constexpr auto entryForget = 60s;
+// Rounds in which every entry is told once, whatever their number: within the silence limit.
+constexpr std::size_t mostRounds = 4;
+// One round in this many names other entries; a new one asks for them anyway.
+constexpr std::uint64_t namingRounds = 8;
 // Fetches of a configuration from a peer: at most one at a time in this long.
 constexpr auto fetchInterval = 300ms;
+// Other entries of the domain are heard within this time of a start.
+constexpr auto meetingTime = 300ms;
+// An entry that lost the store is not counted on for this long: outages last for seconds.
+constexpr auto lostStoreMemory = 10s;
 // Copies of the configuration that target processes of one failure domain keep.
 constexpr std::size_t copiesPerDomain = 2;
 
@@ -31,7 +31,7 @@
 void relay_entry::onPeerBytes(instant now, const endpoint &from, std::span<std::uint8_t> bytes)
 {
     if (const auto packet = decodeRelayPacket(bytes)) {
-        handlePacket(now, *packet);
+        handlePacket(now, from, *packet);
         return;
     }
     const auto message = decodeRelayMessage(bytes);
@@ -41,7 +41,7 @@
         m_malformed.add();
 }
 
-void relay_entry::handlePacket(instant now, const relay_packet &packet)
+void relay_entry::handlePacket(instant now, const endpoint &from, const relay_packet &packet)
 {
     const auto head = m_codec.decode(packet.bytes);
     if (!head) {
@@ -51,7 +51,7 @@
     if (packet.header.kind == relay_kind::refused_opening)
         onRefused(now, *head, packet.bytes);
     else if (packet.header.kind == relay_kind::not_found)
-        onNotFound(now, packet.header, *head, packet.bytes);
+        onNotFound(now, from, packet.header, *head, packet.bytes);
     else
         m_malformed.add();
 }
@@ -62,11 +62,8 @@
     const auto change = m_members.apply(now, from, message);
     if (m_members.count() > before)
         m_memberAddedAt = now;
-    m_named.erase(from);
-    if (change) {
-        logMember(now, *change);
-        retryParked(now);
-    }
+    if (change)
+        noteMembers(now, std::span(&*change, 1));
     noteRevision(now, from, message.copyRevision);
     onDomains(
         now, {.revision = message.domainsRevision, .names = message.domainsOut}, "target process");
@@ -75,39 +72,51 @@
         tellMember(now, *member);
 }
 
+// Other domains hear of changes soon, of several that come together at once.
+void relay_entry::noteMembers(instant now, std::span<const member_change> changes)
+{
+    constexpr auto gatheringTime = 20ms;
+    for (const auto &change : changes)
+        logMember(now, change);
+    if (changes.empty())
+        return;
+    m_digestDue = std::min(m_digestDue, now + gatheringTime);
+    retryParked(now);
+}
+
+void relay_entry::hearEntry(instant now, const entry_place &place, std::string_view name)
+{
+    const bool known = m_roster.at(place.address) != nullptr;
+    if (!m_roster.hear(now, place))
+        return;
+    m_log.write(now,
+        dependency_changed{.dependency = "entry",
+            .name = std::string(name),
+            .state = "regained",
+            .reason = known ? "heard again" : "heard for the first time"});
+}
+
 void relay_entry::handle(instant now, const endpoint &from, const entry_notice &message)
 {
     if (from == m_options.peer)
         return;
-    const bool known = m_entries.contains(from);
-    auto &peer = m_entries[from];
-    if (!known || now - peer.heard > entrySilence)
-        m_log.write(now,
-            dependency_changed{.dependency = "entry",
-                .name = message.name,
-                .state = "regained",
-                .reason = known ? "heard again" : "heard for the first time"});
-    peer.heard = message.leaving ? now - entrySilence : now;
-    peer.revision = message.revision;
+    hearEntry(now, {.address = from, .domain = message.domain}, message.name);
+    auto *peer = m_roster.at(from);
+    peer->revision = message.revision;
+    peer->store = message.store <= static_cast<std::uint64_t>(store_standing::lost)
+        ? static_cast<store_standing>(message.store)
+        : store_standing::not_asked;
+    if (message.leaving)
+        m_roster.leave(now, from);
     noteRevision(now, from, message.revision);
     onDomains(now, {.revision = message.domainsRevision, .names = message.domainsOut}, "entry");
     onEntries(now, message.entries);
-    meetMembers(now, message.members);
-    if (message.wantsNotice)
-        answerEntry(now, from);
-}
-
-// Members that other entries know and this one does not: they are told of this entry, so that they
-// report to it at once.
-void relay_entry::meetMembers(instant now, std::span<const endpoint> members)
-{
-    if (!members.empty() && !m_introducedAt)
-        m_introducedAt = now;
-    for (const auto &address : members) {
-        if (m_members.at(address))
-            continue;
-        m_named[address] = now;
-        sendNotice(address, makeNotice(now));
+    if (message.wantsMembers)
+        introduce(now, from);
+    if (message.wantsNotice) {
+        auto notice = makeNotice(now);
+        notice.entries = m_roster.placesFor(message.domain, now);
+        send(from, notice);
     }
 }
 
@@ -117,17 +126,36 @@
     if (revision <= have || now - m_lastFetch < fetchInterval)
         return;
     m_lastFetch = now;
-    m_port.fetchConfig(from, revision);
+    m_port.fetchConfig(m_roster.sourceOf(revision, from, m_options.boot, now), revision);
 }
 
-void relay_entry::onEntries(instant now, std::span<const endpoint> peers)
+void relay_entry::onEntries(instant now, std::span<const entry_place> entries)
 {
-    for (const auto &peer : peers) {
-        if (peer == m_options.peer || m_entries.contains(peer))
-            continue;
-        m_entries.emplace(peer, entry_peer{.heard = now - entrySilence});
-        tellEntry(now, peer, true);
+    for (const auto &place : entries) {
+        if (m_roster.name(now, place) && (place.domain == m_options.domain || place.domain.empty()))
+            meetEntry(now, place.address);
     }
+    if (!entries.empty())
+        askForMembers(now);
+}
+
+std::optional<bool> relay_entry::shouldFollowStore(instant now) const
+{
+    if (now - m_started < meetingTime)
+        return std::nullopt;
+    return m_roster.shouldFollowStore(now, m_store);
+}
+
+void relay_entry::onStore(instant now, store_standing standing)
+{
+    // What was lost may be back after a while, also when nobody asks here.
+    const bool isForgotten = now - m_storeLostAt > lostStoreMemory;
+    if (standing == store_standing::not_asked && m_store == store_standing::lost && !isForgotten)
+        return;
+    if (standing == store_standing::lost)
+        m_storeLostAt = now;
+    if (std::exchange(m_store, standing) != standing)
+        m_lastNotices = now - noticeInterval; // Others may have to take over, or need not any more.
 }
 
 void relay_entry::onConfig(instant now, const relay_config_ptr &config, std::string_view source)
@@ -158,6 +186,7 @@
             .dropped = dropped,
             .faults = std::move(faults)});
     m_lastNotices = {};
+    m_digestDue = now;
     retryParked(now);
 }
 
@@ -173,8 +202,12 @@
         domains_changed{
             .revision = domains.revision, .source = std::string(source), .out = domains.names});
     // Target processes refuse openings by this; they are told at once.
-    m_members.forEach([&](const relay_member &item) { tellMember(now, item); });
+    m_members.forEach([&](const relay_member &item) {
+        if (item.isFirstHand(now))
+            tellMember(now, item);
+    });
     m_lastNotices = {};
+    m_digestDue = now;
 }
 
 bool relay_entry::shouldKeepCopy(const relay_member &member) const
@@ -186,85 +219,71 @@
     return before < copiesPerDomain;
 }
 
-entry_notice relay_entry::makeNotice(instant now) const
+entry_notice relay_entry::makeNotice(instant) const
 {
-    entry_notice notice{.name = m_options.name,
+    return {.name = m_options.name,
         .domain = m_options.domain,
         .boot = m_options.boot,
         .revision = m_config ? m_config->revision : 0,
         .domainsRevision = m_domains.revision,
         .domainsOut = m_domains.names,
-        .leaving = m_leavingSince.has_value()};
-    if (!m_leavingSince)
-        notice.entries.push_back(m_options.peer);
-    const auto heard = heardEntries(now);
-    const auto room = std::min(heard.size(), namedEntries - notice.entries.size());
-    notice.entries.insert(
-        notice.entries.end(), heard.begin(), heard.begin() + static_cast<std::ptrdiff_t>(room));
-    return notice;
-}
-
-std::vector<endpoint> relay_entry::heardEntries(instant now) const
-{
-    std::vector<endpoint> heard;
-    for (const auto &[address, peer] : m_entries) {
-        if (now - peer.heard < entrySilence)
-            heard.push_back(address);
-    }
-    return heard;
+        .leaving = m_leavingSince.has_value(),
+        .store = static_cast<std::uint64_t>(m_store)};
 }
 
-void relay_entry::sendNotice(const endpoint &to, const entry_notice &notice)
+void relay_entry::send(const endpoint &to, const relay_message &message)
 {
-    m_port.sendPeer(to, encodeRelayMessage(notice), {});
+    m_port.sendPeer(to, encodeRelayMessage(message), {});
 }
 
-void relay_entry::tellEntry(instant now, const endpoint &to, bool wantsNotice)
+void relay_entry::meetEntry(instant now, const endpoint &to)
 {
     auto notice = makeNotice(now);
-    notice.wantsNotice = wantsNotice;
-    sendNotice(to, notice);
-}
-
-void relay_entry::answerEntry(instant now, const endpoint &to)
-{
-    auto notice = makeNotice(now);
-    m_members.forEach([&](const relay_member &item) {
-        if (item.isFresh(now) && notice.members.size() < namedMembers)
-            notice.members.push_back(item.address);
-    });
-    sendNotice(to, notice);
+    notice.wantsNotice = true;
+    send(to, notice);
 }
 
 void relay_entry::tellMember(instant now, const relay_member &member)
 {
     auto notice = makeNotice(now);
+    notice.entries = m_roster.placesFor(member.domain, now);
     const auto *rule = m_config ? m_config->serviceNamed(member.service) : nullptr;
     if (rule)
         notice.bounds.push_back({.service = rule->name,
             .flows = rule->flows,
             .coldRate = static_cast<std::uint64_t>(rule->coldRate * 1000)});
     notice.keepsCopy = shouldKeepCopy(member);
-    sendNotice(member.address, notice);
+    send(member.address, notice);
+}
+
+// Members of the own domain that only others know are told of this entry, so that they report here.
+void relay_entry::greetMembers(instant now)
+{
+    m_members.forEach([&](const relay_member &item) {
+        if (item.domain == m_options.domain && !item.isFirstHand(now) && !item.lost)
+            tellMember(now, item);
+    });
 }
 
 void relay_entry::sendNotices(instant now)
 {
-    for (const auto &seed : m_options.seeds) {
-        if (seed != m_options.peer && !m_entries.contains(seed))
-            m_entries.emplace(seed, entry_peer{.heard = now - entrySilence});
-    }
-    std::vector<endpoint> due;
-    for (const auto &[address, peer] : m_entries)
-        due.push_back(address);
+    auto due = m_roster.knownIn(m_options.domain);
+    const auto round = std::max(noticesPerRound, due.size() / mostRounds + 1);
     // With more entries than fit a round, each round starts where the order of the time puts it.
-    const auto offset = due.size() > noticesPerRound
-        ? static_cast<std::size_t>(now / noticeInterval) * noticesPerRound % due.size()
+    const auto offset = due.size() > round
+        ? static_cast<std::size_t>(now / noticeInterval) * round % due.size()
         : 0;
     std::rotate(due.begin(), due.begin() + static_cast<std::ptrdiff_t>(offset), due.end());
-    due.resize(std::min(due.size(), noticesPerRound));
-    for (const auto &address : due)
-        tellEntry(now, address, isLearning(now) || m_entries[address].heard + entrySilence <= now);
+    due.resize(std::min(due.size(), round));
+    const auto plain = makeNotice(now);
+    auto naming = plain;
+    naming.entries = m_roster.placesFor(m_options.domain, now);
+    const bool names = m_noticeRounds++ % namingRounds == 0;
+    for (const auto &address : due) {
+        auto notice = names ? naming : plain;
+        notice.wantsNotice = isLearning(now) || !m_roster.isHeard(address, now);
+        send(address, notice);
+    }
 }
 
 void relay_entry::logMember(instant now, const member_change &change)
@@ -281,15 +300,17 @@
 
 void relay_entry::tendPeers(instant now)
 {
-    if (now - m_lastNotices < noticeInterval)
-        return;
-    m_lastNotices = now;
-    sendNotices(now);
-    std::erase_if(m_named, [&](const auto &item) { return now - item.second > namedLifetime; });
-    std::erase_if(m_entries, [&](const auto &item) {
-        const bool isSeed = std::ranges::find(m_options.seeds, item.first) != m_options.seeds.end();
-        return !isSeed && now - item.second.heard > entryForget;
-    });
+    if (now - m_lastNotices >= noticeInterval) {
+        m_lastNotices = now;
+        for (const auto &seed : m_options.seeds)
+            m_roster.name(now, {.address = seed});
+        sendNotices(now);
+        greetMembers(now);
+        m_roster.sweep(now, m_options.seeds);
+    }
+    noteCompleteness(now);
+    askForMembers(now);
+    sendDigests(now);
 }
 
 } // namespace toucan
--- a/src/libtoucanrelay/relay_entry_search.cpp
+++ b/src/libtoucanrelay/relay_entry_search.cpp
@@ -19,8 +19,12 @@
 // A process with flows that is stopped for planned work starts again within this; its target serves
 // on and still holds them.
 constexpr auto plannedStopTime = 15s;
-// Members that one search asks. Beyond that it would cost more than the caller's next try.
-constexpr std::size_t mostSearched = 256;
+// Members that one search asks: as many as a place in its number can tell apart.
+constexpr std::size_t mostSearched = 4000;
+// Rounds of questions; a datagram may be lost.
+constexpr std::size_t questionRounds = 2;
+// Flows in one question, so that it and its answer fit a datagram.
+constexpr std::size_t flowsInQuestion = 40;
 // A new search begins when a segment comes this long after the last one began.
 constexpr auto searchTime = 1s;
 // Members pass a segment on within a few milliseconds; one of them may ask its target first.
@@ -72,14 +76,14 @@
     return order;
 }
 
-// A segment of an unknown flow is passed from member to member in batches. The order stays what it
-// was when the search began, so that nobody is left out when beliefs about members change
-// meanwhile.
+// A segment of an unknown flow travels along the likeliest owners; then all others are asked. The
+// order stays what it was when the search began, so that nobody is left out when beliefs about
+// members change meanwhile.
 void relay_entry::search(
     instant now, const segment &head, const route_rule &route, cached_flow &cached, byte_view bytes)
 {
     auto &progress = cached.progress;
-    if (progress && !progress->ended && now - progress->begun < searchTime) {
+    if (progress && progress->stage != search_stage::ended && now - progress->begun < searchTime) {
         if (progress->held.size() < mostHeld)
             progress->held.emplace_back(bytes.begin(), bytes.end());
         return;
@@ -95,28 +99,18 @@
     cached.tried.clear();
     cached.confirmed = false;
     cached.established = true;
-    askNext(now, cached);
-}
-
-// Asks the members behind the batch that has answered, or has not in time.
-void relay_entry::askNext(instant now, cached_flow &cached)
-{
-    auto &progress = *cached.progress;
-    progress.first = progress.end;
-    progress.end = std::min(progress.first + maximumCandidates + 1, progress.order.size());
-    progress.oneByOne = false;
-    if (progress.first == progress.end) {
+    progress->chainLength = std::min(maximumCandidates + 1, order.size());
+    if (order.empty()) {
         concludeSearch(now, cached);
         return;
     }
-    const auto batch
-        = std::span(progress.order).subspan(progress.first, progress.end - progress.first);
     m_searches.add();
-    logSearch(now, cached, "asked", batch.front().address, batch.size());
-    sendSearch(now, cached, batch);
+    logSearch(now, cached, "asked", order.front()->address, progress->chainLength);
+    sendSegment(now, cached, std::span(progress->order).first(progress->chainLength));
 }
 
-void relay_entry::sendSearch(instant now, cached_flow &cached, std::span<const search_place> places)
+void relay_entry::sendSegment(
+    instant now, cached_flow &cached, std::span<const search_place> places)
 {
     auto &progress = *cached.progress;
     const auto flow = progress.head.flowFromCaller();
@@ -136,8 +130,8 @@
         m_searching.insert(flow);
 }
 
-void relay_entry::onNotFound(
-    instant now, const relay_header &header, const segment &head, byte_view bytes)
+void relay_entry::onNotFound(instant now, const endpoint &from, const relay_header &header,
+    const segment &head, byte_view bytes)
 {
     const auto *route = m_config ? m_config->routeAt(head.destination) : nullptr;
     const auto found = m_flows.find(head.flowFromCaller());
@@ -145,7 +139,11 @@
         return;
     auto &cached = found->second;
     if (header.search == 0) {
-        search(now, head, *route, cached, bytes);
+        // The owner's word is final: a flow is open at one target only.
+        if (cached.confirmed && from == cached.owner && !header.doubtful)
+            resetLostFlow(now, head);
+        else
+            search(now, head, *route, cached, bytes);
         return;
     }
     // The owner may be known again meanwhile.
@@ -156,61 +154,140 @@
         return;
     }
     const auto place = (header.search & ((1U << placeBits) - 1)) - 1;
-    if (!cached.progress || cached.progress->number % searchNumbers != header.search >> placeBits
-        || place < cached.progress->first || place >= cached.progress->end)
+    if (!cached.progress || cached.progress->stage == search_stage::ended
+        || cached.progress->number % searchNumbers != header.search >> placeBits
+        || place >= cached.progress->order.size())
         return; // An answer that came too late.
     noteDenial(now, cached, place, header.doubtful);
 }
 
+// The last one of the chain speaks for all of it.
 void relay_entry::noteDenial(instant now, cached_flow &cached, std::size_t place, bool doubtful)
 {
     auto &progress = *cached.progress;
-    const auto end = progress.oneByOne ? place + 1 : progress.end;
+    const auto end = progress.stage == search_stage::chain ? progress.chainLength : place + 1;
     for (auto each = place; each < end; ++each) {
         progress.order[each].denied = true;
         progress.order[each].doubtful = doubtful;
     }
-    const auto batch
-        = std::span(progress.order).subspan(progress.first, progress.end - progress.first);
-    if (std::ranges::all_of(batch, &search_place::denied))
-        askNext(now, cached);
+    goOn(now, cached);
+}
+
+void relay_entry::goOn(instant now, cached_flow &cached)
+{
+    auto &progress = *cached.progress;
+    if (std::ranges::all_of(progress.order, &search_place::denied)) {
+        concludeSearch(now, cached);
+        return;
+    }
+    if (progress.stage != search_stage::chain)
+        return;
+    progress.stage = search_stage::questions;
+    // The next round of questions takes this flow in.
+    if (m_searching.size() < mostWatched)
+        m_searching.insert(progress.head.flowFromCaller());
+    else
+        concludeSearch(now, cached);
 }
 
-// A process that is down ends the way of a batch. Its members are then asked one by one, and those
-// that give no answer again are passed over.
+// Sends questions about all flows whose searches have come that far, one datagram to each member.
 void relay_entry::tendSearches(instant now)
 {
     if (now - m_lastSearchTick < searchTick)
         return;
     m_lastSearchTick = now;
+    question_batch batch;
     const std::vector<flow_key> watched(m_searching.begin(), m_searching.end());
     for (const auto &flow : watched) {
         const auto found = m_flows.find(flow);
         const bool goesOn = found != m_flows.end() && !found->second.owner && found->second.progress
-            && !found->second.progress->ended;
-        if (!goesOn)
+            && found->second.progress->stage != search_stage::ended;
+        if (goesOn)
+            goOnLate(now, found->second, batch);
+        else
             m_searching.erase(flow);
-        else if (now - found->second.progress->askedAt > answerTime)
-            onMissingAnswer(now, found->second);
     }
+    sendQuestions(batch);
 }
 
-void relay_entry::onMissingAnswer(instant now, cached_flow &cached)
+// A process that is down ends the way of the chain; then its members are asked like all others.
+// Those that answer no question either are passed over.
+void relay_entry::goOnLate(instant now, cached_flow &cached, question_batch &batch)
 {
     auto &progress = *cached.progress;
-    if (progress.oneByOne || progress.end - progress.first == 1) {
-        askNext(now, cached);
+    const bool isOverdue = now - progress.askedAt > answerTime;
+    if (progress.stage == search_stage::chain && isOverdue)
+        progress.stage = search_stage::questions;
+    if (progress.stage == search_stage::chain || (progress.rounds > 0 && !isOverdue))
         return;
+    if (progress.rounds < questionRounds)
+        askAll(now, cached, batch);
+    else
+        concludeSearch(now, cached);
+}
+
+void relay_entry::askAll(instant now, cached_flow &cached, question_batch &batch)
+{
+    auto &progress = *cached.progress;
+    const auto flow = progress.head.flowFromCaller();
+    const flow_inquiry inquiry{.caller = flow.caller,
+        .service = flow.service,
+        .acknowledged = progress.head.acknowledged,
+        .search = progress.number};
+    for (const auto &place : progress.order) {
+        if (!place.denied && !place.hasSegment)
+            batch[place.address].push_back(inquiry);
+    }
+    progress.askedAt = now;
+    ++progress.rounds;
+}
+
+void relay_entry::sendQuestions(const question_batch &batch)
+{
+    for (const auto &[member, flows] : batch) {
+        for (std::size_t begin = 0; begin < flows.size(); begin += flowsInQuestion) {
+            const auto end = std::min(begin + flowsInQuestion, flows.size());
+            send(member,
+                flow_question{.flows = {flows.begin() + static_cast<std::ptrdiff_t>(begin),
+                                  flows.begin() + static_cast<std::ptrdiff_t>(end)}});
+        }
     }
-    progress.oneByOne = true;
-    for (auto place = progress.first; place < progress.end; ++place)
-        sendSearch(now, cached, std::span(progress.order).subspan(place, 1));
+}
+
+void relay_entry::handle(instant now, const endpoint &from, const flow_answer &message)
+{
+    for (const auto &item : message.flows) {
+        const flow_key flow{.caller = item.caller, .service = item.service};
+        const auto found = m_flows.find(flow);
+        if (found == m_flows.end() || found->second.owner || !found->second.progress)
+            continue;
+        auto &cached = found->second;
+        auto &progress = *cached.progress;
+        const auto place = std::ranges::find(progress.order, from, &search_place::address);
+        if (progress.stage == search_stage::ended || progress.number != item.search
+            || place == progress.order.end())
+            continue;
+        if (item.word == static_cast<std::uint64_t>(flow_knowledge::held)) {
+            adoptOwner(now, flow, cached, from, false);
+        } else if (item.word == static_cast<std::uint64_t>(flow_knowledge::not_held)) {
+            noteDenial(
+                now, cached, static_cast<std::size_t>(place - progress.order.begin()), false);
+        } else if (!std::exchange(place->hasSegment, true)) {
+            // Its target has to be asked, which takes the segment.
+            sendSegment(now, cached, std::span(&*place, 1));
+        }
+    }
+}
+
+void relay_entry::handle(instant, const endpoint &, const flow_question &)
+{
+    m_malformed.add();
 }
 
 void relay_entry::concludeSearch(instant now, cached_flow &cached)
 {
     auto &progress = *cached.progress;
-    progress.ended = true;
+    progress.stage = search_stage::ended;
     const auto doubt = doubtAbout(now, progress);
     logSearch(now, cached, progress.order.empty() ? "nobody to ask" : "not found", {},
         progress.order.size(), doubt);
@@ -236,7 +313,7 @@
     for (const auto &flow : std::exchange(m_waitingSearches, {})) {
         const auto found = m_flows.find(flow);
         if (found == m_flows.end() || found->second.owner || !found->second.progress
-            || !found->second.progress->ended)
+            || found->second.progress->stage != search_stage::ended)
             continue;
         const auto last = std::move(found->second.progress);
         const auto *route = m_config->routeAt(flow.service);
@@ -255,8 +332,7 @@
 {
     const auto &order = progress.order;
     if (!knowsMembers(now))
-        return m_named.empty() ? "members may be unknown yet"
-                               : toString(m_named.begin()->first) + " was named and is not heard";
+        return "members may be unknown yet";
     if (order.empty() || order.size() >= mostSearched)
         return "no members, or too many";
     const auto silent = std::ranges::find(order, true, &search_place::doubtful);
@@ -266,7 +342,7 @@
     m_members.forEach([&](const relay_member &item) {
         const auto place = std::ranges::find(order, item.address, &search_place::address);
         const instant limit = item.leaving && item.flows > 0 ? plannedStopTime : memberGone;
-        const bool isGone = now - item.heard > limit;
+        const bool isGone = now - item.heard > limit && maySpeakOf(item, now);
         const bool wasAsked = place != order.end();
         if (!(wasAsked && place->denied) && !isGone
             && !(item.holdsNothing() && (wasAsked || item.lost)))
@@ -275,43 +351,66 @@
     return doubt;
 }
 
-// Members that other entries name are told of this one and report at once, and the process waits
-// for all of them. Without other entries the members' own intervals have to do.
+// Silence alone shows that a member of the own domain is gone. One of another domain is gone when
+// that domain's entries say so, or when nothing is heard of the whole domain.
+bool relay_entry::maySpeakOf(const relay_member &item, instant now) const
+{
+    const auto heard = m_digests.heard(item.domain);
+    return item.domain == m_options.domain || item.toldLost || !heard || now - *heard > memberGone;
+}
+
+// The own domain's members report here; other entries of the domain name those that this one has
+// not heard yet. When all start together, the members' own intervals have to do. Other domains'
+// entries say what they know; a domain of which nobody speaks is gone as silent members are.
 bool relay_entry::knowsMembers(instant now) const
 {
+    const auto others = otherDomains();
+    return knowsOwnDomain(now) && std::ranges::all_of(others, [&](const std::string &domain) {
+        return m_digests.isComplete(domain)
+            || (!m_digests.heard(domain) && now - m_started > memberGone);
+    });
+}
+
+bool relay_entry::knowsOwnDomain(instant now) const
+{
+    if (m_ownComplete || m_digests.isComplete(m_options.domain))
+        return true;
     instant longest = shortestLearning;
-    if (!m_introducedAt) {
-        m_members.forEach([&](const relay_member &item) {
+    m_members.forEach([&](const relay_member &item) {
+        if (item.isFirstHand(now))
             longest = std::max<instant>(longest, item.interval * learningIntervals);
-        });
-    }
-    return m_named.empty() && now - m_started >= longest
-        && now - std::max(m_started, m_memberAddedAt) >= longest / 2;
+    });
+    return now - m_started >= longest && now - std::max(m_started, m_memberAddedAt) >= longest / 2;
 }
 
 void relay_entry::handle(instant now, const endpoint &from, const flow_owner &message)
 {
     const flow_key flow{.caller = message.caller, .service = message.service};
     const auto found = m_flows.find(flow);
-    if (found == m_flows.end())
-        return;
-    auto &cached = found->second;
+    if (found != m_flows.end())
+        adoptOwner(now, flow, found->second, from, true);
+}
+
+// `hasSegment` tells that the owner got the segment that was searched with.
+void relay_entry::adoptOwner(
+    instant now, const flow_key &flow, cached_flow &cached, const endpoint &owner, bool hasSegment)
+{
     const bool searched = !cached.owner;
-    cached.owner = from;
+    cached.owner = owner;
     cached.confirmed = true;
     cached.tried.clear();
     cached.searches = 0;
     if (const auto progress = std::move(cached.progress))
-        forwardHeld(*progress, from);
+        forwardHeld(*progress, owner, hasSegment);
     if (!searched)
         return;
     m_metrics.numberOf("toucan_searches_total", "outcome", "found").add();
-    const auto *member = m_members.at(from);
+    const auto *member = m_members.at(owner);
     m_log.write(now,
         flow_searched{.caller = flow.caller,
             .service = flow.service,
             .outcome = "found",
-            .target = member ? member->name : toString(from)});
+            .target = member ? member->name : toString(owner)});
 }
 
 void relay_entry::handle(instant now, const endpoint &from, const opening_kept &message)
@@ -323,14 +422,17 @@
     found->second.keptAt = now;
 }
 
-// What came while the owner was searched; the segment that found it is with the owner already.
-void relay_entry::forwardHeld(const search_progress &progress, const endpoint &owner)
+// What came while the owner was searched, in order.
+void relay_entry::forwardHeld(
+    const search_progress &progress, const endpoint &owner, bool hasSegment)
 {
     const auto flow = progress.head.flowFromCaller();
     const auto *route = m_config ? m_config->routeAt(flow.service) : nullptr;
     if (!route)
         return;
     const auto header = headerFor(relay_kind::established, route->serviceFor(hashFlow(flow)));
+    if (!hasSegment)
+        forward(owner, header, progress.bytes);
     for (const auto &bytes : progress.held)
         forward(owner, header, bytes);
 }
--- a/src/libtoucanrelay/relay_entry_search_test.cpp
+++ b/src/libtoucanrelay/relay_entry_search_test.cpp
@@ -72,25 +72,16 @@
         reportAll({});
         fleet.pass(600ms);
         fleet.sendRequest();
-        std::set<endpoint> asked;
-        const auto noteAsked = [&] {
-            for (auto &[to, bytes] : fleet.port.toPeers) {
-                const auto packet = decodeRelayPacket(bytes);
-                if (!packet)
-                    continue;
-                asked.insert(to);
-                asked.insert(packet->header.candidates.begin(), packet->header.candidates.end());
-            }
-        };
-        noteAsked();
+        auto asked = fleet.asked();
         // One member's next report is late while the first ones are asked.
         auto firstAsked = std::exchange(fleet.port.toPeers, {});
         fleet.now += 50ms;
         reportAll(stale);
-        fleet.port.toPeers = std::move(firstAsked);
-        fleet.denyAll();
-        noteAsked();
-        fleet.denyAll();
+        for (auto &[to, bytes] : firstAsked)
+            fleet.deny(to, bytes);
+        fleet.now += 20ms;
+        fleet.engine.onTick(fleet.now);
+        asked.merge(fleet.asked());
         INFO("stale member " << stale);
         CHECK(asked.size() == members);
     }
@@ -132,11 +123,9 @@
         for (int step = 0; step < 40; ++step) {
             for (auto &[to, bytes] : std::exchange(fleet.port.toPeers, {})) {
                 const auto packet = decodeRelayPacket(bytes);
-                if (!packet)
-                    continue;
-                std::set<endpoint> way(
-                    packet->header.candidates.begin(), packet->header.candidates.end());
-                way.insert(to);
+                std::set<endpoint> way{to};
+                if (packet)
+                    way.insert(packet->header.candidates.begin(), packet->header.candidates.end());
                 if (!way.contains({.ip = 0x0a020000 + removed, .port = 7000}))
                     fleet.deny(to, bytes);
             }
@@ -164,3 +153,84 @@
     REQUIRE(packets.size() == 1);
     CHECK(packets.front() == std::pair(relay_kind::established, otherProcess));
 }
+
+TEST_CASE(
+    "entry: a member that cannot tell whether its target holds a flow gets the segment itself")
+{
+    constexpr std::uint32_t members = 12;
+    entry_fixture fleet;
+    for (std::uint32_t i = 0; i < members; ++i)
+        fleet.report(reportOf("t" + std::to_string(i), target_standing::ready, 3),
+            {.ip = 0x0a020000 + i, .port = 7000});
+    fleet.pass(600ms);
+    fleet.sendRequest();
+    for (auto &[to, bytes] : std::exchange(fleet.port.toPeers, {}))
+        fleet.deny(to, bytes);
+    fleet.now += 20ms;
+    fleet.engine.onTick(fleet.now);
+    auto questions = std::exchange(fleet.port.toPeers, {});
+    REQUIRE(!questions.empty());
+    const auto unsure = questions.front().first;
+    fleet.answerQuestion(unsure, questions.front().second, flow_knowledge::unknown);
+    auto sent = std::exchange(fleet.port.toPeers, {});
+    REQUIRE(sent.size() == 1);
+    CHECK(sent.front().first == unsure);
+    CHECK(decodeRelayPacket(sent.front().second));
+    for (std::size_t i = 1; i < questions.size(); ++i)
+        fleet.deny(questions[i].first, questions[i].second);
+    CHECK(fleet.port.toCallers.empty());
+    fleet.deny(unsure, sent.front().second);
+    CHECK(fleet.port.toCallers.size() == 1);
+}
+
+TEST_CASE("entry: the owner that a question finds gets the segments in order")
+{
+    constexpr std::uint32_t members = 12;
+    entry_fixture fleet;
+    for (std::uint32_t i = 0; i < members; ++i)
+        fleet.report(reportOf("t" + std::to_string(i), target_standing::ready, 3),
+            {.ip = 0x0a020000 + i, .port = 7000});
+    fleet.pass(600ms);
+    fleet.sendRequest();
+    fleet.sendRequest();
+    for (auto &[to, bytes] : std::exchange(fleet.port.toPeers, {}))
+        fleet.deny(to, bytes);
+    fleet.now += 20ms;
+    fleet.engine.onTick(fleet.now);
+    auto questions = std::exchange(fleet.port.toPeers, {});
+    REQUIRE(!questions.empty());
+    const auto owner = questions.front().first;
+    fleet.answerQuestion(owner, questions.front().second, flow_knowledge::held);
+    const auto packets = fleet.port.takePackets();
+    REQUIRE(packets.size() == 2);
+    CHECK(packets[0] == std::pair(relay_kind::established, owner));
+    CHECK(packets[1] == packets[0]);
+}
+
+TEST_CASE("entry: a flow whose confirmed owner does not hold it any more is reset without a search")
+{
+    entry_fixture fleet;
+    fleet.report(reportOf("t1", target_standing::ready, 3));
+    fleet.report(reportOf("t2", target_standing::ready, 3), otherProcess);
+    fleet.pass(600ms);
+    fleet.sendRequest();
+    auto found = encodeRelayMessage(flow_owner{.caller = caller, .service = service});
+    fleet.engine.onPeerBytes(fleet.now, otherProcess, found);
+    fleet.port = {};
+    for (const bool isDoubtful : {true, false}) {
+        fleet.sendRequest();
+        auto packets = std::exchange(fleet.port.toPeers, {});
+        REQUIRE(packets.size() == 1);
+        auto packet = decodeRelayPacket(packets.front().second);
+        packet->header.kind = relay_kind::not_found;
+        packet->header.doubtful = isDoubtful;
+        auto reply = fleet.packet(packet->header, *fleet.codec.decode(packet->bytes));
+        fleet.engine.onPeerBytes(fleet.now, otherProcess, reply);
+        CHECK(fleet.port.toCallers.size() == (isDoubtful ? 0 : 1));
+        CHECK(fleet.port.takePackets().size() == (isDoubtful ? 1 : 0));
+        // The doubtful word led to a search, which finds the owner again.
+        auto again = encodeRelayMessage(flow_owner{.caller = caller, .service = service});
+        fleet.engine.onPeerBytes(fleet.now, otherProcess, again);
+        fleet.port.toPeers.clear();
+    }
+}
--- a/src/libtoucanrelay/relay_members.cpp
+++ b/src/libtoucanrelay/relay_members.cpp
@@ -1,10 +1,21 @@
 #include <algorithm>
 #include <toucan/ranking.h>
 #include <toucan/relay_members.h>
+#include <tuple>
 
 namespace toucan {
 namespace {
 
+using namespace std::chrono_literals;
+
+// Entries of other domains tell of their members in this rhythm.
+constexpr auto digestInterval = 1s;
+// Time after which a member that left an opening unanswered is tried again, when its domain's
+// entries go on vouching for it.
+constexpr auto suspicionTime = 1s;
+// Change of load, thousandths of a slot, that is worth telling other domains.
+constexpr std::uint64_t notableLoad = 300;
+
 target_standing standingOf(std::uint64_t value)
 {
     return value <= static_cast<std::uint64_t>(target_standing::gone)
@@ -12,6 +23,54 @@
         : target_standing::unknown;
 }
 
+// What other entries have to know soon.
+using important_part = std::tuple<std::string, std::string, endpoint, std::uint64_t, std::uint64_t,
+    target_standing, bool, std::uint64_t>;
+
+important_part importantPart(const relay_member &item)
+{
+    return {item.service, item.domain, item.address, item.boot, item.lifetime, item.standing,
+        item.lost, item.openRate};
+}
+
+std::uint64_t hashOf(const relay_member &item)
+{
+    return hashText(item.name + '/' + item.service + '/' + toString(item.address) + '/'
+        + std::to_string(item.boot) + '/' + std::to_string(item.lifetime) + '/'
+        + std::to_string(static_cast<int>(item.standing)));
+}
+
+void noteChange(instant now, relay_member &item, const important_part &was)
+{
+    const auto difference = std::max(item.load, item.toldLoad) - std::min(item.load, item.toldLoad);
+    if (was == importantPart(item) && difference < notableLoad)
+        return;
+    item.changedAt = now;
+    item.toldLoad = item.load;
+    item.stateHash = hashOf(item);
+}
+
+std::optional<member_change> changeOf(
+    relay_member &item, std::string before, const important_part &was)
+{
+    auto after = std::string(beliefAbout(item));
+    if (before == after && std::get<4>(was) == item.lifetime)
+        return std::nullopt;
+    return member_change{.member = &item, .from = std::move(before), .to = std::move(after)};
+}
+
+// Three reports may be lost before silence means anything.
+bool reportsHere(const relay_member &item, instant now)
+{
+    const auto limit = std::max<instant>(member_table::silenceLimit, item.reportInterval * 4);
+    return item.reportedAt != instant{} && now - item.reportedAt <= limit;
+}
+
+bool isVouchedFor(const relay_member &item, instant now)
+{
+    return item.vouchedAt != instant{} && now - item.vouchedAt <= member_table::digestSilenceLimit;
+}
+
 } // namespace
 
 std::string_view beliefAbout(const relay_member &item)
@@ -49,26 +108,33 @@
         m_services[item->service].push_back(item.get());
 }
 
+// The member at an address, under its name; a VM may be replaced under its name, or another one
+// take its address.
+relay_member *member_table::place(const endpoint &from, const std::string &name)
+{
+    auto *item = at(from);
+    if (item && item->name == name)
+        return item;
+    if (const auto *elsewhere = find(name))
+        remove(endpoint(elsewhere->address));
+    m_members[from] = std::make_unique<relay_member>(
+        relay_member{.name = name, .nameHash = hashText(name), .address = from, .lost = true});
+    return m_members[from].get();
+}
+
 std::optional<member_change> member_table::apply(
     instant now, const endpoint &from, const target_report &report)
 {
-    auto *item = at(from);
-    // A VM that is replaced under its name, or another one at its address.
-    if (!item || item->name != report.member) {
-        if (const auto *elsewhere = find(report.member))
-            remove(endpoint(elsewhere->address));
-        m_members[from] = std::make_unique<relay_member>(
-            relay_member{.name = report.member, .nameHash = hashText(report.member), .lost = true});
-        item = m_members[from].get();
-    } else if (item->boot == report.boot && report.order <= item->order) {
+    auto *item = place(from, report.member);
+    if (item->reportedAt != instant{} && item->boot == report.boot && report.order <= item->order)
         return std::nullopt;
-    }
     auto before = std::string(beliefAbout(*item));
-    const auto lifetimeBefore = item->lifetime;
-    const bool moved = item->service != report.service || item->address != from;
+    const auto was = importantPart(*item);
+    const bool moved = item->service != report.service || item->domain != report.domain;
+    item->reportedAt = now;
+    item->toldLost = false;
     item->service = report.service;
     item->domain = report.domain;
-    item->address = from;
     item->boot = report.boot;
     item->order = report.order;
     item->lifetime = report.lifetime;
@@ -79,6 +145,7 @@
     item->load = report.load;
     item->openRate = report.openRate;
     item->interval = std::chrono::milliseconds(std::min<std::uint64_t>(report.intervalMs, 60'000));
+    item->reportInterval = item->interval;
     item->openedSince = 0;
     item->heard = now;
     item->suspectedSince = {};
@@ -86,10 +153,98 @@
     item->leaving = report.leaving;
     if (moved)
         rebuildIndex();
-    auto after = std::string(beliefAbout(*item));
-    if (before == after && lifetimeBefore == item->lifetime)
+    noteChange(now, *item, was);
+    return changeOf(*item, std::move(before), was);
+}
+
+std::optional<member_change> member_table::apply(
+    instant now, std::string_view domain, const member_state &state)
+{
+    auto *known = at(state.address);
+    const auto heard = now - std::chrono::milliseconds(state.silentMs);
+    const bool same = known && known->name == state.name && known->boot == state.boot;
+    if (same && !state.lost && !state.leaving)
+        known->vouchedAt = std::max(known->vouchedAt, heard);
+    if (same ? state.order < known->order : known && known->heard > heard)
+        return std::nullopt;
+    if (same && state.order == known->order && known->isFirstHand(now) && !known->lost)
         return std::nullopt;
-    return member_change{.member = item, .from = std::move(before), .to = std::move(after)};
+    auto *item = place(state.address, state.name);
+    if (!same)
+        item->reportedAt = {};
+    auto before = std::string(beliefAbout(*item));
+    const auto was = importantPart(*item);
+    const bool moved = item->service != state.service || item->domain != domain;
+    item->service = state.service;
+    item->domain = domain;
+    item->boot = state.boot;
+    item->order = state.order;
+    item->lifetime = state.lifetime;
+    item->standing = standingOf(state.standing);
+    item->slots = state.slots;
+    item->flows = state.flows;
+    item->load = state.load;
+    item->openRate = state.openRate;
+    if (!item->isFirstHand(now))
+        item->interval = digestInterval;
+    item->openedSince = 0;
+    item->heard = std::max(item->heard, heard);
+    item->vouchedAt = std::max(item->vouchedAt, heard);
+    item->suspectedSince = {};
+    item->lost = state.lost || state.leaving;
+    item->toldLost = state.lost;
+    item->leaving = state.leaving;
+    if (moved)
+        rebuildIndex();
+    noteChange(now, *item, was);
+    return changeOf(*item, std::move(before), was);
+}
+
+void member_table::confirm(instant now, std::string_view domain)
+{
+    forEach([&](relay_member &item) {
+        if (item.domain != domain || item.lost)
+            return;
+        item.vouchedAt = now;
+        if (item.isFirstHand(now))
+            return;
+        item.heard = now;
+        item.openedSince = 0;
+        // A silent member is tried again after a while; its domain's entries would call it lost.
+        if (item.suspectedSince != instant{} && now - item.suspectedSince > suspicionTime)
+            item.suspectedSince = {};
+    });
+}
+
+std::vector<member_change> member_table::removeOthers(
+    instant now, std::string_view domain, const std::set<std::string> &names)
+{
+    std::vector<member_change> changes;
+    forEach([&](relay_member &item) {
+        if (item.domain != domain || item.isFirstHand(now) || names.contains(item.name))
+            return;
+        item.toldLost = true;
+        if (item.lost)
+            return;
+        auto before = std::string(beliefAbout(item));
+        item.lost = true;
+        item.changedAt = now;
+        changes.push_back({.member = &item, .from = std::move(before), .to = "lost"});
+    });
+    return changes;
+}
+
+member_table::summary member_table::summaryOf(std::string_view domain) const
+{
+    summary result;
+    forEach([&](const relay_member &item) {
+        if (item.domain != domain || item.lost)
+            return;
+        ++result.count;
+        // Addition does not depend on the order of members.
+        result.hash += item.stateHash;
+    });
+    return result;
 }
 
 std::vector<member_change> member_table::onTick(instant now)
@@ -100,12 +255,11 @@
         > 0)
         rebuildIndex();
     forEach([&](relay_member &item) {
-        // Three reports may be lost before silence means anything.
-        const auto limit = std::max<instant>(silenceLimit, item.interval * 4);
-        if (item.lost || now - item.heard <= limit)
+        if (item.lost || reportsHere(item, now) || isVouchedFor(item, now))
             return;
         auto before = std::string(beliefAbout(item));
         item.lost = true;
+        item.changedAt = now;
         changes.push_back({.member = &item, .from = std::move(before), .to = "lost"});
     });
     return changes;
--- a/src/libtoucanrelay/relay_target.cpp
+++ b/src/libtoucanrelay/relay_target.cpp
@@ -156,10 +156,7 @@
     const auto key = head.flowFromCaller();
     const auto &header = packet.header;
     auto found = m_flows.find(key);
-    const bool isKnown = found != m_flows.end() && found->second.state != flow_state::probing;
-    const bool foreign = isKnown ? !isMine(found->second, head)
-                                 : knowsAllFlows(now) || standing(now) == target_standing::gone;
-    if (foreign) {
+    if (knowledgeOf(now, key, head.acknowledged) == flow_knowledge::not_held) {
         passOn(header, relay_kind::not_found, packet.bytes);
         return;
     }
@@ -240,11 +237,36 @@
 
 // The caller acknowledges the answer that it took to its opening; other targets' answers differ.
 // A target sends no data before that, so the number is exact.
-bool relay_target::isMine(const flow &item, const segment &head) const
+bool relay_target::isMine(const flow &item, std::uint32_t acknowledged) const
 {
     if (item.state != flow_state::offered)
         return true;
-    return item.targetSequence && head.acknowledged == *item.targetSequence + 1;
+    return item.targetSequence && acknowledged == *item.targetSequence + 1;
+}
+
+flow_knowledge relay_target::knowledgeOf(
+    instant now, const flow_key &key, std::uint32_t acknowledged) const
+{
+    const auto found = m_flows.find(key);
+    if (found != m_flows.end() && found->second.state != flow_state::probing)
+        return isMine(found->second, acknowledged) ? flow_knowledge::held
+                                                   : flow_knowledge::not_held;
+    const bool isCertain = knowsAllFlows(now) || standing(now) == target_standing::gone;
+    return isCertain ? flow_knowledge::not_held : flow_knowledge::unknown;
+}
+
+void relay_target::handle(instant now, const endpoint &from, const flow_question &message)
+{
+    flow_answer answer;
+    for (const auto &item : message.flows) {
+        const flow_key key{.caller = item.caller, .service = item.service};
+        const auto word = knowledgeOf(now, key, static_cast<std::uint32_t>(item.acknowledged));
+        answer.flows.push_back({.caller = item.caller,
+            .service = item.service,
+            .search = item.search,
+            .word = static_cast<std::uint64_t>(word)});
+    }
+    m_port.sendPeer(from, encodeRelayMessage(answer), {});
 }
 
 void relay_target::tellOwner(const flow_key &key, flow &item)
--- a/src/libtoucanrelay/relay_target_entries.cpp
+++ b/src/libtoucanrelay/relay_target_entries.cpp
@@ -1,6 +1,7 @@
 // What a target process exchanges with entries.
 
 #include <algorithm>
+#include <toucan/ranking.h>
 #include <toucan/relay_target.h>
 
 namespace toucan {
@@ -16,6 +17,16 @@
 constexpr std::uint64_t noticeEvery = 4;
 constexpr auto entrySilence = 5s;
 constexpr auto copyFetchInterval = 700ms;
+// Silence of all entries of the own failure domain after which others are reported to as well: at a
+// start this long, later a missed notice.
+constexpr auto homeSilence = 1s;
+constexpr std::size_t substitutes = 4;
+
+std::chrono::milliseconds intervalFor(std::size_t entries)
+{
+    return std::max<std::chrono::milliseconds>(
+        reportInterval, intervalForEachEntry * static_cast<std::int64_t>(entries));
+}
 
 } // namespace
 
@@ -34,11 +45,27 @@
     m_malformed.add();
 }
 
+void relay_target::handle(instant, const endpoint &, const member_digest &)
+{
+    m_malformed.add();
+}
+
+void relay_target::handle(instant, const endpoint &, const digest_request &)
+{
+    m_malformed.add();
+}
+
+void relay_target::handle(instant, const endpoint &, const flow_answer &)
+{
+    m_malformed.add();
+}
+
 void relay_target::handle(instant now, const endpoint &from, const entry_notice &message)
 {
     auto &entry = m_entries[from];
     const bool isNew = entry.boot != message.boot;
     entry.boot = message.boot;
+    entry.domain = message.domain;
     if (now - entry.heard > entrySilence)
         m_log.write(now,
             dependency_changed{.dependency = "entry",
@@ -78,12 +105,16 @@
         m_entries[from].heard = now - entrySilence;
 }
 
-void relay_target::onEntries(instant now, std::span<const endpoint> peers)
+void relay_target::onEntries(instant now, std::span<const entry_place> entries)
 {
     bool added = false;
-    for (const auto &peer : peers) {
+    for (const auto &place : entries) {
         // Unheard so far, but worth reporting to for a while.
-        added |= m_entries.try_emplace(peer, entry_state{.heard = now - entrySilence}).second;
+        const auto [found, isNew] = m_entries.try_emplace(
+            place.address, entry_state{.domain = place.domain, .heard = now - entrySilence});
+        if (found->second.domain.empty())
+            found->second.domain = place.domain;
+        added |= isNew;
     }
     if (added)
         sendReports(now, false);
@@ -95,12 +126,39 @@
         m_entries, [&](const auto &item) { return now - item.second.heard < entrySilence; });
 }
 
+// The entries of the own failure domain. While none of them is heard, a few others, which pass on
+// what they hear; seeds count as such until their domain is known.
+std::vector<endpoint> relay_target::reportedEntries(instant now) const
+{
+    std::vector<endpoint> home;
+    std::vector<endpoint> others;
+    std::optional<instant> lastHeard;
+    for (const auto &[address, entry] : m_entries) {
+        (entry.domain == m_options.domain ? home : others).push_back(address);
+        if (entry.domain == m_options.domain && entry.boot != 0)
+            lastHeard = std::max(lastHeard.value_or(instant{}), entry.heard);
+    }
+    const auto noticeInterval = intervalFor(home.size()) * static_cast<int>(noticeEvery);
+    const auto limit
+        = lastHeard ? std::max<instant>(homeSilence, noticeInterval * 3 / 2) : instant(homeSilence);
+    if (!home.empty() && now - lastHeard.value_or(m_started) < limit)
+        return home;
+    // Each process has an order of its own, so that they do not all choose the same ones.
+    const auto weight = [&](const endpoint &address) {
+        return rankWeight(m_options.boot, hashText(toString(address)));
+    };
+    std::ranges::sort(others, std::greater<>(), weight);
+    others.resize(std::min(others.size(), substitutes));
+    home.insert(home.end(), others.begin(), others.end());
+    return home;
+}
+
 void relay_target::sendReports(instant now, bool atOnce)
 {
     for (const auto &seed : m_options.seeds)
         m_entries.try_emplace(seed, entry_state{.heard = now - entrySilence});
-    const auto interval = std::max<std::chrono::milliseconds>(
-        reportInterval, intervalForEachEntry * static_cast<std::int64_t>(m_entries.size()));
+    const auto recipients = reportedEntries(now);
+    const auto interval = intervalFor(recipients.size());
     m_reportedStanding = standing(now);
     const auto known = std::max<std::uint64_t>(slots(), 1);
     constexpr double thousand = 1000;
@@ -121,7 +179,8 @@
         .copyRevision = m_copyRevision,
         .domainsRevision = m_domains.revision,
         .domainsOut = m_domains.names};
-    for (auto &[address, entry] : m_entries) {
+    for (const auto &address : recipients) {
+        auto &entry = m_entries[address];
         if (!atOnce && now - entry.reported < interval)
             continue;
         entry.reported = now;
--- a/src/libtoucanrelay/relay_target_test.cpp
+++ b/src/libtoucanrelay/relay_target_test.cpp
@@ -170,3 +170,39 @@
         CHECK(fleet.port.toTarget.size() == 1);
     }
 }
+
+// Seen on the users' bench: with more than eight entries in the domain, notices came more than a
+// second apart, and reports went to other domains in between.
+TEST_CASE("target process: reports stay in the failure domain while one of its entries answers")
+{
+    const endpoint far{.ip = 0x0a030001, .port = 7000};
+    for (const std::uint32_t entries : {1U, 4U, 12U, 30U}) {
+        INFO(entries << " entries");
+        target_fixture fleet;
+        std::vector<entry_place> places{{.address = far, .domain = "b"}};
+        for (std::uint32_t i = 0; i < entries; ++i)
+            places.push_back({.address = {.ip = 0x0a040000 + i, .port = 7000}, .domain = "a"});
+        const auto answer = [&](const endpoint &to, std::uint64_t boot) {
+            auto notice = encodeRelayMessage(entry_notice{
+                .name = "e", .domain = to == far ? "b" : "a", .boot = boot, .entries = places});
+            fleet.engine.onPeerBytes(fleet.now, to, notice);
+        };
+        answer(places.back().address, 7);
+        fleet.port = {};
+        std::size_t reportsAway = 0;
+        for (int step = 0; step < 400; ++step) {
+            fleet.now += 50ms;
+            fleet.engine.onTick(fleet.now);
+            for (auto &[to, bytes] : std::exchange(fleet.port.toPeers, {})) {
+                const auto message = decodeRelayMessage(bytes);
+                const auto *report
+                    = valueOf(message) ? std::get_if<target_report>(valueOf(message)) : nullptr;
+                if (report && to == far)
+                    ++reportsAway;
+                if (report && report->wantsNotice && to != far)
+                    answer(to, 7);
+            }
+        }
+        CHECK(reportsAway == 0);
+    }
+}
--- a/src/toucanbridge/entry_relay_server.cpp
+++ b/src/toucanbridge/entry_relay_server.cpp
@@ -7,6 +7,10 @@
 
 // Also the longest time that an event of another thread waits.
 constexpr auto pollInterval = 50ms;
+// A watch without a change ends this long before the store forgets where it began, and waits no
+// longer than the store lets it.
+constexpr auto historyReserve = 2s;
+constexpr std::chrono::milliseconds longestWatch = 28s;
 // Entries that answer do so each half second.
 constexpr auto heardNoteInterval = 1s;
 
@@ -16,6 +20,7 @@
         .domain = settings.domain,
         .peer = settings.peer,
         .seeds = seedPeers(settings.seeds, settings.peer),
+        .domains = settings.domains,
         .flowLifetime = settings.flowLifetime,
         .grace = settings.grace,
         .place = placementNamed(settings.placement),
@@ -51,7 +56,10 @@
 {
     const auto store = storeAccess();
     const auto &kinds = m_adapter.kinds;
-    m_configFollower = std::make_unique<store_follower>(store, std::string(kinds.config),
+    const auto watchTime = std::clamp<std::chrono::milliseconds>(
+        m_settings.platformHistory - historyReserve, 1s, longestWatch);
+    m_configFollower = std::make_unique<store_follower>(
+        store, std::string(kinds.config),
         [this](std::uint64_t, const store_follower::snapshot &objects) {
             const auto found = objects.find(std::string(m_adapter.kinds.configName));
             const auto known = m_shelf.get();
@@ -66,18 +74,25 @@
                     configuration_changed{.revision = found->second.version,
                         .source = "store",
                         .faults = errorOf(read)->detail});
-        });
-    m_domainsFollower = std::make_unique<store_follower>(store, std::string(kinds.domainsOut),
+        },
+        watchTime);
+    m_domainsFollower = std::make_unique<store_follower>(
+        store, std::string(kinds.domainsOut),
         [this](std::uint64_t revision, const store_follower::snapshot &objects) {
             domains_out domains{.revision = revision};
             for (const auto &[name, object] : objects)
                 domains.names.push_back(name);
             m_mailbox.put(domains_event{std::move(domains)});
-        });
+        },
+        watchTime);
     m_registration = std::make_unique<entry_registration>(store, std::string(kinds.entries),
-        directory_entry{
-            .name = m_settings.name, .peer = m_settings.peer, .control = m_settings.control},
-        [this](std::vector<endpoint> peers) { m_mailbox.put(entries_event{std::move(peers)}); });
+        directory_entry{.name = m_settings.name,
+            .peer = m_settings.peer,
+            .control = m_settings.control,
+            .domain = m_settings.domain},
+        [this](std::vector<entry_place> entries) {
+            m_mailbox.put(entries_event{std::move(entries)});
+        });
 }
 
 void entry_relay_server::takeConfig(const relay_config_ptr &config, std::string source)
@@ -112,6 +127,7 @@
         for (const auto &event : m_mailbox.take())
             std::visit([&](const auto &item) { handle(now, item); }, event);
         m_engine.onTick(now);
+        tendStore(now);
         m_ready = m_engine.isReady(now);
         if (m_ready)
             noteReady(now);
@@ -125,6 +141,24 @@
     }
 }
 
+// Follows the store as long as the failure domain needs it, and tells the engine whether it
+// answers.
+void entry_relay_server::tendStore(instant now)
+{
+    const auto isNeeded = m_engine.shouldFollowStore(now);
+    if (!isNeeded)
+        return;
+    for (auto *follower : {m_configFollower.get(), m_domainsFollower.get()})
+        follower->setActive(*isNeeded);
+    const bool isHeard = m_configFollower->isHeard() && m_domainsFollower->isHeard();
+    const bool isLost = m_configFollower->isLost() || m_domainsFollower->isLost();
+    m_engine.onStore(now,
+        !*isNeeded    ? store_standing::not_asked
+            : isLost  ? store_standing::lost
+            : isHeard ? store_standing::followed
+                      : store_standing::not_asked);
+}
+
 // Tells the directory who answers while it asks.
 void entry_relay_server::tendDirectory(instant now)
 {
@@ -167,7 +201,7 @@
 
 void entry_relay_server::handle(instant now, const entries_event &event)
 {
-    m_engine.onEntries(now, event.peers);
+    m_engine.onEntries(now, event.entries);
 }
 
 void entry_relay_server::handle(instant, const target_liveness &)
--- a/src/toucanbridge/entry_relay_server.h
+++ b/src/toucanbridge/entry_relay_server.h
@@ -24,6 +24,7 @@
     void takeConfig(const relay_config_ptr &config, std::string source);
     http_response answer(const platform_question &question) const;
     void loop();
+    void tendStore(instant now);
     void tendDirectory(instant now);
     nlohmann::json describe(instant now) const;
     void handle(instant now, const config_event &event);
--- a/src/toucantarget/target_relay_server.cpp
+++ b/src/toucantarget/target_relay_server.cpp
@@ -120,8 +120,9 @@
 {
     m_lookupAt = now;
     m_lookup = std::make_unique<directory_lookup>(storeAccess(),
-        std::string(m_adapter.kinds.entries),
-        [this](std::vector<endpoint> peers) { m_mailbox.put(entries_event{std::move(peers)}); });
+        std::string(m_adapter.kinds.entries), [this](std::vector<entry_place> entries) {
+            m_mailbox.put(entries_event{std::move(entries)});
+        });
 }
 
 void target_relay_server::handle(instant now, const config_event &event)
@@ -141,7 +142,7 @@
 
 void target_relay_server::handle(instant now, const entries_event &event)
 {
-    m_engine.onEntries(now, event.peers);
+    m_engine.onEntries(now, event.entries);
 }
 
 void target_relay_server::handle(instant now, const status_request &event)
