--- a/src/cmake/compiler.cmake
+++ b/src/cmake/compiler.cmake
@@ -14,6 +14,8 @@
 if(TOUCAN_WERROR)
     add_compile_options(-Werror)
 endif()
+# Most symbols that a start resolves are the C++ library's, so it is searched first.
+add_link_options("LINKER:--push-state,--no-as-needed" -lstdc++ "LINKER:--pop-state")
 set(CMAKE_RUNTIME_OUTPUT_DIRECTORY "${CMAKE_BINARY_DIR}/bin")
 
 # Adds the static library of one package from all of its sources that are not tests.
--- a/src/cmake/dependencies.cmake
+++ b/src/cmake/dependencies.cmake
@@ -1,5 +1,5 @@
 # Every library that the project links, found once.
-find_package(Poco REQUIRED COMPONENTS Foundation Util Net JSON)
+find_package(Poco REQUIRED COMPONENTS Foundation Net)
 find_package(nlohmann_json REQUIRED)
 find_package(spdlog REQUIRED)
 find_package(cxxopts REQUIRED)
--- a/src/libtoucanbase/settings.cpp
+++ b/src/libtoucanbase/settings.cpp
@@ -1,9 +1,8 @@
-#include <Poco/AutoPtr.h>
 #include <Poco/String.h>
 #include <Poco/StringTokenizer.h>
-#include <Poco/Util/IniFileConfiguration.h>
 #include <algorithm>
 #include <array>
+#include <boost/property_tree/ini_parser.hpp>
 #include <charconv>
 #include <cmath>
 #include <fstream>
@@ -16,7 +15,7 @@
 namespace toucan::settings {
 namespace {
 
-using Poco::Util::IniFileConfiguration;
+namespace ptree = boost::property_tree;
 
 struct duration_unit
 {
@@ -116,31 +115,54 @@
     int line;
 };
 
-// POCO's reader keeps no line numbers; this finds them for messages, and lines that are no setting.
-std::vector<key_line> findKeys(std::string_view text, std::vector<int> &malformed)
+// What a file has on which line.
+struct file_lines
 {
     std::vector<key_line> keys;
+    std::vector<int> malformed;
+    std::string sound; ///< The file with empty lines in the place of malformed ones.
+};
+
+// The reader keeps no line numbers and stops at the first line that is no setting; this finds them
+// for messages.
+file_lines readLines(std::string_view text)
+{
+    file_lines found;
     std::istringstream lines{std::string(text)};
     std::string line;
     std::string section;
     for (int number = 1; std::getline(lines, line); ++number) {
         const auto trimmed = Poco::trim(line);
-        if (trimmed.empty() || trimmed[0] == ';' || trimmed[0] == '#')
+        if (trimmed.empty() || trimmed[0] == ';' || trimmed[0] == '#') {
+            found.sound += '\n';
             continue;
+        }
         if (trimmed[0] == '[' && trimmed.back() == ']') {
+            found.sound += trimmed + '\n';
             section = Poco::trim(trimmed.substr(1, trimmed.size() - 2));
             continue;
         }
         const auto equals = trimmed.find('=');
         if (equals == std::string::npos || equals == 0) {
-            malformed.push_back(number);
+            found.malformed.push_back(number);
+            found.sound += '\n';
             continue;
         }
         std::string key = section.empty() ? "" : section + '.';
         key += Poco::trim(trimmed.substr(0, equals));
-        keys.push_back({std::move(key), number});
+        found.keys.push_back({std::move(key), number});
+        found.sound += trimmed + '\n';
     }
-    return keys;
+    return found;
+}
+
+// The value of a key, which stands in its section or under its whole name before all sections.
+std::optional<std::string> findValue(const ptree::ptree &file, const std::string &key)
+{
+    if (const auto value = file.get_optional<std::string>(key))
+        return *value;
+    const auto whole = file.find(key);
+    return whole == file.not_found() ? std::nullopt : std::optional(whole->second.data());
 }
 
 // Collects faults as "file:line: key: text".
@@ -247,28 +269,33 @@
 template <class T>
 result<T> parse(std::string_view text, std::string_view fileName)
 {
-    std::vector<int> malformed;
-    const auto keys = findKeys(text, malformed);
-    fault_list faults(fileName, keys);
-    for (const int line : malformed)
+    const auto lines = readLines(text);
+    fault_list faults(fileName, lines.keys);
+    for (const int line : lines.malformed)
         faults.add(line, "expected [section] or key = value");
-    checkKeys<T>(keys, faults);
-    std::istringstream stream{std::string(text)};
-    const Poco::AutoPtr<IniFileConfiguration> file(new IniFileConfiguration(stream));
+    checkKeys<T>(lines.keys, faults);
+    std::istringstream stream{lines.sound};
+    ptree::ptree file;
+    try {
+        ptree::read_ini(stream, file);
+    } catch (const ptree::ini_parser_error &problem) {
+        faults.add(static_cast<int>(problem.line()), problem.message());
+        return error{error_kind::invalid_settings, faults.text()};
+    }
     T out;
     forEachField<T>([&](const auto &spec) {
         const std::string key(spec.name);
-        if (!file->hasProperty(key)) {
+        const auto value = findValue(file, key);
+        if (!value) {
             if (spec.required)
                 faults.addKey(key, "missing; expected " + std::string(spec.doc));
             return;
         }
-        const auto value = file->getRawString(key);
-        auto problem = readValue(value, out.*spec.member);
+        auto problem = readValue(*value, out.*spec.member);
         if (!problem)
             problem = checkConstraints(spec, out.*spec.member);
         if (problem)
-            faults.addKey(key, *problem + ", found \"" + value + '"');
+            faults.addKey(key, *problem + ", found \"" + *value + '"');
     });
     if (!faults.text().empty())
         return error{error_kind::invalid_settings, faults.text()};
--- a/src/libtoucanbase/settings_test.cpp
+++ b/src/libtoucanbase/settings_test.cpp
@@ -38,6 +38,15 @@
     CHECK(text.find("platform.address: missing") != std::string::npos);
 }
 
+TEST_CASE("settings: a key that is given twice is an error, not a guess")
+{
+    auto text = settings::example<target_settings>();
+    text += "\n[log]\nrate = 1\nrate = 2\n";
+    const auto outcome = settings::parse<target_settings>(text, "target.ini");
+    REQUIRE(errorOf(outcome));
+    CHECK(errorOf(outcome)->detail.find("duplicate") != std::string::npos);
+}
+
 TEST_CASE("settings: any text gives settings or an error, never a crash")
 {
     CHECK(rc::check("settings", [](const std::string &text) {
