--- a/src/include/toucan/opening_queue.h
+++ b/src/include/toucan/opening_queue.h
@@ -67,6 +67,8 @@
     void noteService(std::chrono::milliseconds took);
     /// A flow's first request came this long after the target was offered the flow.
     void noteHandshake(std::chrono::milliseconds took);
+    /// Time after the offer of a flow in which its first request comes, if it comes at all.
+    std::chrono::milliseconds handshakeLimit() const;
     /// Smoothed time that the target takes for a request.
     std::chrono::milliseconds serviceTime() const;
     /// Smoothed time from the offer of a flow to the answer to its first request.
--- a/src/libtoucanrelay/opening_queue.cpp
+++ b/src/libtoucanrelay/opening_queue.cpp
@@ -16,6 +16,9 @@
 constexpr auto shortestService = 2ms;
 constexpr auto longestService = 1000ms;
 
+// First requests come within this many times the smoothed time, and a tick of the process.
+constexpr double handshakeSpread = 3;
+constexpr double handshakeReserveMs = 15;
 // Callers that take longer than this between opening and request have stopped waiting.
 constexpr auto longestHandshake = 100ms;
 
@@ -78,6 +81,12 @@
     return slots + std::min(static_cast<std::uint64_t>(onTheWay), slots) + 1;
 }
 
+milliseconds opening_queue::handshakeLimit() const
+{
+    return milliseconds(
+        static_cast<std::int64_t>(m_handshakeMs * handshakeSpread + handshakeReserveMs));
+}
+
 milliseconds opening_queue::serviceTime() const
 {
     return milliseconds(static_cast<std::int64_t>(m_serviceMs));
--- a/src/libtoucanrelay/relay_target_queue.cpp
+++ b/src/libtoucanrelay/relay_target_queue.cpp
@@ -8,8 +8,6 @@
 
 using namespace std::chrono_literals;
 
-// A caller's first request comes a network round trip after its flow opened.
-constexpr auto expectedWithin = 150ms;
 // Another target's queue has to be shorter by this much to be worth one more hop.
 constexpr std::uint64_t worthwhileMs = 10;
 
@@ -53,7 +51,8 @@
 
 void relay_target::sweepExpected(instant now)
 {
-    while (!m_expectedFlows.empty() && now - m_expectedFlows.front().first > expectedWithin) {
+    const auto limit = m_queue.handshakeLimit();
+    while (!m_expectedFlows.empty() && now - m_expectedFlows.front().first > limit) {
         const auto found = m_flows.find(m_expectedFlows.front().second);
         if (found != m_flows.end() && found->second.opened == m_expectedFlows.front().first)
             forgetExpected(found->second);
