--- a/src/libtoucanrelay/opening_queue_test.cpp
+++ b/src/libtoucanrelay/opening_queue_test.cpp
@@ -121,6 +121,20 @@
     CHECK(queue.concurrencyLimit(2) == 4);
 }
 
+TEST_CASE("queue: a request is expected for as long as callers take to send theirs")
+{
+    opening_queue near;
+    opening_queue far;
+    for (int i = 0; i < 100; ++i) {
+        near.noteHandshake(7ms);
+        far.noteHandshake(60ms);
+    }
+    // Longer than nearly all callers take, and not so long that those that gave up fill the slots.
+    CHECK(near.handshakeLimit() >= 14ms);
+    CHECK(near.handshakeLimit() <= 50ms);
+    CHECK(far.handshakeLimit() >= 120ms);
+}
+
 TEST_CASE("queue: without an objective the order is that of the attempts")
 {
     opening_queue queue;
--- a/src/libtoucanrelay/relay_target_queue_test.cpp
+++ b/src/libtoucanrelay/relay_target_queue_test.cpp
@@ -151,6 +151,34 @@
     CHECK(target.takeOpened().size() == 1);
 }
 
+// Load: after a loss of power two callers of three have given up by the time their openings' turn
+// comes; the others wait for the slots that are kept for them.
+TEST_CASE("target queue: callers that gave up do not keep the target from serving the others")
+{
+    queue_fixture target;
+    constexpr auto round = 10ms;
+    std::uint16_t next = 100;
+    std::size_t answered = 0;
+    for (instant passed{}; passed < 1s; passed += round) {
+        // More callers than there are slots for, one of three still there.
+        for (int i = 0; i < 2; ++i)
+            target.open(++next, {.ageMs = 300, .objectiveMs = 150});
+        for (const auto port : target.takeOpened()) {
+            if (port % 3 != 0) {
+                target.fromTarget(port, {.synchronize = true, .acknowledge = true, .sequence = 9});
+                continue;
+            }
+            target.request(port);
+            target.answer(port);
+            ++answered;
+        }
+        target.now += round;
+        target.engine.onTick(target.now);
+    }
+    // Each of four places is kept for at most 50 ms for two callers that are gone, then serves one.
+    CHECK(answered >= 40);
+}
+
 TEST_CASE("target queue: the gate is asked again when an opening's turn comes")
 {
     queue_fixture target;
