Say drained only when nothing is left to answer and all members know of the stop

A member that stops counted only flows that it owns; requests that members with an older configuration pass on to it run on flows that it does not own. It said "drained" meanwhile, was ended by the script, and its claim kept the outcome unknown for the next attempts. Ruled out with the emulator: refusals that holders can't agree on while the list of members changes (none unknown).

Change: drained means no owned flow, no request in progress on any flow, all claims settled, and every member that is heard has a configuration with the stop.

Also the test that crashed once at its exit: the store's stand-in was gone while its pooled threads still answered requests with it (its destructor returned after 50 ms while a request of 600 ms ran). Its threads are its own now and are joined. The crash itself was not seen again, with or without the change, so that this was its cause is inferred.

--- a/src/include/toucan/lab/platform_stand_in.h
+++ b/src/include/toucan/lab/platform_stand_in.h
@@ -4,6 +4,7 @@
 /// for changes, and faults on demand. Counts every call.
 
 #include <Poco/Net/HTTPServer.h>
+#include <Poco/ThreadPool.h>
 #include <condition_variable>
 #include <deque>
 #include <map>
@@ -29,6 +30,7 @@
 {
 public:
     explicit platform_stand_in(const endpoint &address);
+    /// Ends waiting watches and returns when no request is in progress.
     ~platform_stand_in();
     platform_stand_in(const platform_stand_in &) = delete;
     platform_stand_in &operator=(const platform_stand_in &) = delete;
@@ -85,6 +87,8 @@
     std::uint64_t m_writes = 0;
     std::uint64_t m_waits = 0;
     std::uint64_t m_waitingNow = 0;
+    // Joined before what its threads use goes away; the server stops without waiting for them.
+    Poco::ThreadPool m_threads;
     std::unique_ptr<Poco::Net::HTTPServer> m_server;
 };
 
--- a/src/include/toucan/request_runner.h
+++ b/src/include/toucan/request_runner.h
@@ -46,6 +46,8 @@
     bool isSilent(const flow &item) const;
     /// True when a request on the flow is still to be answered.
     bool isBusy(const flow &item) const;
+    /// True when every request is answered, and the holders of its claim know that.
+    bool isIdle() const { return m_active.empty() && m_claimer.size() == 0; }
     /// Passes the idempotent requests in progress on a flow to the target again.
     void resend(const flow &item);
     /// A datagram of the target on a flow. True when it was taken as the answer to a request.
--- a/src/include/toucan/target_engine.h
+++ b/src/include/toucan/target_engine.h
@@ -27,7 +27,9 @@
     std::uint64_t limit = 0;
     std::uint64_t claims = 0;
     std::uint64_t packets = 0; ///< Callers' packets received, for whatever service.
-    std::string state; ///< starting, serving, draining, drained or out.
+    /// starting, serving, draining, drained or out. A drained member has nothing left to answer,
+    /// and all others know that it takes nothing more.
+    std::string state;
 };
 
 /// The engine of one target process.
@@ -75,6 +77,8 @@
     void sendHeartbeats();
     void probeEntries();
     void drainFlows();
+    bool isDrained() const;
+    bool othersKnowOfStop() const;
     void handOver(flow &item, const member &to);
     void giveUpFlows();
     void closeFlow(const flow_key &key);
@@ -99,6 +103,7 @@
     std::uint16_t m_lastMessageId = 0;
     std::uint64_t m_packets = 0;
     bool m_wasOut = false;
+    std::optional<std::uint64_t> m_stoppingSince; ///< Version of the configuration with the stop.
 };
 
 } // namespace toucan
--- a/src/libtoucancore/target_engine.cpp
+++ b/src/libtoucancore/target_engine.cpp
@@ -342,6 +342,10 @@
     m_holder.onConfig();
     m_requests.onConfig();
     const auto *self = m_context.selfMember();
+    if (!self || !self->stopping)
+        m_stoppingSince.reset();
+    else if (!m_stoppingSince)
+        m_stoppingSince = config->version;
     const bool out = config->isOut(m_context.self.domain);
     if (out && !m_wasOut && self && m_context.policy != target_policy::hash)
         giveUpFlows();
@@ -437,7 +441,7 @@
         if (self->out)
             return "out";
         if (self->stopping)
-            return m_flows.ownedCount() == 0 ? "drained" : "draining";
+            return isDrained() ? "drained" : "draining";
         const bool ready = m_holder.isReady() || m_context.policy == target_policy::hash;
         return ready ? "serving" : "starting";
     };
--- a/src/libtoucancore/target_flows.cpp
+++ b/src/libtoucancore/target_flows.cpp
@@ -180,6 +180,20 @@
     }
 }
 
+// Requests that others passed on here run on flows that are not owned.
+bool target_engine::isDrained() const
+{
+    return m_flows.ownedCount() == 0 && m_requests.isIdle() && othersKnowOfStop();
+}
+
+// Until then others may pass requests on to this member.
+bool target_engine::othersKnowOfStop() const
+{
+    return m_stoppingSince && std::ranges::all_of(m_context.peers, [&](const auto &item) {
+        return item.second.last.version >= *m_stoppingSince || !m_context.isAlive(item.first);
+    });
+}
+
 void target_engine::giveUpFlows()
 {
     m_requests.giveUpAll();
--- a/src/libtoucanlab/platform_stand_in.cpp
+++ b/src/libtoucanlab/platform_stand_in.cpp
@@ -19,7 +19,9 @@
 
 // Changes kept for those who wait; older ones have to list again.
 constexpr std::size_t keptChanges = 10'000;
-constexpr int serverThreads = 200;
+constexpr int fewestThreads = 2;
+// Each waiting watch takes one.
+constexpr int mostThreads = 200;
 
 std::uint64_t toNumber(std::string_view text)
 {
@@ -159,16 +161,16 @@
 } // namespace
 
 platform_stand_in::platform_stand_in(const endpoint &address)
+    : m_threads(fewestThreads, mostThreads)
 {
     Poco::Net::ServerSocket socket;
     socket.bind(Poco::Net::SocketAddress(toString(address)), true);
     socket.listen();
     Poco::Net::HTTPServerParams::Ptr params(new Poco::Net::HTTPServerParams);
-    params->setMaxThreads(serverThreads);
+    params->setMaxThreads(mostThreads);
     params->setKeepAlive(false);
-    static Poco::ThreadPool threads(2, serverThreads);
     m_server = std::make_unique<Poco::Net::HTTPServer>(
-        new handler_factory(*this), threads, socket, params);
+        new handler_factory(*this), m_threads, socket, params);
     m_server->start();
 }
 
--- a/src/libtoucanlab/promise_test.cpp
+++ b/src/libtoucanlab/promise_test.cpp
@@ -445,3 +445,44 @@
         CHECK(violations(driver).empty());
     }
 }
+
+// Members that had not heard of the stop yet passed requests on to a member that said "drained".
+TEST_CASE("promise 9: a member that says drained has nothing left to answer")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        engine_driver driver({.seed = seed,
+            .members = 6,
+            .slots = 3,
+            .drop = 0,
+            .duplicate = 0,
+            .late = instant(0),
+            .serviceTime = 300ms});
+        driver.run(3s);
+        constexpr std::uint64_t submissions = 400;
+        bool isGone = false;
+        for (std::uint64_t key = 0; key < submissions; ++key) {
+            if (key == submissions / 3) {
+                driver.setStopping(0, true);
+                driver.publish(700ms);
+            }
+            driver.submit(static_cast<std::uint16_t>(1000 + key % 40), keyOf(key), 1);
+            driver.run(15ms);
+            if (!isGone && driver.status(0).state == "drained") {
+                driver.kill(0);
+                isGone = true;
+            }
+        }
+        driver.run(5s);
+        const auto answered = [&](std::string_view text) {
+            return std::ranges::count(driver.answers(), text, &driven_answer::text);
+        };
+        std::set<byte_buffer> keys;
+        for (const auto &answer : driver.answers())
+            keys.insert(answer.key);
+        INFO("seed " << seed);
+        CHECK(isGone);
+        CHECK(answered("outcome-unknown") == 0);
+        CHECK(keys.size() == submissions);
+        CHECK(violations(driver).empty());
+    }
+}
