Send openings past a domain that is not heard

Logs: a domain cut off at 30.1 s was used by entries of others until 32.6 to 33.3 s, since digests vouch for members for 3 s; reports to each entry counted as missing after 1.5 s.

Change: members of a domain of which no digest came for 1.5 s (one interval and a half, from two delegates) get openings only when no other member takes any. Searches and resets rest on the longer limit as before.

--- a/src/include/toucan/lab/relay_fleet.h
+++ b/src/include/toucan/lab/relay_fleet.h
@@ -75,6 +75,8 @@
     void setDomainsOut(std::vector<std::string> names);
     /// Cuts or heals the link between an entry and a target's process.
     void setCut(std::size_t entry, std::size_t target, bool cut);
+    /// Cuts a failure domain's processes off all others, but for callers, or heals it.
+    void setDomainCut(const std::string &domain, bool cut);
 
     /// Openings that a target took since its lifetime began.
     std::size_t openingsTaken(std::size_t target) const;
@@ -98,6 +100,7 @@
     void publish(entry_node &entry);
     entry_node *entryAt(const endpoint &peer);
     target_node *targetAt(const endpoint &peer);
+    bool isInCutDomain(const endpoint &peer);
     entry_node *chooseEntry();
     relay_entry_options entryOptions(const entry_node &node);
     relay_target_options targetOptions(const target_node &node, bool first);
@@ -117,6 +120,7 @@
     segment_callers m_callers;
     std::set<std::size_t> m_usedEntries;
     std::set<std::pair<std::size_t, std::size_t>> m_cuts;
+    std::set<std::string> m_cutDomains;
     bool m_storeReachable = true;
     std::uint64_t m_storeRevision = 1;
     relay_config_ptr m_storeConfig;
--- a/src/include/toucan/relay_members.h
+++ b/src/include/toucan/relay_members.h
@@ -41,6 +41,7 @@
     instant reportedAt{}; ///< When it last reported to this entry itself; zero when never.
     std::chrono::milliseconds reportInterval{250}; ///< Time between its own reports to this entry.
     instant vouchedAt{}; ///< When its domain's entries last heard it; zero when they never said.
+    instant toldOfAt{}; ///< When a digest of its domain came last, of whichever members.
     bool toldLost = false; ///< Its domain's entries say that it is gone.
     instant changedAt{}; ///< When something changed that other entries want to know.
     std::uint64_t toldLoad = 0; ///< Load that counted as a change last.
@@ -53,6 +54,8 @@
     {
         return reportedAt != instant{} && now - reportedAt < reportInterval * 5 / 2;
     }
+    /// True while it or its domain is heard, so that an opening sent there is likely to arrive.
+    bool isReachable(instant now) const;
     /// True when no target runs there, so that no flow can be open there.
     bool holdsNothing() const { return standing == target_standing::gone && flows == 0; }
     /// True when it is heard and answers.
@@ -82,8 +85,11 @@
     /// Silence after which a member is forgotten: flows live for a minute at most.
     static constexpr std::chrono::milliseconds forgetAfter{60000};
 
-    /// Silence after which a member that only digests tell of is not used: three digests.
+    /// Silence after which a member that only digests tell of is lost: three digests.
     static constexpr std::chrono::milliseconds digestSilenceLimit{3000};
+    /// Silence of a domain after which its members get openings only when there are no others: one
+    /// digest of both delegates is missing.
+    static constexpr std::chrono::milliseconds domainSilenceLimit{1500};
 
     /// Takes a report in; nullopt when it changes no belief worth a log line, or is late.
     std::optional<member_change> apply(
@@ -92,6 +98,8 @@
     /// is left alone.
     std::optional<member_change> apply(
         instant now, std::string_view domain, const member_state &state);
+    /// A digest of the domain came.
+    void hearDomain(instant now, std::string_view domain);
     /// Other entries confirm what is believed of a domain's members.
     void confirm(instant now, std::string_view domain);
     /// Members of a domain that are in use but not in `names` are gone.
--- a/src/libtoucanlab/relay_fleet.cpp
+++ b/src/libtoucanlab/relay_fleet.cpp
@@ -84,6 +84,8 @@
             return;
         if (fromTarget && toEntry && m_cuts.contains({toEntry->number, fromTarget->number}))
             return;
+        if (isInCutDomain(from) != isInCutDomain(to))
+            return;
         if (toEntry && toEntry->engine)
             toEntry->engine->onPeerBytes(m_now, from, data);
         if (toTarget && toTarget->engine)
@@ -105,6 +107,14 @@
     return found == m_targets.end() ? nullptr : found->get();
 }
 
+bool relay_fleet::isInCutDomain(const endpoint &peer)
+{
+    const auto *entry = entryAt(peer);
+    const auto *target = targetAt(peer);
+    return (entry && m_cutDomains.contains(entry->domain))
+        || (target && m_cutDomains.contains(target->domain));
+}
+
 // --- Callers
 
 relay_fleet::entry_node *relay_fleet::chooseEntry()
@@ -296,4 +306,12 @@
         m_cuts.erase({entry, target});
 }
 
+void relay_fleet::setDomainCut(const std::string &domain, bool cut)
+{
+    if (cut)
+        m_cutDomains.insert(domain);
+    else
+        m_cutDomains.erase(domain);
+}
+
 } // namespace toucan::lab
--- a/src/libtoucanlab/relay_fleet_test.cpp
+++ b/src/libtoucanlab/relay_fleet_test.cpp
@@ -36,6 +36,22 @@
         std::ranges::count_if(flows, [&](std::size_t flow) { return fleet.wasReset(flow); }));
 }
 
+// Opens a flow each 3 ms; returns how many went unanswered for 120 ms.
+std::size_t countLate(relay_fleet &fleet, std::size_t count)
+{
+    constexpr std::size_t allowedSteps = 40;
+    std::size_t late = 0;
+    std::vector<std::size_t> flows;
+    for (std::size_t i = 0; i < count + allowedSteps; ++i) {
+        if (i < count)
+            flows.push_back(fleet.openFlow());
+        fleet.run(3ms);
+        if (i >= allowedSteps)
+            late += !fleet.wasAnswered(flows[i - allowedSteps]);
+    }
+    return late;
+}
+
 std::string listOf(const std::vector<std::string> &lines)
 {
     std::string text;
@@ -358,6 +374,41 @@
     CHECK(countAnswered(fleet, flows) >= flows.size() - 2);
 }
 
+// Digests vouch for members for longer: flows there are searched for, openings have a choice.
+TEST_CASE("relay: a failure domain that is cut off gets no openings after two seconds")
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        auto fleet = makeFleet({.entries = 6, .targets = 12, .seed = seed, .slots = 4});
+        fleet.run(6s);
+        fleet.setDomainCut("c", true);
+        fleet.useEntries({0, 1, 3, 4});
+        fleet.run(2s);
+        INFO("seed " << seed);
+        CHECK(countLate(fleet, 300) == 0);
+        const auto takenInC = [&] { return fleet.openingsTaken(2) + fleet.openingsTaken(5); };
+        const auto before = takenInC();
+        fleet.setDomainCut("c", false);
+        fleet.run(3s);
+        CHECK(countLate(fleet, 300) == 0);
+        CHECK(takenInC() > before);
+    }
+}
+
+// Without another domain, a silent one is better than none.
+TEST_CASE("relay: openings go to a domain whose entries are all gone when there is no other")
+{
+    auto fleet = makeFleet({.entries = 4, .targets = 4, .domains = {"a", "b"}});
+    fleet.run(6s);
+    for (const std::size_t target : {0, 2})
+        fleet.crashTarget(target);
+    fleet.killEntry(1);
+    fleet.killEntry(3);
+    fleet.run(2s);
+    const auto flows = openFlows(fleet, 20);
+    fleet.run(500ms);
+    CHECK(countAnswered(fleet, flows) == flows.size());
+}
+
 // The load answered for: a burst well beyond the slots of single targets.
 TEST_CASE("relay: a burst is spread over the targets by their queues")
 {
--- a/src/libtoucanrelay/digest_book.cpp
+++ b/src/libtoucanrelay/digest_book.cpp
@@ -90,6 +90,8 @@
     auto &view = m_views[page.domain];
     if (page.originDomain == page.domain)
         view.heard = now;
+    if (!page.whole)
+        members.hearDomain(now, page.domain);
     for (const auto &state : page.members) {
         if (auto change = members.apply(now, page.domain, state))
             outcome.changes.push_back(std::move(*change));
--- a/src/libtoucanrelay/relay_members.cpp
+++ b/src/libtoucanrelay/relay_members.cpp
@@ -78,6 +78,12 @@
     return item.lost ? "lost" : toString(item.standing);
 }
 
+bool relay_member::isReachable(instant now) const
+{
+    return reportsHere(*this, now)
+        || (toldOfAt != instant{} && now - toldOfAt <= member_table::domainSilenceLimit);
+}
+
 std::uint64_t relay_member::expectedLoad() const
 {
     constexpr std::uint64_t thousand = 1000;
@@ -190,6 +196,7 @@
     item->openedSince = 0;
     item->heard = std::max(item->heard, heard);
     item->vouchedAt = std::max(item->vouchedAt, heard);
+    item->toldOfAt = std::max(item->toldOfAt, heard);
     item->suspectedSince = {};
     item->lost = state.lost || state.leaving;
     item->toldLost = state.lost;
@@ -200,6 +207,14 @@
     return changeOf(*item, std::move(before), was);
 }
 
+void member_table::hearDomain(instant now, std::string_view domain)
+{
+    forEach([&](relay_member &item) {
+        if (item.domain == domain)
+            item.toldOfAt = now;
+    });
+}
+
 void member_table::confirm(instant now, std::string_view domain)
 {
     forEach([&](relay_member &item) {
--- a/src/libtoucanrelay/relay_placement.cpp
+++ b/src/libtoucanrelay/relay_placement.cpp
@@ -50,8 +50,12 @@
 std::vector<ranked_member> rankCandidates(
     std::span<relay_member *const> members, const placement_request &request)
 {
+    const bool isAnyReachable = std::ranges::any_of(members, [&](const relay_member *item) {
+        return item->isReachable(request.now) && takesOpenings(*item, request.out, request.now);
+    });
     return rank(members, request.flowHash, [&](const relay_member &item) {
         return takesOpenings(item, request.out, request.now)
+            && (item.isReachable(request.now) || !isAnyReachable)
             && hasCredit(item, request.roundsForEachReport)
             && std::ranges::find(request.tried, item.address) == request.tried.end();
     });
