Log what a young entry knows of the members, and of how many a reset asked

Cause: the resets of entries that had just been added could not be explained from their logs: neither how many members they knew nor how many there were was in any line.

Change: members_learned, each second from the start until all are known: known, expected by the counts of each domain's entries, domains not complete. flow_reset carries the members asked and known. Tests: the count of a digest book, the line of a started program.

--- a/src/include/toucan/digest_book.h
+++ b/src/include/toucan/digest_book.h
@@ -48,6 +48,8 @@
 
     /// True once somebody who knows the whole domain has told of it.
     bool isComplete(std::string_view domain) const;
+    /// Number of its members by the newest digest of somebody who knows all; nullopt before that.
+    std::optional<std::uint64_t> countOf(std::string_view domain) const;
     /// When a digest of the domain came last from one of its own entries; nullopt before the first.
     std::optional<instant> heard(std::string_view domain) const;
 
@@ -56,6 +58,7 @@
     {
         bool complete = false;
         std::optional<instant> heard;
+        std::optional<std::uint64_t> count; ///< Of its members, told by somebody who knows all.
         instant askedAt{}; ///< When a whole digest was asked for.
     };
     /// The pages of a whole digest that have come so far.
--- a/src/include/toucan/relay_entry.h
+++ b/src/include/toucan/relay_entry.h
@@ -158,7 +158,7 @@
     void adoptOwner(instant now, const flow_key &flow, cached_flow &cached, const endpoint &owner,
         bool hasSegment);
     void concludeSearch(instant now, cached_flow &cached);
-    void resetLostFlow(instant now, const segment &head);
+    void resetLostFlow(instant now, const segment &head, std::size_t asked);
     void tendSearches(instant now);
     void forwardHeld(const search_progress &progress, const endpoint &owner, bool hasSegment);
     void retryWaitingSearches(instant now);
@@ -183,7 +183,8 @@
     bool knowsDomain(std::string_view domain, instant now) const;
     std::vector<std::string> otherDomains() const;
     bool mayBecomeReady(std::span<relay_member *const> members) const;
-    void resetFlow(instant now, const segment &head, std::string_view reason);
+    void resetFlow(
+        instant now, const segment &head, std::string_view reason, std::size_t asked = 0);
     void logOpening(instant now, const segment &head, std::string_view outcome,
         const relay_member *target, std::size_t eligible);
     void logSearch(instant now, const cached_flow &cached, std::string_view outcome,
@@ -214,6 +215,7 @@
     void introduce(instant now, const endpoint &to);
     void noteCompleteness(instant now);
     void askForMembers(instant now);
+    void logLearning(instant now);
     std::vector<std::string> vouchedDomains(instant now) const;
     digest_origin originOf() const;
     void noteMembers(instant now, std::span<const member_change> changes);
@@ -245,6 +247,8 @@
     std::uint64_t m_noticeRounds = 0;
     instant m_lastDigests{};
     instant m_lastMembersAsked{};
+    instant m_learningLoggedAt{};
+    bool m_learned = false; ///< All members were known once.
     instant m_digestDue = instant::max(); ///< When changes are told before the next interval.
     std::unordered_map<flow_key, cached_flow> m_flows;
     std::map<flow_key, parked_opening> m_parked;
--- a/src/libtoucanrelay/digest_book.cpp
+++ b/src/libtoucanrelay/digest_book.cpp
@@ -99,6 +99,7 @@
     // Who does not know the whole domain has no say in who is gone.
     if (!page.complete)
         return outcome;
+    view.count = page.count;
     if (page.whole)
         collect(now, members, page, outcome);
     compare(now, members, page, view, outcome);
@@ -149,6 +150,12 @@
     return found != m_views.end() && found->second.complete;
 }
 
+std::optional<std::uint64_t> digest_book::countOf(std::string_view domain) const
+{
+    const auto found = m_views.find(domain);
+    return found == m_views.end() ? std::nullopt : found->second.count;
+}
+
 std::optional<instant> digest_book::heard(std::string_view domain) const
 {
     const auto found = m_views.find(domain);
--- a/src/libtoucanrelay/digest_book_test.cpp
+++ b/src/libtoucanrelay/digest_book_test.cpp
@@ -78,10 +78,12 @@
     told_domain domain(50);
     domain.pass(0ms);
     CHECK_FALSE(domain.farBook.isComplete("b"));
+    CHECK_FALSE(domain.farBook.countOf("b"));
     const auto pages = domain.make(true);
     CHECK(pages.size() > 1);
     domain.tell(pages);
     CHECK(domain.farBook.isComplete("b"));
+    CHECK(domain.farBook.countOf("b") == 50U);
     CHECK(domain.far.aliveCount() == 50);
     CHECK(domain.far.summaryOf("b") == domain.near.summaryOf("b"));
 }
--- a/src/libtoucanrelay/relay_entry.cpp
+++ b/src/libtoucanrelay/relay_entry.cpp
@@ -268,7 +268,8 @@
     forward(cached.owner, header, bytes);
 }
 
-void relay_entry::resetFlow(instant now, const segment &head, std::string_view reason)
+void relay_entry::resetFlow(
+    instant now, const segment &head, std::string_view reason, std::size_t asked)
 {
     const auto flow = head.flowFromCaller();
     m_parked.erase(flow);
@@ -278,7 +279,9 @@
             .service = flow.service,
             .reason = std::string(reason),
             .revision = m_config ? m_config->revision : 0,
-            .open = !head.isOpening()});
+            .open = !head.isOpening(),
+            .asked = asked,
+            .known = m_members.count()});
     m_port.sendCaller(flow.caller, makeReset(m_codec, flow, head.acknowledged));
 }
 
--- a/src/libtoucanrelay/relay_entry_digests.cpp
+++ b/src/libtoucanrelay/relay_entry_digests.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t askedAtOnce = 2;
 // Silence after which a domain's own entries do not vouch for its members any more.
 constexpr instant voucherSilence = digestInterval * 2;
+// An entry that starts knows all members within a few seconds.
+constexpr auto learningLogInterval = 1s;
 
 } // namespace
 
@@ -156,6 +158,31 @@
         send(candidates[(turn + i) % candidates.size()], notice);
 }
 
+void relay_entry::logLearning(instant now)
+{
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    const bool isComplete = knowsMembers(now);
+    const bool isDue = now - m_learningLoggedAt >= learningLogInterval;
+    if (m_learned || (!isComplete && !isDue))
+        return;
+    m_learned = isComplete;
+    m_learningLoggedAt = now;
+    members_learned line{.complete = isComplete,
+        .sinceStartMs
+        = static_cast<std::uint64_t>(duration_cast<milliseconds>(now - m_started).count())};
+    auto domains = otherDomains();
+    domains.push_back(m_options.domain);
+    for (const auto &domain : domains) {
+        const auto known = m_members.summaryOf(domain).count;
+        line.known += known;
+        line.expected += m_digests.countOf(domain).value_or(known);
+        if (!knowsDomain(domain, now))
+            line.incomplete.push_back(domain);
+    }
+    m_log.write(now, line);
+}
+
 std::vector<std::string> relay_entry::otherDomains() const
 {
     auto domains = m_options.domains.empty() ? m_roster.otherDomains() : m_options.domains;
--- a/src/libtoucanrelay/relay_entry_peers.cpp
+++ b/src/libtoucanrelay/relay_entry_peers.cpp
@@ -310,6 +310,7 @@
     }
     noteCompleteness(now);
     askForMembers(now);
+    logLearning(now);
     sendDigests(now);
 }
 
--- a/src/libtoucanrelay/relay_entry_search.cpp
+++ b/src/libtoucanrelay/relay_entry_search.cpp
@@ -141,7 +141,7 @@
     if (header.search == 0) {
         // The owner's word is final: a flow is open at one target only.
         if (cached.confirmed && from == cached.owner && !header.doubtful)
-            resetLostFlow(now, head);
+            resetLostFlow(now, head, 1);
         else
             search(now, head, *route, cached, bytes);
         return;
@@ -292,16 +292,17 @@
     logSearch(now, cached, progress.order.empty() ? "nobody to ask" : "not found", {},
         progress.order.size(), doubt);
     if (doubt.empty())
-        resetLostFlow(now, progress.head);
+        resetLostFlow(now, progress.head, progress.order.size());
     else if (!knowsMembers(now) && m_waitingSearches.size() < mostWatched)
         m_waitingSearches.insert(progress.head.flowFromCaller());
 }
 
-void relay_entry::resetLostFlow(instant now, const segment &head)
+void relay_entry::resetLostFlow(instant now, const segment &head, std::size_t asked)
 {
-    const auto copy = head;
-    resetFlow(now, copy, "no target holds the flow");
-    m_flows.erase(copy.flowFromCaller());
+    // The segment may be the flow's own.
+    const auto flow = head.flowFromCaller();
+    resetFlow(now, head, "no target holds the flow", asked);
+    m_flows.erase(flow);
 }
 
 // A caller whose flow is gone learns of it as soon as the members are known, not at its next
@@ -318,7 +319,7 @@
         const auto last = std::move(found->second.progress);
         const auto *route = m_config->routeAt(flow.service);
         if (doubtAbout(now, *last).empty())
-            resetLostFlow(now, last->head);
+            resetLostFlow(now, last->head, last->order.size());
         else if (route)
             search(now, last->head, *route, found->second, last->bytes);
     }
--- a/testsuite/relay_program_test.cpp
+++ b/testsuite/relay_program_test.cpp
@@ -249,6 +249,16 @@
         INFO(name << ' ' << line.dump());
         CHECK(line.contains("startMs"));
     }
+    json learned;
+    CHECK(waitFor(
+        [&] {
+            learned = deployment.newestLine("entry-1", "members_learned");
+            return learned.is_object() && learned.value("complete", false);
+        },
+        10s));
+    INFO(learned.dump());
+    CHECK(learned.value("known", 0) == 1);
+    CHECK(learned.value("expected", 0) == 1);
 }
 
 TEST_CASE("relay: a target process whose seeds are down finds entries by the store at once")
