--- a/src/include/toucan/relay_members.h
+++ b/src/include/toucan/relay_members.h
@@ -82,6 +82,9 @@
     /// Silence after which a member is not used. Reports come at least each 250 ms to few entries;
     /// a process that is killed is back within about a second.
     static constexpr std::chrono::milliseconds silenceLimit{1500};
+    /// Silence after which a member is gone for its callers: none waits longer for an answer, and a
+    /// killed process is back sooner.
+    static constexpr std::chrono::milliseconds goneAfter{4000};
     /// Silence after which a member is forgotten: flows live for a minute at most.
     static constexpr std::chrono::milliseconds forgetAfter{60000};
 
--- a/src/include/toucan/relay_target.h
+++ b/src/include/toucan/relay_target.h
@@ -133,7 +133,7 @@
     void noteWait(instant now, relay_header &header) const;
     endpoint shorterQueue(instant now, const relay_header &header) const;
     void passOn(const relay_header &header, relay_kind unclaimed, byte_view bytes);
-    void offerElsewhere(instant now, flow &item, byte_view opening);
+    void offerElsewhere(flow &item, byte_view opening);
     void noteCaller(instant now, flow &item, const segment &head);
     void noteTarget(instant now, flow_map::iterator place, const segment &head);
     void keepProbe(instant now, flow_map::iterator place, byte_view bytes);
--- a/src/libtoucanrelay/relay_entry_digests.cpp
+++ b/src/libtoucanrelay/relay_entry_digests.cpp
@@ -20,6 +20,10 @@
 // An entry that starts knows all members within a few seconds.
 constexpr auto learningLogInterval = 1s;
 
+// A member reports at once to an entry that it hears for the first time; without other entries to
+// name this one, it has reported after this many of its intervals.
+constexpr auto shortestLearning = 500ms;
+constexpr int learningIntervals = 2;
 } // namespace
 
 digest_origin relay_entry::originOf() const
@@ -195,4 +199,37 @@
     return domain == m_options.domain ? knowsOwnDomain(now) : m_digests.isComplete(domain);
 }
 
+// Silence alone shows that a member of the own domain is gone. One of another domain is gone when
+// that domain's entries say so, or when nothing is heard of the whole domain.
+bool relay_entry::maySpeakOf(const relay_member &item, instant now) const
+{
+    const auto heard = m_digests.heard(item.domain);
+    return item.domain == m_options.domain || item.toldLost || !heard
+        || now - *heard > member_table::goneAfter;
+}
+
+// The own domain's members report here; other entries of the domain name those that this one has
+// not heard yet. When all start together, the members' own intervals have to do. Other domains'
+// entries say what they know; a domain of which nobody speaks is gone as silent members are.
+bool relay_entry::knowsMembers(instant now) const
+{
+    const auto others = otherDomains();
+    return knowsOwnDomain(now) && std::ranges::all_of(others, [&](const std::string &domain) {
+        return m_digests.isComplete(domain)
+            || (!m_digests.heard(domain) && now - m_started > member_table::goneAfter);
+    });
+}
+
+bool relay_entry::knowsOwnDomain(instant now) const
+{
+    if (m_ownComplete || m_digests.isComplete(m_options.domain))
+        return true;
+    instant longest = shortestLearning;
+    m_members.forEach([&](const relay_member &item) {
+        if (item.isFirstHand(now))
+            longest = std::max<instant>(longest, item.interval * learningIntervals);
+    });
+    return now - m_started >= longest && now - std::max(m_started, m_memberAddedAt) >= longest / 2;
+}
+
 } // namespace toucan
--- a/src/libtoucanrelay/relay_entry_search.cpp
+++ b/src/libtoucanrelay/relay_entry_search.cpp
@@ -9,13 +9,6 @@
 
 using namespace std::chrono_literals;
 
-// A member reports at once to an entry that it hears for the first time; without other entries to
-// name this one, it has reported after this many of its intervals.
-constexpr auto shortestLearning = 500ms;
-constexpr int learningIntervals = 2;
-// A member silent for longer is gone for its callers: none waits longer for an answer, and a killed
-// process is back sooner.
-constexpr auto memberGone = 4s;
 // A process with flows that is stopped for planned work starts again within this; its target serves
 // on and still holds them.
 constexpr auto plannedStopTime = 15s;
@@ -342,7 +335,8 @@
     std::string doubt;
     m_members.forEach([&](const relay_member &item) {
         const auto place = std::ranges::find(order, item.address, &search_place::address);
-        const instant limit = item.leaving && item.flows > 0 ? plannedStopTime : memberGone;
+        const instant limit
+            = item.leaving && item.flows > 0 ? plannedStopTime : member_table::goneAfter;
         const bool isGone = now - item.heard > limit && maySpeakOf(item, now);
         const bool wasAsked = place != order.end();
         if (!(wasAsked && place->denied) && !isGone
@@ -352,38 +346,6 @@
     return doubt;
 }
 
-// Silence alone shows that a member of the own domain is gone. One of another domain is gone when
-// that domain's entries say so, or when nothing is heard of the whole domain.
-bool relay_entry::maySpeakOf(const relay_member &item, instant now) const
-{
-    const auto heard = m_digests.heard(item.domain);
-    return item.domain == m_options.domain || item.toldLost || !heard || now - *heard > memberGone;
-}
-
-// The own domain's members report here; other entries of the domain name those that this one has
-// not heard yet. When all start together, the members' own intervals have to do. Other domains'
-// entries say what they know; a domain of which nobody speaks is gone as silent members are.
-bool relay_entry::knowsMembers(instant now) const
-{
-    const auto others = otherDomains();
-    return knowsOwnDomain(now) && std::ranges::all_of(others, [&](const std::string &domain) {
-        return m_digests.isComplete(domain)
-            || (!m_digests.heard(domain) && now - m_started > memberGone);
-    });
-}
-
-bool relay_entry::knowsOwnDomain(instant now) const
-{
-    if (m_ownComplete || m_digests.isComplete(m_options.domain))
-        return true;
-    instant longest = shortestLearning;
-    m_members.forEach([&](const relay_member &item) {
-        if (item.isFirstHand(now))
-            longest = std::max<instant>(longest, item.interval * learningIntervals);
-    });
-    return now - m_started >= longest && now - std::max(m_started, m_memberAddedAt) >= longest / 2;
-}
-
 void relay_entry::handle(instant now, const endpoint &from, const flow_owner &message)
 {
     const flow_key flow{.caller = message.caller, .service = message.service};
--- a/src/libtoucanrelay/relay_members.cpp
+++ b/src/libtoucanrelay/relay_members.cpp
@@ -71,6 +71,24 @@
     return item.vouchedAt != instant{} && now - item.vouchedAt <= member_table::digestSilenceLimit;
 }
 
+// What reports and digests say alike.
+template <class T>
+void takeOver(relay_member &item, const T &news)
+{
+    item.service = news.service;
+    item.boot = news.boot;
+    item.order = news.order;
+    item.lifetime = news.lifetime;
+    item.standing = standingOf(news.standing);
+    item.slots = news.slots;
+    item.flows = news.flows;
+    item.load = news.load;
+    item.openRate = news.openRate;
+    item.leaving = news.leaving;
+    item.openedSince = 0;
+    item.suspectedSince = {};
+}
+
 } // namespace
 
 std::string_view beliefAbout(const relay_member &item)
@@ -137,26 +155,15 @@
     auto before = std::string(beliefAbout(*item));
     const auto was = importantPart(*item);
     const bool moved = item->service != report.service || item->domain != report.domain;
+    takeOver(*item, report);
     item->reportedAt = now;
     item->toldLost = false;
-    item->service = report.service;
     item->domain = report.domain;
-    item->boot = report.boot;
-    item->order = report.order;
-    item->lifetime = report.lifetime;
-    item->standing = standingOf(report.standing);
-    item->slots = report.slots;
-    item->flows = report.flows;
     item->waiting = report.waiting;
-    item->load = report.load;
-    item->openRate = report.openRate;
     item->interval = std::chrono::milliseconds(std::min<std::uint64_t>(report.intervalMs, 60'000));
     item->reportInterval = item->interval;
-    item->openedSince = 0;
     item->heard = now;
-    item->suspectedSince = {};
     item->lost = report.leaving;
-    item->leaving = report.leaving;
     if (moved)
         rebuildIndex();
     noteChange(now, *item, was);
@@ -181,26 +188,15 @@
     auto before = std::string(beliefAbout(*item));
     const auto was = importantPart(*item);
     const bool moved = item->service != state.service || item->domain != domain;
-    item->service = state.service;
+    takeOver(*item, state);
     item->domain = domain;
-    item->boot = state.boot;
-    item->order = state.order;
-    item->lifetime = state.lifetime;
-    item->standing = standingOf(state.standing);
-    item->slots = state.slots;
-    item->flows = state.flows;
-    item->load = state.load;
-    item->openRate = state.openRate;
     if (!item->isFirstHand(now))
         item->interval = digestInterval;
-    item->openedSince = 0;
     item->heard = std::max(item->heard, heard);
     item->vouchedAt = std::max(item->vouchedAt, heard);
     item->toldOfAt = std::max(item->toldOfAt, heard);
-    item->suspectedSince = {};
     item->lost = state.lost || state.leaving;
     item->toldLost = state.lost;
-    item->leaving = state.leaving;
     if (moved)
         rebuildIndex();
     noteChange(now, *item, was);
--- /dev/null
+++ b/src/libtoucanrelay/relay_target_answers.cpp
@@ -0,0 +1,143 @@
+// What a target process makes of its target's segments, and of requests that begin and end.
+
+#include <algorithm>
+#include <toucan/relay_target.h>
+
+namespace toucan {
+
+void relay_target::beginRequest(instant now, flow &item)
+{
+    forgetExpected(item);
+    if (item.waitingSince)
+        return;
+    if (item.requests == 0)
+        m_queue.noteHandshake(
+            std::chrono::duration_cast<std::chrono::milliseconds>(now - item.opened));
+    ++item.requests;
+    item.waitingSince = now;
+    item.showsPace = m_waiting < slots();
+    ++m_waiting;
+    noteLoad(now);
+}
+
+void relay_target::endRequest(instant now, flow &item, bool answered)
+{
+    if (!item.waitingSince)
+        return;
+    const auto took
+        = std::chrono::duration_cast<std::chrono::milliseconds>(now - *item.waitingSince);
+    item.slowest = std::max(item.slowest, took);
+    item.waitingSince.reset();
+    --m_waiting;
+    noteLoad(now);
+    m_failures.add(now, !answered);
+    if (answered)
+        m_firstAnswer.add(static_cast<double>(took.count()));
+    else
+        m_unansweredRequests.add();
+    if (answered && item.showsPace)
+        m_queue.noteService(took);
+}
+
+void relay_target::onTargetBytes(instant now, std::span<std::uint8_t> bytes)
+{
+    const auto head = m_codec.decode(bytes);
+    if (!head) {
+        m_malformed.add();
+        return;
+    }
+    if (m_silentSince)
+        m_log.write(now,
+            dependency_changed{.dependency = "target",
+                .name = service(),
+                .state = "regained",
+                .reason = "it answers again"});
+    m_silentSince.reset();
+    if (head->returned) {
+        onReturned(now, *head, bytes);
+        return;
+    }
+    const auto key = head->flowFromTarget();
+    auto found = m_flows.find(key);
+    if (head->reset && found != m_flows.end() && found->second.state == flow_state::probing) {
+        // The target was only asked whether it holds the flow, and another one may hold it.
+        passOnProbe(found);
+        return;
+    }
+    if (found == m_flows.end()) {
+        // Opened before this process started, or already forgotten.
+        found = m_flows
+                    .emplace(key, flow{.state = flow_state::open, .opened = now, .lastPacket = now})
+                    .first;
+    }
+    m_port.sendCaller(key.caller, bytes);
+    noteTarget(now, found, *head);
+    serveQueue(now);
+}
+
+void relay_target::noteTarget(instant now, flow_map::iterator place, const segment &head)
+{
+    auto &item = place->second;
+    item.lastPacket = now;
+    if (head.synchronize) {
+        item.targetSequence = head.sequence;
+        item.opening.clear();
+        std::erase_if(
+            m_unanswered, [&](const auto &waiting) { return waiting.second == place->first; });
+        return;
+    }
+    // Targets acknowledge the end of flows that they do not know any more.
+    const bool isLastWord = item.callerFinished && head.length == 0 && !head.finish;
+    if (item.state == flow_state::probing && !isLastWord) {
+        // The answer shows that the target holds the flow.
+        item.state = flow_state::open;
+        item.opening.clear();
+        if (item.entry)
+            tellOwner(place->first, item);
+    }
+    // An end without data means that the request will not be answered.
+    if (head.length > 0 || head.finish || head.reset)
+        endRequest(now, item, head.length > 0);
+    item.targetFinished = item.targetFinished || head.finish;
+    if (head.reset)
+        erase(now, place, "reset by target");
+}
+
+void relay_target::onReturned(instant now, const segment &head, std::span<std::uint8_t> bytes)
+{
+    m_codec.clearReturned(bytes);
+    const auto key = head.flowFromCaller();
+    const auto found = m_flows.find(key);
+    if (head.isOpening()) {
+        logOpening(now, head, "turned away by the target");
+        if (found == m_flows.end() || found->second.state != flow_state::offered)
+            return;
+        m_returned.add();
+        offerElsewhere(found->second, bytes);
+        std::erase_if(m_unanswered, [&](const auto &waiting) { return waiting.second == key; });
+        erase(now, found, "turned away");
+        return;
+    }
+    if (found == m_flows.end())
+        return;
+    // Somebody else may hold the flow.
+    const auto header = headerOf(found->second);
+    found->second.opening.clear();
+    if (found->second.state != flow_state::probing)
+        erase(now, found, "not held by the target");
+    if (header.entry)
+        passOn(header, relay_kind::not_found, bytes);
+}
+
+void relay_target::offerElsewhere(flow &item, byte_view opening)
+{
+    const relay_header header{.kind = relay_kind::opening,
+        .revision = item.revision,
+        .entry = item.entry,
+        .serviceTag = item.serviceTag,
+        .candidates = item.candidates};
+    passOn(header, relay_kind::refused_opening, opening);
+    item.candidates.clear();
+}
+
+} // namespace toucan
--- a/src/libtoucanrelay/relay_target_lifetime.cpp
+++ b/src/libtoucanrelay/relay_target_lifetime.cpp
@@ -150,7 +150,7 @@
         const auto found = m_flows.find(each->second);
         if (found == m_flows.end() || found->second.opening.empty())
             continue;
-        offerElsewhere(now, found->second, found->second.opening);
+        offerElsewhere(found->second, found->second.opening);
         found->second.opening.clear();
     }
     m_unanswered.erase(m_unanswered.begin(), firstRecent);
