--- a/src/include/toucan/digest_book.h
+++ b/src/include/toucan/digest_book.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <set>
+#include <toucan/relay_config.h>
 #include <toucan/relay_members.h>
 
 namespace toucan {
@@ -22,9 +23,8 @@
     endpoint address;
     std::string domain;
     std::uint64_t boot = 0;
-    std::uint64_t revision = 0; ///< Of the configuration in force.
-    std::uint64_t domainsRevision = 0;
-    std::vector<std::string> domainsOut;
+    config_stamp config; ///< Of the configuration in force.
+    domains_out domains;
 };
 
 /// What a digest led to.
--- a/src/include/toucan/directory_census.h
+++ b/src/include/toucan/directory_census.h
@@ -42,6 +42,9 @@
         : m_self(std::move(self))
     { }
 
+    /// Forgets earlier rounds: versions are given out again, so that equal ones may name other
+    /// records.
+    void forgetRounds() { m_silent.clear(); }
     /// Begins a round with a list that was just read.
     void begin(std::vector<listed_entry> records);
     /// Peer addresses of entries that were heard since then.
--- a/src/include/toucan/entry_directory.h
+++ b/src/include/toucan/entry_directory.h
@@ -3,6 +3,7 @@
 /// The list of entries in the platform's store: each entry keeps a record of itself there, and
 /// processes whose seeds are all down find the others by it.
 
+#include <random>
 #include <toucan/directory_census.h>
 #include <toucan/generated/relay.h>
 #include <toucan/store_follower.h>
@@ -28,6 +29,10 @@
     std::chrono::milliseconds interval{std::chrono::minutes(10)};
     /// Time in which listed entries can answer; they are asked each half second.
     std::chrono::milliseconds answerTime{std::chrono::seconds(20)};
+    /// After the store's return from an older copy, entries look for their records within this
+    /// time for each listed entry: a hundred calls a second, a quarter of what the smallest
+    /// deployments may make.
+    std::chrono::milliseconds checkSpread{10};
 };
 
 /// Reads all records; those that cannot be read are left out.
@@ -47,12 +52,17 @@
     bool isAsking() const { return m_asking; }
     /// Peer addresses of entries that were heard lately. Thread-safe.
     void noteHeard(std::span<const endpoint> peers);
+    /// Era of the store that this process or others have met. After a rise the own record is looked
+    /// for, and written again when the older copy lacks it. Thread-safe.
+    void noteEra(std::uint64_t era);
 
 private:
     void run(const std::stop_token &stop);
     bool keepRecord(const std::stop_token &stop, std::span<const listed_entry> records);
     bool stand(const std::stop_token &stop, retry_pause &pause);
     void compare(const std::stop_token &stop, std::vector<listed_entry> records);
+    bool passTime(const std::stop_token &stop, std::chrono::milliseconds time);
+    void checkRecord(const std::stop_token &stop);
     void remove(const listed_entry &record, const census_finding &found);
 
     store_access m_store;
@@ -64,6 +74,12 @@
     std::mutex m_mutex;
     directory_census m_census;
     std::atomic<bool> m_asking = false;
+    std::condition_variable_any m_wake;
+    std::uint64_t m_era = 0; ///< Guarded by the mutex.
+    bool m_isCheckDue = false; ///< Guarded by the mutex.
+    std::uint64_t m_censusEra = 0; ///< Of the newest list that was compared.
+    std::size_t m_listedEntries = 1; ///< On the newest list.
+    std::mt19937_64 m_random{std::random_device{}()};
     std::jthread m_thread;
 };
 
--- a/src/include/toucan/entry_roster.h
+++ b/src/include/toucan/entry_roster.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <toucan/endpoint.h>
 #include <toucan/generated/relay.h>
+#include <toucan/store_point.h>
 #include <vector>
 
 namespace toucan {
@@ -36,7 +37,7 @@
     std::string domain; ///< Empty while it is not known.
     std::uint64_t rank = 0; ///< Its place in its domain's order; larger comes first.
     instant heard{};
-    std::uint64_t revision = 0;
+    config_stamp config; ///< Of the configuration in force there.
     store_standing store = store_standing::not_asked;
 };
 
@@ -82,10 +83,10 @@
     /// than that say that they follow it, and no more than mostFollowers try at a time.
     bool shouldFollowStore(instant now, store_standing own) const;
 
-    /// Where to fetch a configuration of at least `revision` that `teller` spoke of: one of the
-    /// entries of the own domain that have it, another one for each `choice`; else the teller.
+    /// Where to fetch a configuration with `stamp`, or a newer one, that `teller` spoke of: one of
+    /// the entries of the own domain that have it, another one for each `choice`; else the teller.
     endpoint sourceOf(
-        std::uint64_t revision, const endpoint &teller, std::uint64_t choice, instant now) const;
+        const config_stamp &stamp, const endpoint &teller, std::uint64_t choice, instant now) const;
 
     /// Entries to name to a process of a domain: those of the domain and the delegates of others.
     std::vector<entry_place> placesFor(std::string_view domain, instant now) const;
--- a/src/include/toucan/fleet_status.h
+++ b/src/include/toucan/fleet_status.h
@@ -14,7 +14,7 @@
     std::string role; ///< entry or target.
     std::string domain;
     bool reachable = false;
-    std::uint64_t version = 0;
+    std::uint64_t version = 0; ///< In a fleet that relays segments, a packed store_point.
     std::string state;
     nlohmann::json detail = nlohmann::json::object(); ///< Everything it said.
 };
@@ -22,7 +22,7 @@
 /// All processes against one configuration.
 struct fleet_status
 {
-    std::uint64_t version = 0; ///< Newest version known.
+    std::uint64_t version = 0; ///< Newest one known, like those of the nodes.
     std::vector<node_status> nodes;
 
     /// Processes that answered with an older version, or did not answer.
--- a/src/include/toucan/lab/platform_stand_in.h
+++ b/src/include/toucan/lab/platform_stand_in.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <toucan/config.h>
 
 namespace toucan::lab {
@@ -23,6 +24,7 @@
     bool loseWriteAnswers = false; ///< Writes take effect, their answers are cut off.
     bool deafWatches = false; ///< Waiting watches hear of no change.
     bool busy = false; ///< Every call is refused with 429.
+    bool hideEra = false; ///< Answers state no era.
 };
 
 /// The object store and its HTTP server. Thread-safe.
@@ -36,6 +38,11 @@
     platform_stand_in &operator=(const platform_stand_in &) = delete;
 
     void setFaults(const platform_faults &faults);
+    /// Comes back from a copy as of `age` ago: what was written since is gone, its versions are
+    /// given out again and the era rises. `cutWatches` ends waiting watches without an answer.
+    void restore(std::chrono::milliseconds age, bool cutWatches = true);
+    /// Value of the header `Store-Era`; nullopt when answers state none.
+    std::optional<std::uint64_t> statedEra() const;
     platform_faults faults() const;
 
     /// Calls so far: {"reads", "writes", "waits", "waitingNow"}.
@@ -70,17 +77,21 @@
     {
         std::uint64_t version;
         object_id id;
+        nlohmann::json body; ///< Null for a removal.
+        std::chrono::steady_clock::time_point at;
     };
     nlohmann::json describe(const object_id &id) const;
-    std::uint64_t record(const object_id &id);
+    std::uint64_t record(const object_id &id, const nlohmann::json &body);
     std::uint64_t versionOf(const object_id &id) const;
 
     mutable std::mutex m_mutex;
     std::condition_variable m_changed;
     std::map<object_id, stored_object> m_objects;
     std::deque<change> m_changes;
+    std::uint64_t m_forgotten = 0; ///< Watches hear of later changes only.
     std::uint64_t m_version = 1;
     platform_faults m_faults;
+    std::uint64_t m_era = 1;
     bool m_stopping = false;
     std::uint64_t m_watchEpoch = 0;
     std::uint64_t m_reads = 0;
--- a/src/include/toucan/lab/relay_fleet.h
+++ b/src/include/toucan/lab/relay_fleet.h
@@ -73,6 +73,24 @@
     void setRoutes(
         const std::vector<std::pair<endpoint, std::string>> &routes, double coldRate = 0);
     void setDomainsOut(std::vector<std::string> names);
+    /// The store comes back from a copy as of `age` ago: its era rises, and revisions that it gave
+    /// out since are given out again.
+    void restoreStore(std::chrono::milliseconds age);
+    /// The operators repeat the first write that the copy lacks; false when it lacks none.
+    bool repeatWrite();
+    /// They write only the newest configuration and the newest domains out again.
+    void repeatNewest();
+    /// They give up what the copy lacks.
+    void dropLostWrites();
+    /// Version of the operators' newest configuration, and their newest domains out.
+    std::uint64_t wantedVersion() const;
+    std::vector<std::string> wantedDomainsOut() const;
+    /// What an entry and a target's process have in force; none while the process is down.
+    std::optional<std::uint64_t> entryVersion(std::size_t entry) const;
+    std::optional<std::vector<std::string>> entryDomainsOut(std::size_t entry) const;
+    std::optional<std::vector<std::string>> targetDomainsOut(std::size_t target) const;
+    std::size_t entryCount() const { return m_entries.size(); }
+    std::size_t targetCount() const { return m_targets.size(); }
     /// Cuts or heals the link between an entry and a target's process.
     void setCut(std::size_t entry, std::size_t target, bool cut);
     /// Cuts a failure domain's processes off all others, but for callers, or heals it.
@@ -87,6 +105,21 @@
     static endpoint mainAddress() { return {.ip = 0xc6120001, .port = 443}; }
 
 private:
+    /// A write of the operators: a configuration, or failure domains out of service.
+    struct operator_write
+    {
+        relay_config_ptr config; ///< Null when the write is about failure domains.
+        std::vector<std::string> domainsOut;
+    };
+    /// What the store holds at some moment.
+    struct store_state
+    {
+        instant since{};
+        std::uint64_t revision = 0;
+        std::size_t writes = 0; ///< Of the operators' writes, those that it has.
+        relay_config_ptr config;
+        domains_out domains;
+    };
     struct entry_node;
     struct target_node;
 
@@ -98,6 +131,10 @@
     void sendFromCaller(byte_buffer bytes);
     void checkReset(std::size_t flow);
     void publish(entry_node &entry);
+    void write(operator_write item);
+    void apply(const operator_write &item, std::size_t writes);
+    relay_config_ptr wantedConfig() const;
+    store_state &store() { return m_history.back(); }
     entry_node *entryAt(const endpoint &peer);
     target_node *targetAt(const endpoint &peer);
     bool isInCutDomain(const endpoint &peer);
@@ -122,9 +159,10 @@
     std::set<std::pair<std::size_t, std::size_t>> m_cuts;
     std::set<std::string> m_cutDomains;
     bool m_storeReachable = true;
-    std::uint64_t m_storeRevision = 1;
-    relay_config_ptr m_storeConfig;
-    domains_out m_storeDomains;
+    std::uint64_t m_storeEra = 1;
+    std::vector<store_state> m_history{store_state{.revision = 1}}; ///< The last one is now.
+    std::vector<operator_write> m_writes; ///< All of the operators, in order.
+    std::uint64_t m_version = 0; ///< Newest one of the operators, given up ones included.
     std::map<std::string, instant> m_outSince;
     std::vector<std::string> m_violations;
 };
--- a/src/include/toucan/lab/relay_soak.h
+++ b/src/include/toucan/lab/relay_soak.h
@@ -25,6 +25,7 @@
     std::size_t targets = 8;
     double callersPerSecond = 80; ///< New flows, and as many requests on open ones.
     std::chrono::milliseconds faultInterval{900}; ///< Mean time between two faults.
+    bool restores = false; ///< Among the faults, the store comes back from an older copy.
     soak_bounds bounds;
 };
 
@@ -130,6 +131,9 @@
     bool forgetHistory();
     bool cutStoreOfOne();
     bool moveDomain();
+    bool restoreStore();
+    void writeAsOperator(std::function<void()> write);
+    void repeatWrites(std::vector<std::function<void()>> writes, std::chrono::milliseconds pause);
     bool moveRoute();
     bool reloadSettings();
     bool addEntry();
@@ -158,6 +162,12 @@
     std::mutex m_rotationMutex;
     std::jthread m_rotationThread;
     std::uint64_t m_version = 0;
+    struct operator_write
+    {
+        instant at{};
+        std::function<void()> make;
+    };
+    std::vector<operator_write> m_operatorWrites; ///< All, in order.
     bool m_routeMoved = false; ///< The second route leads to the first service.
     std::optional<instant> m_routeMovedAt;
     std::optional<instant> m_domainOutSince;
--- a/src/include/toucan/platform_adapter.h
+++ b/src/include/toucan/platform_adapter.h
@@ -50,7 +50,7 @@
     platform_kinds kinds;
     /// Reads a configuration; invalid_record when it is none at all. Parts that cannot be read are
     /// left out and named in its `faults`.
-    result<relay_config_ptr> (*readConfig)(std::uint64_t revision, const std::string &text);
+    result<relay_config_ptr> (*readConfig)(const store_point &point, const std::string &text);
     /// Tells what a request of the platform or of a target asks for.
     platform_question (*readQuestion)(const http_request &request);
 };
--- a/src/include/toucan/platform_client.h
+++ b/src/include/toucan/platform_client.h
@@ -8,6 +8,7 @@
 #include <mutex>
 #include <optional>
 #include <toucan/config.h>
+#include <toucan/store_era.h>
 
 namespace toucan {
 
@@ -15,6 +16,7 @@
 struct object_list
 {
     std::uint64_t version = 0;
+    std::uint64_t era = 0; ///< Of the store that answered; 0 when it states none.
     std::vector<stored_object> objects; ///< A deleted one has a null body.
     bool more = false; ///< The list goes on after its last object.
 };
@@ -51,6 +53,8 @@
     virtual platform_request remove(
         std::string_view kind, std::string_view name, std::uint64_t expected) const = 0;
     virtual platform_status status(int httpStatus) const = 0;
+    /// Header in which answers state the store's era; empty when the platform has none.
+    virtual std::string_view eraHeader() const { return {}; }
     /// Readers of answers. Throw nlohmann::json::exception when the answer is malformed.
     virtual object_list readList(std::string_view kind, const nlohmann::json &answer) const = 0;
     virtual object_list readChanges(std::string_view kind, const nlohmann::json &answer) const = 0;
@@ -66,8 +70,10 @@
 class platform_client
 {
 public:
+    /// `era`, when given, is told of the era of each answer; answers of an earlier one are
+    /// failures.
     platform_client(const endpoint &address, std::chrono::milliseconds timeout,
-        const platform_dialect &dialect = entityTagDialect());
+        const platform_dialect &dialect = entityTagDialect(), store_era *era = nullptr);
     ~platform_client();
 
     /// Every object of a kind, all pages.
@@ -85,8 +91,14 @@
     /// the changes since then: list again.
     result<object_list> changesAfter(
         std::uint64_t version, std::chrono::milliseconds wait, std::string_view kind = {});
+    /// Era that the newest answer stated; 0 when it stated none.
+    std::uint64_t era() const { return m_answerEra; }
     /// Ends the call under way, and all later ones, with platform_unavailable. Any thread.
     void cancel();
+    /// Ends the call under way, or the next one, with platform_unavailable. Any thread.
+    void interrupt();
+    /// Forgets an interrupt that met no call.
+    void clearInterrupt();
 
 private:
     struct response
@@ -96,7 +108,9 @@
     };
     class session;
     bool openSession();
-    bool isCancelled();
+    bool isEnded();
+    void abortSession();
+    bool noteEra(std::optional<std::uint64_t> stated);
     void closeSession();
     result<response> call(const platform_request &request, std::chrono::milliseconds timeout);
     result<response> attempt(const platform_request &request, std::chrono::milliseconds timeout);
@@ -107,9 +121,12 @@
     endpoint m_address;
     std::chrono::milliseconds m_timeout;
     const platform_dialect &m_dialect;
+    store_era *m_era;
+    std::uint64_t m_answerEra = 0; ///< Of the newest answer.
     std::mutex m_mutex; ///< Guards the session's life against cancel().
     std::unique_ptr<session> m_session;
     bool m_cancelled = false;
+    bool m_interrupted = false;
 };
 
 } // namespace toucan
--- a/src/include/toucan/relay_config.h
+++ b/src/include/toucan/relay_config.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <string>
 #include <toucan/endpoint.h>
+#include <toucan/store_point.h>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -44,8 +45,7 @@
 class relay_config : public boost::intrusive_ref_counter<relay_config>
 {
 public:
-    std::uint64_t revision = 0; ///< Store revision; orders versions.
-    std::uint64_t version = 0; ///< The operators' own number.
+    config_stamp stamp; ///< Orders configurations.
     std::string text; ///< As it was read, for peers.
     std::vector<route_rule> routes;
     std::vector<service_rule> services;
@@ -60,11 +60,18 @@
 
 using relay_config_ptr = boost::intrusive_ptr<const relay_config>;
 
-/// Failure domains that are out of service, as read at one store revision.
+/// The same configuration, known to be what the operators want.
+relay_config_ptr settledCopy(const relay_config &config);
+
+/// The stamp of a configuration; that of none comes before all others.
+config_stamp stampOf(const relay_config_ptr &config);
+
+/// Failure domains that are out of service, as read at one point of the store's history.
 struct domains_out
 {
-    std::uint64_t revision = 0;
+    store_point point;
     std::vector<std::string> names; ///< Sorted.
+    bool settled = false; ///< The point's era has lasted for restoreSettleTime.
 
     bool contains(std::string_view domain) const;
     bool operator==(const domains_out &) const = default;
--- a/src/include/toucan/relay_entry.h
+++ b/src/include/toucan/relay_entry.h
@@ -5,7 +5,9 @@
 
 #include <map>
 #include <set>
+#include <toucan/config_choice.h>
 #include <toucan/digest_book.h>
+#include <toucan/domain_outages.h>
 #include <toucan/entry_roster.h>
 #include <toucan/event_log.h>
 #include <toucan/metrics.h>
@@ -71,7 +73,7 @@
     bool mayExit(instant now) const;
 
     const relay_config_ptr &config() const { return m_config; }
-    const domains_out &domains() const { return m_domains; }
+    const domains_out &domains() const { return m_domains.inForce(); }
     std::size_t flowCount() const { return m_flows.size(); }
     std::size_t memberCount() const { return m_members.aliveCount(); }
     const member_table &members() const { return m_members; }
@@ -172,6 +174,8 @@
     void suspectOwner(instant now, const flow_key &flow);
     void park(const segment &head, byte_view bytes, instant begun, instant notBefore = {});
     void retryParked(instant now);
+    bool isWithoutConfig(instant now) const;
+    void rejectParked(instant now);
     void takeOpening(instant now, const segment &head, byte_view bytes, instant begun);
     bool isKept(const cached_flow &cached, instant now) const;
     relay_header openingHeader(
@@ -217,10 +221,14 @@
     void askForMembers(instant now);
     void logLearning(instant now);
     std::vector<std::string> vouchedDomains(instant now) const;
-    digest_origin originOf() const;
+    digest_origin originOf(instant now) const;
     void noteMembers(instant now, std::span<const member_change> changes);
     bool shouldKeepCopy(const relay_member &member) const;
-    void noteRevision(instant now, const endpoint &from, std::uint64_t revision);
+    void noteConfig(instant now, const endpoint &from, const config_stamp &stamp);
+    void useConfig(instant now, const relay_config_ptr &config, std::string_view source);
+    void logDeferred(instant now);
+    void noteDomains(instant now, std::string_view source);
+    void tendStoreState(instant now);
     void sweepFlows(instant now);
     void publishGauges(instant now);
 
@@ -235,8 +243,9 @@
     metrics::number &m_dropped;
     metrics::number &m_malformed;
 
-    relay_config_ptr m_config;
-    domains_out m_domains;
+    relay_config_ptr m_config; ///< In force.
+    config_choice m_choice;
+    domain_outages m_domains;
     std::unordered_set<endpoint> m_droppedRoutes; ///< Addresses that had a route before.
     member_table m_members;
     entry_roster m_roster;
--- a/src/include/toucan/relay_packet.h
+++ b/src/include/toucan/relay_packet.h
@@ -6,6 +6,7 @@
 #include <boost/container/static_vector.hpp>
 #include <toucan/error.h>
 #include <toucan/generated/relay.h>
+#include <toucan/store_point.h>
 #include <variant>
 
 namespace toucan {
@@ -26,7 +27,7 @@
 struct relay_header
 {
     relay_kind kind = relay_kind::established;
-    std::uint64_t revision = 0; ///< Configuration under which the entry decided.
+    store_point point; ///< Of the configuration under which the entry decided.
     endpoint entry; ///< Entry that took the segment from the fabric.
     std::uint64_t serviceTag = 0; ///< serviceTagOf() the flow's service.
     std::uint64_t search = 0; ///< 1 + members asked before this list; 0 when nobody is searched.
--- a/src/include/toucan/relay_port.h
+++ b/src/include/toucan/relay_port.h
@@ -3,6 +3,7 @@
 /// What a relay engine asks its program to do. Implemented by the programs and by tests.
 
 #include <toucan/endpoint.h>
+#include <toucan/store_point.h>
 
 namespace toucan {
 
@@ -17,8 +18,9 @@
     virtual void sendCaller(const endpoint &caller, byte_view bytes) = 0;
     /// Sends a segment to the target beside the process. Entries have none.
     virtual void sendTarget(byte_view bytes) = 0;
-    /// Fetches a configuration of at least `revision` from the process whose peer address is given.
-    virtual void fetchConfig(const endpoint &peer, std::uint64_t revision) = 0;
+    /// Fetches a configuration from the process, given by its peer address, that has one with this
+    /// stamp or a newer one.
+    virtual void fetchConfig(const endpoint &peer, const config_stamp &stamp) = 0;
 };
 
 } // namespace toucan
--- a/src/include/toucan/relay_process.h
+++ b/src/include/toucan/relay_process.h
@@ -67,6 +67,7 @@
 class config_shelf
 {
 public:
+    /// Keeps a configuration unless what is there is newer.
     void put(const relay_config_ptr &config);
     relay_config_ptr get() const;
     /// Answers a control link that asks for what is newer than `have`; null when nothing is.
@@ -76,9 +77,12 @@
     mutable std::mutex m_mutex;
     relay_config_ptr m_config;
     byte_buffer m_packed; ///< The text of one revision as peers get it.
-    std::uint64_t m_packedRevision = 0;
+    relay_config_ptr m_packedOf; ///< What was packed.
 };
 
+/// A stamp as it stands in messages on control links.
+nlohmann::json writeStamp(const config_stamp &stamp);
+
 /// Compresses a configuration's text for peers.
 byte_buffer packText(const std::string &text);
 /// The text of `size` bytes again; nullopt when the bytes are no packed text, or are cut short.
@@ -93,13 +97,13 @@
     ~config_fetcher();
 
     /// Fetches from a control link what is newer than `have`. Replaces a request that still waits.
-    void request(const endpoint &control, std::uint64_t have);
+    void request(const endpoint &control, const config_stamp &have);
 
 private:
     struct job
     {
         endpoint control;
-        std::uint64_t have = 0;
+        config_stamp have;
     };
     void run(const std::stop_token &stop);
     void fetch(const job &item);
--- a/src/include/toucan/relay_program.h
+++ b/src/include/toucan/relay_program.h
@@ -181,24 +181,25 @@
             .timeout = m_settings.platformTimeout,
             .dialect = m_adapter.objects,
             .metrics = m_metrics,
-            .log = m_log};
+            .log = m_log,
+            .era = m_storeEra};
     }
 
     void sendPeer(const endpoint &to, byte_view head, byte_view payload) override
     {
         m_peers->send(to, head, payload);
     }
-    void fetchConfig(const endpoint &peer, std::uint64_t) override
+    void fetchConfig(const endpoint &peer, const config_stamp &) override
     {
-        const auto known = m_shelf.get();
         m_fetcher->request(
-            {.ip = peer.ip, .port = m_settings.control.port}, known ? known->revision : 0);
+            {.ip = peer.ip, .port = m_settings.control.port}, stampOf(m_shelf.get()));
     }
 
     T m_settings;
     const platform_adapter &m_adapter;
     metrics::registry m_metrics;
     event_log m_log;
+    store_era m_storeEra{m_log, m_metrics};
     std::string m_part;
     std::uint64_t m_boot;
     relay_mailbox m_mailbox;
--- a/src/include/toucan/relay_target.h
+++ b/src/include/toucan/relay_target.h
@@ -4,6 +4,7 @@
 /// the truth about the target's flows; does no I/O. Used by one thread.
 
 #include <map>
+#include <toucan/domain_outages.h>
 #include <toucan/event_log.h>
 #include <toucan/metrics.h>
 #include <toucan/opening_gate.h>
@@ -46,7 +47,7 @@
     /// The target reported itself.
     void onLiveness(instant now, const target_liveness &report);
     /// A copy of the configuration is kept here, for entries that start without one.
-    void setCopyRevision(std::uint64_t revision) { m_copyRevision = revision; }
+    void setCopy(const config_stamp &stamp) { m_copy = stamp; }
     /// Entries that the platform knows.
     void onEntries(instant now, std::span<const entry_place> entries);
     /// Options that changed while the engine runs; names, addresses and `boot` must stay.
@@ -63,6 +64,7 @@
 
     /// True while an entry was heard from lately.
     bool hearsEntries(instant now) const;
+    const domains_out &domains() const { return m_domains.inForce(); }
     std::size_t flowCount() const { return m_flows.size(); }
     /// What the target may take now.
     target_standing standing(instant now) const;
@@ -84,7 +86,7 @@
         endpoint toldEntry; ///< Entry that knows this process as the owner.
         candidate_list candidates; ///< Who to ask next when the target turns a segment away.
         std::uint64_t serviceTag = 0;
-        std::uint64_t revision = 0;
+        store_point point; ///< Of the configuration under which the entry decided.
         std::uint64_t search = 0; ///< Of the header that came with the newest segment.
         bool doubtful = false; ///< Of the same header.
         byte_buffer opening; ///< The opening or the probe, until the target answers it.
@@ -180,10 +182,10 @@
     metrics::number &m_unansweredRequests; ///< Requests whose flows ended before the answer.
 
     liveness_record m_liveness;
-    domains_out m_domains;
-    std::uint64_t m_revision = 0; ///< Newest configuration that an entry named.
-    instant m_revisionAt{}; ///< When it was named first.
-    std::uint64_t m_copyRevision = 0;
+    domain_outages m_domains;
+    config_stamp m_newest; ///< Of the newest configuration that an entry named.
+    instant m_newestAt{}; ///< When it was named first.
+    config_stamp m_copy; ///< Of the configuration that this process keeps.
     service_bounds m_bounds;
     flow_map m_flows;
     std::map<endpoint, entry_state> m_entries;
--- a/src/include/toucan/store_follower.h
+++ b/src/include/toucan/store_follower.h
@@ -12,6 +12,7 @@
 #include <toucan/event_log.h>
 #include <toucan/metrics.h>
 #include <toucan/platform_client.h>
+#include <toucan/store_point.h>
 
 namespace toucan {
 
@@ -40,6 +41,7 @@
     const platform_dialect &dialect;
     metrics::registry &metrics;
     event_log &log;
+    store_era &era;
 };
 
 /// Counts one call to the store: list, watch, get or put.
@@ -56,10 +58,10 @@
 class store_follower
 {
 public:
-    /// All objects of the kind by name, as of a revision. Called on the follower's thread after
-    /// each change.
+    /// All objects of the kind by name, as of a point of the store's history. Called on the
+    /// follower's thread after each change.
     using snapshot = std::map<std::string, stored_object>;
-    using handler = std::function<void(std::uint64_t revision, const snapshot &objects)>;
+    using handler = std::function<void(const store_point &point, const snapshot &objects)>;
 
     /// Watches wait for up to `watchTime`, which must be less than the store keeps its history.
     store_follower(store_access access, std::string kind, handler onChange,
@@ -77,6 +79,8 @@
 private:
     void run(const std::stop_token &stop);
     bool follow(const std::stop_token &stop, retry_pause &pause);
+    void noteList(const object_list &all);
+    result<object_list> watch(std::uint64_t revision);
     bool waitUntil(const std::stop_token &stop, const std::function<bool()> &condition);
     void noteAnswer();
     void noteFailure(const error &failure);
@@ -86,6 +90,9 @@
     handler m_handler;
     std::chrono::milliseconds m_watchTime;
     platform_client m_client;
+    store_era::listener m_onRise; ///< Ends a watch that began before.
+    store_point m_listed; ///< Of the newest list.
+    std::atomic<bool> m_watching = false;
     /// Whether the follower makes calls.
     enum class call_mode : std::uint8_t { first_list, active, inactive };
     std::atomic<call_mode> m_mode = call_mode::first_list;
--- /dev/null
+++ b/src/include/toucan/told_state.h
@@ -0,0 +1,54 @@
+#pragma once
+
+/// What every message between processes tells of the configuration in force and of failure domains
+/// out of service: the same fields in each, read and written here.
+
+#include <toucan/domain_outages.h>
+#include <toucan/generated/events.h>
+
+namespace toucan {
+
+/// The stamp of the configuration that the sender of a message has.
+template <class T>
+config_stamp toldStamp(const T &message)
+{
+    return {.point = {.era = message.era, .revision = message.revision},
+        .version = message.version,
+        .settled = message.settled};
+}
+
+/// The failure domains out of service that the sender of a message read or was told of.
+template <class T>
+domains_out toldDomains(const T &message)
+{
+    return {.point = {.era = message.domainsEra, .revision = message.domainsRevision},
+        .names = message.domainsOut,
+        .settled = message.domainsSettled};
+}
+
+/// Writes both into a message.
+template <class T>
+void tellState(T &message, const config_stamp &stamp, const domains_out &domains)
+{
+    message.revision = stamp.point.revision;
+    message.era = stamp.point.era;
+    message.version = stamp.version;
+    message.settled = stamp.settled;
+    message.domainsRevision = domains.point.revision;
+    message.domainsEra = domains.point.era;
+    message.domainsOut = domains.names;
+    message.domainsSettled = domains.settled;
+}
+
+/// The log line on a change of the failure domains out of service.
+inline domains_changed domainsLine(const domain_outages &domains, std::string_view source)
+{
+    const auto &inForce = domains.inForce();
+    return {.era = inForce.point.era,
+        .revision = inForce.point.revision,
+        .source = std::string(source),
+        .out = inForce.names,
+        .held = domains.held()};
+}
+
+} // namespace toucan
--- a/src/libtoucanlab/platform_stand_in.cpp
+++ b/src/libtoucanlab/platform_stand_in.cpp
@@ -69,6 +69,8 @@
         }
         response.setStatus(static_cast<HTTPResponse::HTTPStatus>(outcome.status));
         response.setContentType("application/json");
+        if (const auto era = m_platform.statedEra())
+            response.set("Store-Era", std::to_string(*era));
         const auto text = outcome.body.dump();
         response.setContentLength(static_cast<std::streamsize>(text.size()));
         response.send() << text;
@@ -217,10 +219,10 @@
         {"status", nullptr}};
 }
 
-std::uint64_t platform_stand_in::record(const object_id &id)
+std::uint64_t platform_stand_in::record(const object_id &id, const json &body)
 {
     ++m_version;
-    m_changes.push_back({m_version, id});
+    m_changes.push_back({m_version, id, body, std::chrono::steady_clock::now()});
     if (m_changes.size() > keptChanges)
         m_changes.pop_front();
     m_changed.notify_all();
@@ -260,10 +262,13 @@
 {
     std::unique_lock lock(m_mutex);
     ++m_waits;
+    if (version > m_version)
+        return {.status = 410, .body = {}};
     ++m_waitingNow;
     const auto epoch = m_watchEpoch;
-    const auto concerns
-        = [&](const change &item) { return item.version > version && item.id.first == kind; };
+    const auto concerns = [&](const change &item) {
+        return item.version > std::max(version, m_forgotten) && item.id.first == kind;
+    };
     m_changed.wait_for(lock, wait, [&] {
         return m_stopping || m_faults.down || m_watchEpoch != epoch
             || (!m_faults.deafWatches && std::ranges::any_of(m_changes, concerns));
@@ -278,11 +283,50 @@
     return {.body = {{"events", std::move(events)}, {"currentRev", m_version}}};
 }
 
+std::optional<std::uint64_t> platform_stand_in::statedEra() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_faults.hideEra ? std::nullopt : std::optional(m_era);
+}
+
+void platform_stand_in::restore(std::chrono::milliseconds age, bool cutWatches)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto from = std::chrono::steady_clock::now() - age;
+        const auto lost
+            = std::ranges::find_if(m_changes, [&](const change &item) { return item.at > from; });
+        std::map<object_id, stored_object> copy;
+        // What was dropped from the history is older than any copy.
+        for (const auto &[id, object] : m_objects) {
+            if (m_changes.empty() || object.version < m_changes.front().version)
+                copy[id] = object;
+        }
+        std::for_each(m_changes.begin(), lost, [&](const change &item) {
+            if (item.body.is_null())
+                copy.erase(item.id);
+            else
+                copy[item.id] = {.kind = item.id.first,
+                    .name = item.id.second,
+                    .version = item.version,
+                    .body = item.body};
+        });
+        if (lost != m_changes.end())
+            m_version = lost->version - 1;
+        m_forgotten = std::min(m_forgotten, m_version);
+        m_changes.erase(lost, m_changes.end());
+        m_objects = std::move(copy);
+        ++m_era;
+        m_watchEpoch += cutWatches;
+    }
+    m_changed.notify_all();
+}
+
 void platform_stand_in::forgetHistory()
 {
     {
         const std::lock_guard lock(m_mutex);
-        m_changes.clear();
+        m_forgotten = m_version;
         ++m_watchEpoch;
     }
     m_changed.notify_all();
@@ -318,7 +362,7 @@
     const object_id id{kind, name};
     if (expected && *expected != versionOf(id))
         return {.status = 412, .body = {{"version", versionOf(id)}}};
-    const auto version = record(id);
+    const auto version = record(id, body);
     m_objects[id] = {.kind = kind, .name = name, .version = version, .body = body};
     return {.body = describe(id)};
 }
@@ -334,7 +378,7 @@
     if (expected && *expected != versionOf(id))
         return {.status = 412, .body = {{"version", versionOf(id)}}};
     m_objects.erase(id);
-    return {.body = {{"version", record(id)}}};
+    return {.body = {{"version", record(id, nullptr)}}};
 }
 
 platform_stand_in::outcome platform_stand_in::changesAfter(
@@ -346,7 +390,9 @@
     m_changed.wait_for(
         lock, wait, [&] { return m_version > version || m_stopping || m_faults.down; });
     --m_waitingNow;
-    if (m_version > version && (m_changes.empty() || m_changes.front().version > version + 1))
+    const bool isForgotten
+        = version < m_forgotten || m_changes.empty() || m_changes.front().version > version + 1;
+    if (m_version > version && isForgotten)
         return {.status = 410, .body = {}};
     std::map<object_id, json> changed;
     for (const auto &item : m_changes) {
--- a/src/libtoucanlab/relay_fleet.cpp
+++ b/src/libtoucanlab/relay_fleet.cpp
@@ -12,7 +12,7 @@
 
 } // namespace
 
-void relay_fleet::entry_node::fetchConfig(const endpoint &from, std::uint64_t)
+void relay_fleet::entry_node::fetchConfig(const endpoint &from, const config_stamp &)
 {
     const auto start = starts;
     fleet.after(fleet_layout::fetchTime, [this, from, start] {
@@ -151,7 +151,7 @@
     const auto &key = m_callers.key(flow);
     const bool held = std::ranges::any_of(
         m_targets, [&](const auto &node) { return node->engine && node->target.holds(key); });
-    if (held && m_storeConfig->routeAt(key.service))
+    if (held && wantedConfig()->routeAt(key.service))
         m_violations.push_back(
             "flow " + std::to_string(flow) + " was reset while its target holds it");
 }
@@ -257,8 +257,8 @@
                                : store_standing::lost);
     if (!m_storeReachable || !follows)
         return;
-    entry.engine->onConfig(m_now, m_storeConfig, "store");
-    entry.engine->onDomains(m_now, m_storeDomains, "store");
+    entry.engine->onConfig(m_now, store().config, "store");
+    entry.engine->onDomains(m_now, store().domains, "store");
 }
 
 // --- Store and links
@@ -274,8 +274,10 @@
     const std::vector<std::pair<endpoint, std::string>> &routes, double coldRate)
 {
     boost::intrusive_ptr<relay_config> config(new relay_config);
-    config->revision = ++m_storeRevision;
-    config->version = config->revision;
+    // Irregular steps, as operators' tools make them.
+    m_version += 1 + m_writes.size() % 3;
+    config->stamp.version = m_version;
+    config->text = "version " + std::to_string(config->stamp.version);
     std::set<std::string> services;
     for (const auto &[address, service] : routes) {
         config->index[address] = config->routes.size();
@@ -284,20 +286,119 @@
         if (services.insert(service).second)
             config->services.push_back({.name = service, .flows = 2000, .coldRate = coldRate});
     }
-    m_storeConfig = config;
-    setStore(m_storeReachable);
+    write({.config = config});
 }
 
 void relay_fleet::setDomainsOut(std::vector<std::string> names)
 {
     std::ranges::sort(names);
-    m_outSince.clear();
-    for (const auto &name : names)
-        m_outSince[name] = m_now;
-    m_storeDomains = {.revision = ++m_storeRevision, .names = std::move(names)};
+    write({.domainsOut = std::move(names)});
+}
+
+// The operators' tools write in order: what a copy lacks comes first.
+void relay_fleet::write(operator_write item)
+{
+    m_writes.push_back(std::move(item));
+    while (repeatWrite()) { }
+}
+
+bool relay_fleet::repeatWrite()
+{
+    if (store().writes == m_writes.size())
+        return false;
+    apply(m_writes[store().writes], store().writes + 1);
+    return true;
+}
+
+void relay_fleet::repeatNewest()
+{
+    const operator_write config{.config = wantedConfig()};
+    const operator_write domains{.domainsOut = wantedDomainsOut()};
+    for (const auto &item : {config, domains}) {
+        m_writes.push_back(item);
+        apply(item, m_writes.size());
+    }
+}
+
+void relay_fleet::dropLostWrites()
+{
+    m_writes.resize(store().writes);
+}
+
+// `writes`: how many of the operators' writes the store has then, or needs no more.
+void relay_fleet::apply(const operator_write &item, std::size_t writes)
+{
+    auto next = store();
+    next.since = m_now;
+    next.writes = writes;
+    const store_point point{.era = m_storeEra, .revision = ++next.revision};
+    if (item.config) {
+        boost::intrusive_ptr<relay_config> config(new relay_config(*item.config));
+        config->stamp.point = point;
+        next.config = std::move(config);
+    } else {
+        next.domains = {.point = point, .names = item.domainsOut};
+        std::erase_if(
+            m_outSince, [&](const auto &out) { return !next.domains.contains(out.first); });
+        for (const auto &name : item.domainsOut)
+            m_outSince.try_emplace(name, m_now);
+    }
+    m_history.push_back(std::move(next));
+    setStore(m_storeReachable);
+}
+
+void relay_fleet::restoreStore(std::chrono::milliseconds age)
+{
+    const auto lost = std::ranges::find_if(
+        m_history, [&](const store_state &item) { return item.since > m_now - age; });
+    // The first configuration is older than any copy.
+    const auto kept = std::max<std::ptrdiff_t>(lost - m_history.begin(), 2);
+    m_history.resize(static_cast<std::size_t>(kept));
+    ++m_storeEra;
+    boost::intrusive_ptr<relay_config> config(new relay_config(*store().config));
+    config->stamp.point.era = m_storeEra;
+    store().config = std::move(config);
+    store().domains.point = {.era = m_storeEra, .revision = store().revision};
     setStore(m_storeReachable);
 }
 
+relay_config_ptr relay_fleet::wantedConfig() const
+{
+    const auto newest = std::find_if(m_writes.rbegin(), m_writes.rend(),
+        [](const operator_write &item) { return item.config != nullptr; });
+    return newest == m_writes.rend() ? nullptr : newest->config;
+}
+
+std::vector<std::string> relay_fleet::wantedDomainsOut() const
+{
+    const auto newest = std::find_if(m_writes.rbegin(), m_writes.rend(),
+        [](const operator_write &item) { return item.config == nullptr; });
+    return newest == m_writes.rend() ? std::vector<std::string>() : newest->domainsOut;
+}
+
+std::uint64_t relay_fleet::wantedVersion() const
+{
+    return stampOf(wantedConfig()).version;
+}
+
+std::optional<std::uint64_t> relay_fleet::entryVersion(std::size_t entry) const
+{
+    const auto &engine = m_entries[entry]->engine;
+    return engine ? std::optional(stampOf(engine->config()).version) : std::nullopt;
+}
+
+std::optional<std::vector<std::string>> relay_fleet::entryDomainsOut(std::size_t entry) const
+{
+    const auto &engine = m_entries[entry]->engine;
+    return engine ? std::optional(engine->domains().names) : std::nullopt;
+}
+
+std::optional<std::vector<std::string>> relay_fleet::targetDomainsOut(std::size_t target) const
+{
+    const auto &engine = m_targets[target]->engine;
+    return engine ? std::optional(engine->domains().names) : std::nullopt;
+}
+
 void relay_fleet::setCut(std::size_t entry, std::size_t target, bool cut)
 {
     if (cut)
--- a/src/libtoucanlab/relay_fleet_nodes.h
+++ b/src/libtoucanlab/relay_fleet_nodes.h
@@ -52,7 +52,7 @@
         fleet.toCaller(byte_buffer(bytes.begin(), bytes.end()));
     }
     void sendTarget(byte_view) override { }
-    void fetchConfig(const endpoint &from, std::uint64_t) override;
+    void fetchConfig(const endpoint &from, const config_stamp &) override;
 };
 
 struct relay_fleet::target_node : relay_port
@@ -108,14 +108,14 @@
                     target.onSegment(data);
             });
     }
-    void fetchConfig(const endpoint &from, std::uint64_t) override
+    void fetchConfig(const endpoint &from, const config_stamp &) override
     {
         fleet.after(fleet_layout::fetchTime, [this, from] {
             const auto *entry = fleet.entryAt(from);
             if (!entry || !entry->engine || !entry->engine->config() || !engine)
                 return;
             copy = entry->engine->config();
-            engine->setCopyRevision(copy->revision);
+            engine->setCopy(copy->stamp);
         });
     }
 
--- a/src/libtoucanlab/relay_fleet_targets.cpp
+++ b/src/libtoucanlab/relay_fleet_targets.cpp
@@ -23,7 +23,7 @@
     const auto out = fleet.m_outSince.find(domain);
     if (out != fleet.m_outSince.end() && fleet.m_now - out->second > domainBound)
         fleet.m_violations.push_back("an opening reached a failure domain out of service");
-    const auto *route = fleet.m_storeConfig->routeAt(key.service);
+    const auto *route = fleet.wantedConfig()->routeAt(key.service);
     if (route && route->shares.front().service != service)
         fleet.m_violations.push_back("an opening reached a target of another service");
 }
--- a/src/libtoucanlab/relay_soak.cpp
+++ b/src/libtoucanlab/relay_soak.cpp
@@ -206,7 +206,7 @@
 void relay_soak::publishConfig()
 {
     relay_config config;
-    config.version = ++m_version;
+    config.stamp.version = ++m_version;
     config.routes = {{.name = "r1", .address = firstRoute, .shares = {{.service = "first"}}},
         {.name = "r2",
             .address = secondRoute,
@@ -215,8 +215,9 @@
         config.services.push_back(
             {.name = name, .flows = 2000, .coldRate = m_options.bounds.coldRate});
     const auto &kinds = platform::adapter().kinds;
-    m_store->put(std::string(kinds.config), std::string(kinds.configName),
-        platform::makeConfig(config), std::nullopt);
+    writeAsOperator([this, kinds, body = platform::makeConfig(config)] {
+        m_store->put(std::string(kinds.config), std::string(kinds.configName), body, std::nullopt);
+    });
 }
 
 // --- Traffic
@@ -236,6 +237,8 @@
     nextFault();
     loop(m_started + startTime + calmTime + m_options.faultTime);
     m_faultsOver = true;
+    while (!m_disturbed.isFree("operator"))
+        loop(monotonicNow() + 100ms);
     if (m_domainOutSince)
         moveDomain();
     // Every fault ends within its own time, and what can be served is served by all targets.
--- a/src/libtoucanlab/soak_faults.cpp
+++ b/src/libtoucanlab/soak_faults.cpp
@@ -31,7 +31,8 @@
     {"drop the store's history", &relay_soak::forgetHistory},
     {"part a VM from the store", &relay_soak::cutStoreOfOne},
     {"take a domain out or in", &relay_soak::moveDomain}, {"move a route", &relay_soak::moveRoute},
-    {"reload settings", &relay_soak::reloadSettings}, {"add an entry", &relay_soak::addEntry}};
+    {"reload settings", &relay_soak::reloadSettings}, {"add an entry", &relay_soak::addEntry},
+    {"restore the store", &relay_soak::restoreStore}};
 
 void relay_soak::note(const std::string &text)
 {
@@ -43,7 +44,8 @@
 {
     if (m_faultsOver)
         return;
-    const auto &chosen = faultTable[pick(faultTable.size())];
+    // The last one is optional, so that older seeds play what they played.
+    const auto &chosen = faultTable[pick(faultTable.size() - (m_options.restores ? 0 : 1))];
     if (!(this->*chosen.begin)())
         note(fmt::format("{}: does not fit now", chosen.name));
     after(pickTime(m_options.faultInterval / 3, m_options.faultInterval * 5 / 3),
@@ -227,22 +229,78 @@
     return true;
 }
 
+// Away for a moment and back from a copy some seconds old; then the operators write again what it
+// lacks, and a little of what it has.
+bool relay_soak::restoreStore()
+{
+    if (!m_disturbed.isFree("store") || !m_disturbed.isFree("operator"))
+        return false;
+    constexpr auto oldestCopy = 10s;
+    static constexpr auto margin = 500ms;
+    const auto away = pickTime(0ms, longFault / 2);
+    const auto age = pickTime(0ms, oldestCopy);
+    const auto pause = pickTime(50ms, longFault / 3);
+    note(fmt::format(
+        "the store is away for {} ms and comes back {} ms older, writes follow each {} ms",
+        away.count(), age.count(), pause.count()));
+    m_store->setFaults({.down = true});
+    m_disturbed.begin("store");
+    m_disturbed.begin("operator");
+    after(away, [this, age, pause] {
+        std::vector<std::function<void()>> writes;
+        for (const auto &item : m_operatorWrites) {
+            if (item.at > m_now - age - margin)
+                writes.push_back(item.make);
+        }
+        m_store->restore(age);
+        m_store->setFaults({});
+        repeatWrites(std::move(writes), pause);
+    });
+    return true;
+}
+
+void relay_soak::repeatWrites(
+    std::vector<std::function<void()>> writes, std::chrono::milliseconds pause)
+{
+    if (writes.empty()) {
+        m_disturbed.end(m_now, "store");
+        m_disturbed.end(m_now, "operator");
+        return;
+    }
+    after(pause, [this, pause, rest = std::move(writes)]() mutable {
+        rest.front()();
+        rest.erase(rest.begin());
+        repeatWrites(std::move(rest), pause);
+    });
+}
+
+void relay_soak::writeAsOperator(std::function<void()> write)
+{
+    write();
+    m_operatorWrites.push_back({.at = m_now, .make = std::move(write)});
+}
+
 bool relay_soak::moveDomain()
 {
+    if (!m_disturbed.isFree("operator"))
+        return false;
     const auto kind = std::string(platform::adapter().kinds.domainsOut);
     note(m_domainOutSince ? "take domain b in" : "take domain b out");
     if (m_domainOutSince) {
         m_domainOutSince.reset();
-        m_store->remove(kind, "b", std::nullopt);
+        writeAsOperator([this, kind] { m_store->remove(kind, "b", std::nullopt); });
     } else {
         m_domainOutSince = m_now;
-        m_store->put(kind, "b", nlohmann::json::object(), std::nullopt);
+        writeAsOperator(
+            [this, kind] { m_store->put(kind, "b", nlohmann::json::object(), std::nullopt); });
     }
     return true;
 }
 
 bool relay_soak::moveRoute()
 {
+    if (!m_disturbed.isFree("operator"))
+        return false;
     m_routeMoved = !m_routeMoved;
     m_routeMovedAt = m_now;
     note(fmt::format("move the second route to the {} service", m_routeMoved ? "first" : "second"));
--- a/src/libtoucanlab/store_follower_test.cpp
+++ b/src/libtoucanlab/store_follower_test.cpp
@@ -27,9 +27,11 @@
     platform_stand_in platform{address};
     metrics::registry metrics;
     event_log log{"test", 1};
+    store_era era{log, metrics};
     std::mutex mutex;
     std::condition_variable changed;
     std::optional<int> value;
+    store_point point; ///< That the newest value came with.
     std::optional<store_follower> follower;
 
     followed_store() { event_log::silence(); }
@@ -39,18 +41,22 @@
             .timeout = 500ms,
             .dialect = platform::objects(),
             .metrics = metrics,
-            .log = log};
+            .log = log,
+            .era = era};
     }
-    void start(bool isNeeded = true)
+    void start(bool isNeeded = true, std::chrono::milliseconds watchTime = 18s)
     {
         follower.emplace(
-            access(), "config", [this](std::uint64_t, const store_follower::snapshot &objects) {
+            access(), "config",
+            [this](const store_point &at, const store_follower::snapshot &objects) {
                 const std::lock_guard lock(mutex);
+                point = at;
                 const auto found = objects.find("main");
                 value = found == objects.end() ? std::nullopt
                                                : std::optional(found->second.body.get<int>());
                 changed.notify_all();
-            });
+            },
+            watchTime);
         if (isNeeded)
             follower->setActive(true);
     }
@@ -160,7 +166,7 @@
     std::size_t rounds = 0;
     std::optional<entry_registration> registration;
 
-    void start(followed_store &store)
+    void start(followed_store &store, std::chrono::milliseconds interval = 120ms)
     {
         registration.emplace(
             store.access(), "entries", directory_entry{.name = "e1", .peer = self, .control = self},
@@ -168,7 +174,7 @@
                 const std::lock_guard lock(mutex);
                 ++rounds;
             },
-            directory_rhythm{.interval = 120ms, .answerTime = 80ms});
+            directory_rhythm{.interval = interval, .answerTime = 80ms});
     }
     // Lets a number of rounds pass, in which those that answer are heard.
     void pass(std::size_t count)
@@ -229,3 +235,103 @@
     entry.pass(3);
     CHECK(holdsRecord(store, "e1"));
 }
+
+TEST_CASE("store restored: a follower hears of the older copy and of what is written again")
+{
+    followed_store store;
+    store.write(1);
+    store.start();
+    REQUIRE(store.follows(1));
+    std::this_thread::sleep_for(50ms);
+    store.write(2);
+    REQUIRE(store.follows(2));
+    store.platform.restore(40ms);
+    CHECK(store.follows(1));
+    CHECK(store.point.era == 2);
+    store.write(2);
+    CHECK(store.follows(2));
+}
+
+TEST_CASE("store restored: a follower misses no change whose revision was given out before")
+{
+    followed_store store;
+    store.write(1);
+    store.start(true, 60ms);
+    REQUIRE(store.follows(1));
+    std::this_thread::sleep_for(50ms);
+    store.write(2);
+    REQUIRE(store.follows(2));
+    // The store has the follower's revision again, with another value, before it asks.
+    store.platform.setFaults({.deafWatches = true});
+    store.platform.restore(40ms, false);
+    store.write(3);
+    store.platform.setFaults({});
+    CHECK(store.follows(3));
+}
+
+TEST_CASE("store restored: all followers of a process list again when one of them meets it")
+{
+    followed_store store;
+    store.write(1);
+    store.start();
+    REQUIRE(store.follows(1));
+    const auto reads = [&] { return store.platform.counts()["reads"].get<int>(); };
+    const auto before = reads();
+    store.era.note(5);
+    const auto until = std::chrono::steady_clock::now() + returnBound;
+    while (reads() == before && std::chrono::steady_clock::now() < until)
+        std::this_thread::sleep_for(5ms);
+    CHECK(reads() > before);
+}
+
+TEST_CASE("store era: answers of an earlier era are no answers, and one without an era is taken")
+{
+    followed_store store;
+    CHECK(store.era.note(std::nullopt));
+    CHECK(store.era.note(3));
+    CHECK(store.era.note(std::nullopt));
+    CHECK(store.era.note(4));
+    CHECK_FALSE(store.era.note(3));
+    CHECK(store.era.current() == 4);
+    platform_client client(store.address, 500ms, platform::objects(), &store.era);
+    CHECK(errorOf(client.list("config")));
+    store.platform.setFaults({.hideEra = true});
+    CHECK(valueOf(client.list("config")));
+}
+
+TEST_CASE("store restored: an entry's record that the copy lacks is written again")
+{
+    followed_store store;
+    registered_entry entry;
+    entry.start(store, std::chrono::minutes(10));
+    const auto stands = [&] { return holdsRecord(store, "e1"); };
+    const auto waitFor = [&](const auto &condition) {
+        const auto until = std::chrono::steady_clock::now() + returnBound;
+        while (!condition() && std::chrono::steady_clock::now() < until)
+            std::this_thread::sleep_for(10ms);
+        return condition();
+    };
+    REQUIRE(waitFor(stands));
+    entry.registration->noteEra(1);
+    store.platform.restore(10s);
+    REQUIRE_FALSE(stands());
+    entry.registration->noteEra(2);
+    CHECK(waitFor(stands));
+}
+
+TEST_CASE(
+    "store restored: a record whose version was given out again is not taken for silent before")
+{
+    directory_census census("e1");
+    const listed_entry left{.name = "e2", .peer = {.ip = 2, .port = 1}, .version = 7};
+    const listed_entry alive{.name = "e3", .peer = {.ip = 3, .port = 1}, .version = 8};
+    const auto round = [&] {
+        census.begin({left, alive});
+        census.noteHeard(std::span(&alive.peer, 1));
+        return census.conclude().gone.size();
+    };
+    CHECK(round() == 0);
+    census.forgetRounds();
+    CHECK(round() == 0);
+    CHECK(round() == 1);
+}
--- a/src/libtoucannet/entry_directory.cpp
+++ b/src/libtoucannet/entry_directory.cpp
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <random>
 #include <toucan/entry_directory.h>
 #include <toucan/udp_socket.h>
 
@@ -57,12 +56,17 @@
     return places;
 }
 
+json recordOf(const directory_entry &self)
+{
+    return {{peerField, toString(self.peer)}, {controlField, toString(self.control)},
+        {domainField, self.domain}};
+}
+
 // One try to make the record stand; true when it does.
 result<bool> writeRecord(platform_client &client, const store_access &store,
     const std::string &kind, const directory_entry &self)
 {
-    const json record{{peerField, toString(self.peer)}, {controlField, toString(self.control)},
-        {domainField, self.domain}};
+    const auto record = recordOf(self);
     countCall(store, "put");
     const auto created = client.put(kind, self.name, record, 0);
     if (valueOf(created))
@@ -110,7 +114,7 @@
     , m_self(std::move(self))
     , m_handler(std::move(onList))
     , m_rhythm(rhythm)
-    , m_client(m_store.address, m_store.timeout, m_store.dialect)
+    , m_client(m_store.address, m_store.timeout, m_store.dialect, &m_store.era)
     , m_census(m_self.name)
     , m_thread([this](const std::stop_token &stop) { run(stop); })
 { }
@@ -130,7 +134,6 @@
 void entry_registration::run(const std::stop_token &stop)
 {
     retry_pause pause(std::random_device{}());
-    std::mt19937_64 random(std::random_device{}());
     // Entries that started together must not read together for ever.
     std::uniform_int_distribution<std::int64_t> shorter(0, m_rhythm.interval.count() / 4);
     while (!stop.stop_requested()) {
@@ -141,7 +144,60 @@
         if (!keepRecord(stop, *records))
             return;
         compare(stop, std::move(*records));
-        pauseThread(stop, m_rhythm.interval - std::chrono::milliseconds(shorter(random)));
+        const auto time = m_rhythm.interval - std::chrono::milliseconds(shorter(m_random));
+        while (!passTime(stop, time) && !stop.stop_requested())
+            checkRecord(stop);
+    }
+}
+
+void entry_registration::noteEra(std::uint64_t era)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (era <= m_era)
+            return;
+        m_isCheckDue = m_isCheckDue || m_era != 0;
+        m_era = era;
+    }
+    m_wake.notify_all();
+}
+
+// False when the thread is to stop, or the record has to be looked for before the time is over.
+bool entry_registration::passTime(const std::stop_token &stop, std::chrono::milliseconds time)
+{
+    std::unique_lock lock(m_mutex);
+    m_wake.wait_for(lock, stop, time, [&] { return m_isCheckDue; });
+    return !m_isCheckDue && !stop.stop_requested();
+}
+
+// All entries learn of the store's return at once, and must not call it together.
+void entry_registration::checkRecord(const std::stop_token &stop)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isCheckDue = false;
+    }
+    const auto spread = m_rhythm.checkSpread * static_cast<std::int64_t>(m_listedEntries);
+    std::uniform_int_distribution<std::int64_t> part(0, spread.count());
+    if (!pauseThread(stop, std::chrono::milliseconds(part(m_random))))
+        return;
+    retry_pause pause(std::random_device{}());
+    while (!stop.stop_requested()) {
+        countCall(m_store, "get");
+        const auto found = m_client.get(m_kind, m_self.name);
+        const auto *object = valueOf(found);
+        const bool isGone = !object && errorOf(found)->kind == error_kind::not_found;
+        if (!object && !isGone) {
+            pauseAfterFailure(m_store, pause, "get " + m_kind, *errorOf(found), stop);
+            continue;
+        }
+        const bool stands = object && object->body == recordOf(m_self);
+        if (!stands && !stand(stop, pause))
+            return;
+        m_store.log.write(monotonicNow(),
+            directory_record_checked{
+                .name = m_self.name, .outcome = stands ? "stands" : "written again"});
+        return;
     }
 }
 
@@ -183,14 +239,18 @@
 
 void entry_registration::compare(const std::stop_token &stop, std::vector<listed_entry> records)
 {
+    const auto era = m_store.era.current();
+    m_listedEntries = std::max<std::size_t>(records.size(), 1);
     {
         // Entries of other failure domains are not all heard here.
         std::erase_if(records, [&](const auto &record) { return record.domain != m_self.domain; });
         const std::lock_guard lock(m_mutex);
+        if (std::exchange(m_censusEra, era) != era)
+            m_census.forgetRounds();
         m_census.begin(std::move(records));
     }
     m_asking = true;
-    const bool goesOn = pauseThread(stop, m_rhythm.answerTime);
+    const bool goesOn = passTime(stop, m_rhythm.answerTime);
     m_asking = false;
     if (!goesOn)
         return;
@@ -199,8 +259,11 @@
         const std::lock_guard lock(m_mutex);
         found = m_census.conclude();
     }
-    for (const auto &record : found.gone)
-        remove(record, found);
+    // Versions of records that were read before are given out again after a rise.
+    for (const auto &record : found.gone) {
+        if (m_store.era.current() == era)
+            remove(record, found);
+    }
 }
 
 // Another entry may be first, or the record may have changed: then there is nothing left to do.
@@ -226,7 +289,7 @@
     : m_store(access)
     , m_kind(std::move(kind))
     , m_handler(std::move(onList))
-    , m_client(m_store.address, m_store.timeout, m_store.dialect)
+    , m_client(m_store.address, m_store.timeout, m_store.dialect, &m_store.era)
     , m_thread([this](const std::stop_token &stop) {
         retry_pause pause(std::random_device{}());
         while (!stop.stop_requested()) {
--- a/src/libtoucannet/fleet_status.cpp
+++ b/src/libtoucannet/fleet_status.cpp
@@ -4,6 +4,7 @@
 #include <toucan/config_agent.h>
 #include <toucan/entry_directory.h>
 #include <toucan/fleet_status.h>
+#include <toucan/store_point.h>
 
 namespace toucan {
 namespace {
@@ -33,7 +34,8 @@
     status.name = name;
     status.domain = answer->value("domain", item.domain);
     status.reachable = true;
-    status.version = answer->value("version", std::uint64_t{0});
+    status.version = packPoint({.era = answer->value("era", std::uint64_t{0}),
+        .revision = answer->value("version", std::uint64_t{0})});
     status.state = answer->value("state", std::string());
     status.detail = *answer;
     return status;
@@ -140,7 +142,8 @@
             asked.push_back({{}, "entry", {}, peer});
     }
     relay_fleet_status fleet{.entries = {.nodes = askAll(asked, timeout)}};
-    fleet.entries.version = object ? object->version : newestVersion(fleet.entries.nodes);
+    fleet.entries.version = object ? packPoint({.era = platform.era(), .revision = object->version})
+                                   : newestVersion(fleet.entries.nodes);
     fleet.targets = targetsSeenBy(fleet.entries.nodes);
     return fleet;
 }
--- a/src/libtoucannet/platform_client.cpp
+++ b/src/libtoucannet/platform_client.cpp
@@ -3,6 +3,7 @@
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/StreamCopier.h>
+#include <charconv>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <toucan/platform_client.h>
@@ -38,6 +39,17 @@
     return std::string(kind) + '/' + std::string(name);
 }
 
+std::optional<std::uint64_t> statedEra(const HTTPResponse &answer, std::string_view header)
+{
+    const std::string name(header);
+    if (name.empty() || !answer.has(name))
+        return std::nullopt;
+    const auto &text = answer.get(name);
+    std::uint64_t era = 0;
+    const auto read = std::from_chars(text.data(), text.data() + text.size(), era);
+    return read.ec == std::errc() ? std::optional(era) : std::nullopt;
+}
+
 } // namespace
 
 /// An HTTP session whose connection finds out by itself that the other end is silent.
@@ -60,11 +72,12 @@
     }
 };
 
-platform_client::platform_client(
-    const endpoint &address, std::chrono::milliseconds timeout, const platform_dialect &dialect)
+platform_client::platform_client(const endpoint &address, std::chrono::milliseconds timeout,
+    const platform_dialect &dialect, store_era *era)
     : m_address(address)
     , m_timeout(timeout)
     , m_dialect(dialect)
+    , m_era(era)
 { }
 
 platform_client::~platform_client() = default;
@@ -88,16 +101,35 @@
     m_session.reset();
 }
 
-bool platform_client::isCancelled()
+bool platform_client::isEnded()
 {
     const std::lock_guard lock(m_mutex);
-    return m_cancelled;
+    return m_cancelled || m_interrupted;
+}
+
+void platform_client::clearInterrupt()
+{
+    const std::lock_guard lock(m_mutex);
+    m_interrupted = false;
 }
 
 void platform_client::cancel()
 {
     const std::lock_guard lock(m_mutex);
     m_cancelled = true;
+    abortSession();
+}
+
+void platform_client::interrupt()
+{
+    const std::lock_guard lock(m_mutex);
+    m_interrupted = true;
+    abortSession();
+}
+
+// The mutex must be held.
+void platform_client::abortSession()
+{
     try {
         if (m_session)
             m_session->abort();
@@ -107,6 +139,13 @@
     }
 }
 
+bool platform_client::noteEra(std::optional<std::uint64_t> stated)
+{
+    const bool isUsable = !m_era || m_era->note(stated);
+    m_answerEra = stated.value_or(m_era ? m_era->current() : 0);
+    return isUsable;
+}
+
 result<platform_client::response> platform_client::call(
     const platform_request &request, std::chrono::milliseconds timeout)
 {
@@ -141,8 +180,10 @@
             head.set(request.conditionName, request.conditionValue);
         m_session->sendRequest(head) << request.body;
         sent = true;
-        if (isCancelled())
+        if (isEnded()) {
+            closeSession();
             return error{error_kind::write_uncertain, "the call was cancelled"};
+        }
         HTTPResponse answer;
         std::string body;
         Poco::StreamCopier::copyToString(m_session->receiveResponse(answer), body);
@@ -152,6 +193,11 @@
             closeSession();
         if (cut)
             return error{error_kind::write_uncertain, "the platform's answer was cut short"};
+        if (!noteEra(statedEra(answer, m_dialect.eraHeader()))) {
+            closeSession();
+            return error{
+                error_kind::write_uncertain, "the answer is of an earlier era of the store"};
+        }
         return response{static_cast<int>(answer.getStatus()), std::move(body)};
     } catch (const Poco::Exception &failure) {
         closeSession();
@@ -191,8 +237,13 @@
         try {
             auto page = m_dialect.readList(kind, *answer);
             // Changes that come between two pages are seen by a watch from the first one.
-            if (all.version == 0)
+            if (all.objects.empty()) {
                 all.version = page.version;
+                all.era = m_answerEra;
+            }
+            if (all.era != m_answerEra)
+                return error{error_kind::platform_unavailable,
+                    "the store came back older between two pages"};
             all.more = page.more && !page.objects.empty();
             std::ranges::move(page.objects, std::back_inserter(all.objects));
         } catch (const json::exception &failure) {
@@ -263,7 +314,9 @@
     if (!answer)
         return *errorOf(outcome);
     try {
-        return m_dialect.readChanges(kind, *answer);
+        auto changes = m_dialect.readChanges(kind, *answer);
+        changes.era = m_answerEra;
+        return changes;
     } catch (const json::exception &failure) {
         return malformed(failure);
     }
--- a/src/libtoucannet/relay_process.cpp
+++ b/src/libtoucannet/relay_process.cpp
@@ -33,8 +33,32 @@
     return std::filesystem::last_write_time(fileName, ignored);
 }
 
+std::uint64_t numberIn(const json &object, const char *field)
+{
+    const auto value = object.value(field, json());
+    return value.is_number_unsigned() ? value.get<std::uint64_t>() : 0;
+}
+
+// A stamp as peers send it. A process of the release before sends a bare revision.
+config_stamp readStamp(const json &value)
+{
+    if (value.is_number_unsigned())
+        return {.point = {.revision = value.get<std::uint64_t>()}};
+    if (!value.is_object())
+        return {};
+    return {.point = {.era = numberIn(value, "era"), .revision = numberIn(value, "revision")},
+        .version = numberIn(value, "version"),
+        .settled = value.value("settled", json()) == true};
+}
+
 } // namespace
 
+json writeStamp(const config_stamp &stamp)
+{
+    return {{"era", stamp.point.era}, {"revision", stamp.point.revision},
+        {"version", stamp.version}, {"settled", stamp.settled}};
+}
+
 std::uint64_t processorTime()
 {
     return static_cast<std::uint64_t>(
@@ -61,7 +85,7 @@
 void config_shelf::put(const relay_config_ptr &config)
 {
     const std::lock_guard lock(m_mutex);
-    if (!m_config || config->revision > m_config->revision)
+    if (!m_config || supersedes(config->stamp, m_config->stamp))
         m_config = config;
 }
 
@@ -74,15 +98,17 @@
 json config_shelf::newerThan(const json &have)
 {
     const std::lock_guard lock(m_mutex);
-    if (!m_config || (have.is_number_unsigned() && have.get<std::uint64_t>() >= m_config->revision))
+    if (!m_config || !supersedes(m_config->stamp, readStamp(have)))
         return nullptr;
-    // Many peers fetch the same revision, over links that carry callers' packets as well.
-    if (m_packedRevision != m_config->revision) {
+    // Many peers fetch the same one, over links that carry callers' packets as well.
+    if (m_packedOf != m_config) {
         m_packed = packText(m_config->text);
-        m_packedRevision = m_config->revision;
+        m_packedOf = m_config;
     }
-    return {{"revision", m_config->revision}, {"size", m_config->text.size()},
-        {"packed", json::binary(m_packed)}};
+    auto answer = writeStamp(m_config->stamp);
+    answer["size"] = m_config->text.size();
+    answer["packed"] = json::binary(m_packed);
+    return answer;
 }
 
 byte_buffer packText(const std::string &text)
@@ -139,7 +165,7 @@
     m_wake.notify_all();
 }
 
-void config_fetcher::request(const endpoint &control, std::uint64_t have)
+void config_fetcher::request(const endpoint &control, const config_stamp &have)
 {
     {
         const std::lock_guard lock(m_mutex);
@@ -171,23 +197,23 @@
                 .state = "lost",
                 .reason = std::move(reason)});
     };
-    const auto answer
-        = askControlLink(item.control, {{"op", "config"}, {"have", item.have}}, fetchTimeout);
+    const auto answer = askControlLink(
+        item.control, {{"op", "config"}, {"have", writeStamp(item.have)}}, fetchTimeout);
     if (!answer)
         return fail("no configuration from its control link");
     if (answer->is_null())
         return;
-    const auto revision = answer->is_object() ? answer->value("revision", json()) : json();
+    const auto stamp = readStamp(*answer);
     const auto size = answer->is_object() ? answer->value("size", json()) : json();
     const auto packed = answer->is_object() ? answer->value("packed", json()) : json();
     const auto text = packed.is_binary() && size.is_number_unsigned()
         ? unpackText(packed.get_binary(), size.get<std::size_t>())
         : std::nullopt;
-    if (!revision.is_number_unsigned() || !text)
+    if (stamp.point.revision == 0 || !text)
         return fail("its configuration is malformed");
-    const auto config = m_adapter.readConfig(revision.get<std::uint64_t>(), *text);
+    const auto config = m_adapter.readConfig(stamp.point, *text);
     if (const auto *value = valueOf(config))
-        m_handler(*value, item.control);
+        m_handler(stamp.settled ? settledCopy(**value) : *value, item.control);
     else
         fail(errorOf(config)->detail);
 }
--- a/src/libtoucannet/store_follower.cpp
+++ b/src/libtoucannet/store_follower.cpp
@@ -57,7 +57,12 @@
     , m_kind(std::move(kind))
     , m_handler(std::move(onChange))
     , m_watchTime(watchTime)
-    , m_client(m_store.address, m_store.timeout, m_store.dialect)
+    , m_client(m_store.address, m_store.timeout, m_store.dialect, &m_store.era)
+    , m_onRise(m_store.era,
+          [this] {
+              if (m_watching)
+                  m_client.interrupt();
+          })
     , m_thread([this](const std::stop_token &stop) { run(stop); })
 { }
 
@@ -113,7 +118,8 @@
     snapshot objects;
     for (const auto &object : all->objects)
         objects[object.name] = object;
-    m_handler(all->version, objects);
+    noteList(*all);
+    m_handler({.era = all->era, .revision = all->version}, objects);
     auto revision = all->version;
     while (!stop.stop_requested()) {
         if (m_mode != call_mode::active) {
@@ -124,11 +130,13 @@
             if (m_mode != call_mode::active)
                 return true;
         }
-        countCall(m_store, "watch");
-        const auto outcome = m_client.changesAfter(revision, m_watchTime, m_kind);
+        const auto outcome = watch(revision);
         const auto *changes = valueOf(outcome);
         if (stop.stop_requested())
             return false;
+        // Its revisions are given out again, so that a watch from one of them says nothing.
+        if (m_store.era.current() != all->era)
+            return true;
         if (!changes) {
             const auto &failure = *errorOf(outcome);
             if (failure.kind == error_kind::not_found) {
@@ -150,11 +158,42 @@
             else
                 objects[object.name] = object;
         }
-        m_handler(revision, objects);
+        m_handler({.era = all->era, .revision = revision}, objects);
     }
     return false;
 }
 
+// A rise of the era that came before the call is seen by the caller, a later one ends the call.
+result<object_list> store_follower::watch(std::uint64_t revision)
+{
+    m_client.clearInterrupt();
+    m_watching = true;
+    if (m_store.era.current() != m_listed.era) {
+        m_watching = false;
+        return error{error_kind::platform_unavailable, "the store came back older"};
+    }
+    countCall(m_store, "watch");
+    auto outcome = m_client.changesAfter(revision, m_watchTime, m_kind);
+    m_watching = false;
+    m_client.clearInterrupt();
+    return outcome;
+}
+
+void store_follower::noteList(const object_list &all)
+{
+    const store_point point{.era = all.era, .revision = all.version};
+    const auto before = std::exchange(m_listed, point);
+    if (before.era == 0 || before.era == point.era)
+        return;
+    m_store.log.write(monotonicNow(),
+        store_restored{.kind = m_kind,
+            .eraBefore = before.era,
+            .revisionBefore = before.revision,
+            .era = point.era,
+            .revision = point.revision,
+            .objects = all.objects.size()});
+}
+
 void store_follower::noteAnswer()
 {
     m_heard = true;
--- a/src/libtoucanrelay/digest_book.cpp
+++ b/src/libtoucanrelay/digest_book.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <toucan/digest_book.h>
+#include <toucan/told_state.h>
 #include <utility>
 
 namespace toucan {
@@ -48,7 +49,7 @@
     std::string_view domain, const digest_origin &origin, bool complete, bool whole)
 {
     const auto summary = members.summaryOf(domain);
-    const member_digest head{.origin = origin.address,
+    member_digest head{.origin = origin.address,
         .originDomain = origin.domain,
         .boot = origin.boot,
         .number = ++m_number,
@@ -56,10 +57,8 @@
         .complete = complete,
         .whole = whole,
         .count = summary.count,
-        .hash = summary.hash,
-        .revision = origin.revision,
-        .domainsRevision = origin.domainsRevision,
-        .domainsOut = origin.domainsOut};
+        .hash = summary.hash};
+    tellState(head, origin.config, origin.domains);
     std::vector<member_digest> pages{head};
     members.forEach([&](const relay_member &item) {
         if (item.domain != domain || (!whole && now - item.changedAt > repeatTime))
--- a/src/libtoucanrelay/digest_book_test.cpp
+++ b/src/libtoucanrelay/digest_book_test.cpp
@@ -54,7 +54,8 @@
     std::vector<member_digest> make(bool whole, bool complete = true)
     {
         return nearBook.make(now, near, "b",
-            {.address = delegate, .domain = "b", .boot = 7, .revision = 3}, complete, whole);
+            {.address = delegate, .domain = "b", .boot = 7, .config = {.point = {.revision = 3}}},
+            complete, whole);
     }
     digest_outcome tell(const std::vector<member_digest> &pages)
     {
--- a/src/libtoucanrelay/engine_fixtures.h
+++ b/src/libtoucanrelay/engine_fixtures.h
@@ -35,7 +35,7 @@
         toCallers.emplace_back(bytes.begin(), bytes.end());
     }
     void sendTarget(byte_view bytes) override { toTarget.emplace_back(bytes.begin(), bytes.end()); }
-    void fetchConfig(const endpoint &, std::uint64_t) override { }
+    void fetchConfig(const endpoint &, const config_stamp &) override { }
 
     // Kinds and recipients of the forwarded segments since the last call; messages are left out.
     std::vector<std::pair<relay_kind, endpoint>> takePackets()
@@ -141,7 +141,7 @@
             {.name = "e1", .domain = "a", .peer = entryAddress}, codec, port, metrics, log, now)
     {
         boost::intrusive_ptr<relay_config> config(new relay_config);
-        config->revision = 1;
+        config->stamp.point.revision = 1;
         config->index[service] = 0;
         config->routes.push_back(
             {.name = "route", .address = service, .shares = {{.service = "main"}}});
--- a/src/libtoucanrelay/entry_roster.cpp
+++ b/src/libtoucanrelay/entry_roster.cpp
@@ -171,11 +171,11 @@
 }
 
 endpoint entry_roster::sourceOf(
-    std::uint64_t revision, const endpoint &teller, std::uint64_t choice, instant now) const
+    const config_stamp &stamp, const endpoint &teller, std::uint64_t choice, instant now) const
 {
     std::vector<endpoint> sources{teller};
     for (const auto &[address, peer] : m_peers) {
-        if (address != teller && peer.domain == m_domain && peer.revision >= revision
+        if (address != teller && peer.domain == m_domain && !supersedes(stamp, peer.config)
             && isHeard(peer, now))
             sources.push_back(address);
     }
--- a/src/libtoucanrelay/relay_decisions_test.cpp
+++ b/src/libtoucanrelay/relay_decisions_test.cpp
@@ -158,7 +158,7 @@
     members[2].suspectedSince = 5s;
     members[3].standing = target_standing::cold;
     const auto pointers = pointersTo(members);
-    const domains_out out{.revision = 1, .names = {}};
+    const domains_out out{.point = {.revision = 1}, .names = {}};
     const std::vector tried{members[4].address};
     const auto chosen = placeByLoad(
         pointers, {.flowHash = 7, .domain = "a", .out = out, .tried = tried, .now = 100s});
@@ -244,7 +244,7 @@
 TEST_CASE("relay packets: headers survive the wire, malformed ones are refused")
 {
     relay_header header{.kind = relay_kind::established,
-        .revision = 70000,
+        .point = {.era = 3, .revision = 70000},
         .entry = {.ip = 0x0a010203, .port = 7000},
         .serviceTag = serviceTagOf("main"),
         .search = 3,
@@ -261,7 +261,7 @@
     const auto packet = decodeRelayPacket(datagram);
     REQUIRE(packet);
     CHECK(packet->header.kind == header.kind);
-    CHECK(packet->header.revision == header.revision);
+    CHECK(packet->header.point == header.point);
     CHECK(packet->header.entry == header.entry);
     CHECK(packet->header.serviceTag == header.serviceTag);
     CHECK(packet->header.search == header.search);
--- a/src/libtoucanrelay/relay_entry.cpp
+++ b/src/libtoucanrelay/relay_entry.cpp
@@ -31,6 +31,10 @@
 // An entry that knows some members but may not know all serves from then on: callers that the
 // fabric sends to others meanwhile wait in their place.
 constexpr auto readyAnyway = 1s;
+// Neither the store nor another process gave a configuration in this time, which is longer than an
+// attempt to open a flow: an outage that has lasted so long is as likely as not to outlast the
+// next.
+constexpr auto configPatience = 2s;
 // The fabric asks each 0.5 s and needs two misses, both answered late at worst.
 constexpr auto leaveRotation = 1300ms;
 // Packets that still come show that the fabric has not noticed yet.
@@ -79,7 +83,10 @@
 void relay_entry::takeOpening(instant now, const segment &head, byte_view bytes, instant begun)
 {
     if (!m_config) {
-        park(head, bytes, begun);
+        if (isWithoutConfig(now))
+            resetFlow(now, head, "no configuration is known");
+        else
+            park(head, bytes, begun);
         return;
     }
     const auto *route = m_config->routeAt(head.destination);
@@ -105,6 +112,23 @@
         .notBefore = notBefore};
 }
 
+bool relay_entry::isWithoutConfig(instant now) const
+{
+    return !m_config && now - m_started >= configPatience;
+}
+
+// Their callers learn at once that nobody can place them, and that they have not run.
+void relay_entry::rejectParked(instant now)
+{
+    if (m_parked.empty() || !isWithoutConfig(now))
+        return;
+    for (const auto &[flow, item] : std::exchange(m_parked, {})) {
+        if (now < item.begun + attemptTime)
+            resetFlow(now, item.head, "no configuration is known");
+        m_flows.erase(flow);
+    }
+}
+
 // Those whose callers have waited least come first: they can still be answered in time.
 void relay_entry::retryParked(instant now)
 {
@@ -135,7 +159,7 @@
     const auto members
         = m_members.membersOf(route->serviceFor(hashFlow(item.head.flowFromCaller())));
     const auto canTake = [&](const relay_member *member) {
-        return takesOpenings(*member, m_domains, now) && hasCredit(*member, parkedRounds);
+        return takesOpenings(*member, m_domains.inForce(), now) && hasCredit(*member, parkedRounds);
     };
     return std::ranges::any_of(members, canTake) || !(isLearning(now) || mayBecomeReady(members));
 }
@@ -196,7 +220,7 @@
     const auto members = m_members.membersOf(service);
     placement_request request{.flowHash = hash,
         .domain = m_options.domain,
-        .out = m_domains,
+        .out = m_domains.inForce(),
         .tried = {cached.tried.data(), cached.tried.size()},
         .now = now,
         .roundsForEachReport = cached.wasParked ? parkedRounds : 0};
@@ -278,7 +302,7 @@
         flow_reset{.caller = flow.caller,
             .service = flow.service,
             .reason = std::string(reason),
-            .revision = m_config ? m_config->revision : 0,
+            .revision = stampOf(m_config).point.revision,
             .open = !head.isOpening(),
             .asked = asked,
             .known = m_members.count()});
@@ -293,7 +317,7 @@
 bool relay_entry::mayBecomeReady(std::span<relay_member *const> members) const
 {
     return std::ranges::any_of(members, [&](const relay_member *item) {
-        return !item->lost && !m_domains.contains(item->domain)
+        return !item->lost && !m_domains.inForce().contains(item->domain)
             && item->standing != target_standing::draining
             && item->standing != target_standing::gone;
     });
@@ -302,7 +326,7 @@
 relay_header relay_entry::headerFor(relay_kind kind, std::string_view service) const
 {
     return {.kind = kind,
-        .revision = m_config ? m_config->revision : 0,
+        .point = stampOf(m_config).point,
         .entry = m_options.peer,
         .serviceTag = serviceTagOf(service)};
 }
@@ -330,7 +354,7 @@
     const auto &service = route->serviceFor(hashFlow(head.flowFromCaller()));
     const placement_request request{.flowHash = hashFlow(head.flowFromCaller()),
         .domain = m_options.domain,
-        .out = m_domains,
+        .out = m_domains.inForce(),
         .tried = {cached.tried.data(), cached.tried.size()},
         .now = now};
     // One more round with others; then every target that could be asked has said no.
@@ -353,9 +377,11 @@
 
 void relay_entry::onTick(instant now)
 {
+    tendStoreState(now);
     tendPeers(now);
     for (const auto &change : m_members.onTick(now))
         logMember(now, change);
+    rejectParked(now);
     retryParked(now);
     retryWaitingSearches(now);
     tendSearches(now);
@@ -390,9 +416,10 @@
     m_metrics.numberOf("toucan_members").set(m_members.aliveCount());
     m_metrics.numberOf("toucan_members_lost").set(m_members.count() - m_members.aliveCount());
     m_metrics.numberOf("toucan_oldest_report_ms").set(milliseconds(oldest));
-    m_metrics.numberOf("toucan_config_revision").set(m_config ? m_config->revision : 0);
+    m_metrics.numberOf("toucan_config_revision").set(stampOf(m_config).point.revision);
     m_metrics.numberOf("toucan_config_age_ms").set(m_config ? milliseconds(now - m_configAt) : 0);
-    m_metrics.numberOf("toucan_domains_revision").set(m_domains.revision);
+    m_metrics.numberOf("toucan_domains_revision").set(m_domains.inForce().point.revision);
+    m_metrics.numberOf("toucan_store_era").set(m_domains.inForce().point.era);
 }
 
 bool relay_entry::isReady(instant now) const
@@ -438,8 +465,8 @@
             .load = target ? target->expectedLoad() : 0,
             .loadAgeMs = static_cast<std::uint64_t>(age),
             .eligible = eligible,
-            .revision = m_config ? m_config->revision : 0,
-            .domainsRevision = m_domains.revision});
+            .revision = stampOf(m_config).point.revision,
+            .domainsRevision = m_domains.inForce().point.revision});
 }
 
 } // namespace toucan
--- a/src/libtoucanrelay/relay_entry_digests.cpp
+++ b/src/libtoucanrelay/relay_entry_digests.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <toucan/relay_entry.h>
+#include <toucan/told_state.h>
 
 namespace toucan {
 namespace {
@@ -26,14 +27,13 @@
 constexpr int learningIntervals = 2;
 } // namespace
 
-digest_origin relay_entry::originOf() const
+digest_origin relay_entry::originOf(instant now) const
 {
     return {.address = m_options.peer,
         .domain = m_options.domain,
         .boot = m_options.boot,
-        .revision = m_config ? m_config->revision : 0,
-        .domainsRevision = m_domains.revision,
-        .domainsOut = m_domains.names};
+        .config = stampOf(m_config),
+        .domains = m_domains.listed(now)};
 }
 
 // Failure domains whose members this entry tells others of: its own when it is a delegate, and
@@ -61,8 +61,8 @@
     m_lastDigests = now;
     m_digestDue = instant::max();
     for (const auto &domain : vouchedDomains(now)) {
-        const auto pages
-            = m_digests.make(now, m_members, domain, originOf(), knowsDomain(domain, now), false);
+        const auto pages = m_digests.make(
+            now, m_members, domain, originOf(now), knowsDomain(domain, now), false);
         std::vector<endpoint> recipients;
         for (const auto &other : m_roster.otherDomains()) {
             const auto delegates = m_roster.delegatesOf(other, now);
@@ -83,7 +83,7 @@
 void relay_entry::sendWholeDigest(instant now, const endpoint &to, std::string_view domain)
 {
     for (const auto &page :
-        m_digests.make(now, m_members, domain, originOf(), knowsDomain(domain, now), true))
+        m_digests.make(now, m_members, domain, originOf(now), knowsDomain(domain, now), true))
         send(to, page);
 }
 
@@ -121,8 +121,8 @@
     const auto outcome = m_digests.apply(now, m_members, message);
     if (!outcome.isNew)
         return;
-    noteRevision(now, from, message.revision);
-    onDomains(now, {.revision = message.domainsRevision, .names = message.domainsOut}, "entry");
+    noteConfig(now, from, toldStamp(message));
+    onDomains(now, toldDomains(message), "entry");
     // Delegates hear of other domains first and tell the entries of their own.
     if (from == message.origin && message.originDomain != m_options.domain && !message.whole) {
         const auto bytes = encodeRelayMessage(message);
--- a/src/libtoucanrelay/relay_entry_peers.cpp
+++ b/src/libtoucanrelay/relay_entry_peers.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <toucan/relay_entry.h>
+#include <toucan/told_state.h>
 
 namespace toucan {
 namespace {
@@ -64,9 +65,8 @@
         m_memberAddedAt = now;
     if (change)
         noteMembers(now, std::span(&*change, 1));
-    noteRevision(now, from, message.copyRevision);
-    onDomains(
-        now, {.revision = message.domainsRevision, .names = message.domainsOut}, "target process");
+    noteConfig(now, from, toldStamp(message));
+    onDomains(now, toldDomains(message), "target process");
     const auto *member = m_members.at(from);
     if (message.wantsNotice && member)
         tellMember(now, *member);
@@ -102,14 +102,14 @@
         return;
     hearEntry(now, {.address = from, .domain = message.domain}, message.name);
     auto *peer = m_roster.at(from);
-    peer->revision = message.revision;
+    peer->config = toldStamp(message);
     peer->store = message.store <= static_cast<std::uint64_t>(store_standing::lost)
         ? static_cast<store_standing>(message.store)
         : store_standing::not_asked;
     if (message.leaving)
         m_roster.leave(now, from);
-    noteRevision(now, from, message.revision);
-    onDomains(now, {.revision = message.domainsRevision, .names = message.domainsOut}, "entry");
+    noteConfig(now, from, toldStamp(message));
+    onDomains(now, toldDomains(message), "entry");
     onEntries(now, message.entries);
     if (message.wantsMembers)
         introduce(now, from);
@@ -120,13 +120,12 @@
     }
 }
 
-void relay_entry::noteRevision(instant now, const endpoint &from, std::uint64_t revision)
+void relay_entry::noteConfig(instant now, const endpoint &from, const config_stamp &stamp)
 {
-    const auto have = m_config ? m_config->revision : 0;
-    if (revision <= have || now - m_lastFetch < fetchInterval)
+    if (!supersedes(stamp, stampOf(m_config)) || now - m_lastFetch < fetchInterval)
         return;
     m_lastFetch = now;
-    m_port.fetchConfig(m_roster.sourceOf(revision, from, m_options.boot, now), revision);
+    m_port.fetchConfig(m_roster.sourceOf(stamp, from, m_options.boot, now), stamp);
 }
 
 void relay_entry::onEntries(instant now, std::span<const entry_place> entries)
@@ -160,8 +159,25 @@
 
 void relay_entry::onConfig(instant now, const relay_config_ptr &config, std::string_view source)
 {
-    if (m_config && config->revision <= m_config->revision)
+    switch (m_choice.offer(now, config)) {
+    case config_offer::ignored:
         return;
+    case config_offer::deferred:
+        logDeferred(now);
+        return;
+    case config_offer::confirmed:
+        m_config = config;
+        m_lastNotices = {};
+        m_digestDue = now;
+        return;
+    case config_offer::in_force:
+        useConfig(now, config, source);
+        return;
+    }
+}
+
+void relay_entry::useConfig(instant now, const relay_config_ptr &config, std::string_view source)
+{
     std::size_t dropped = 0;
     if (m_config) {
         for (const auto &route : m_config->routes) {
@@ -179,8 +195,9 @@
     for (const auto &fault : config->faults)
         faults += (faults.empty() ? "" : "; ") + fault;
     m_log.write(now,
-        configuration_changed{.revision = config->revision,
-            .version = config->version,
+        configuration_changed{.era = config->stamp.point.era,
+            .revision = config->stamp.point.revision,
+            .version = config->stamp.version,
             .source = std::string(source),
             .routes = config->routes.size(),
             .dropped = dropped,
@@ -192,15 +209,13 @@
 
 void relay_entry::onDomains(instant now, const domains_out &domains, std::string_view source)
 {
-    if (domains.revision <= m_domains.revision)
-        return;
-    const bool changed = domains.names != m_domains.names;
-    m_domains = domains;
-    if (!changed)
-        return;
-    m_log.write(now,
-        domains_changed{
-            .revision = domains.revision, .source = std::string(source), .out = domains.names});
+    if (m_domains.apply(now, domains))
+        noteDomains(now, source);
+}
+
+void relay_entry::noteDomains(instant now, std::string_view source)
+{
+    m_log.write(now, domainsLine(m_domains, source));
     // Target processes refuse openings by this; they are told at once.
     m_members.forEach([&](const relay_member &item) {
         if (item.isFirstHand(now))
@@ -219,16 +234,35 @@
     return before < copiesPerDomain;
 }
 
-entry_notice relay_entry::makeNotice(instant) const
+// What the store's return from an older copy left open is decided once its era has settled.
+void relay_entry::tendStoreState(instant now)
+{
+    if (m_choice.onTick(now))
+        useConfig(now, m_choice.inForce(), "settled");
+    if (m_domains.onTick(now))
+        noteDomains(now, "settled");
+}
+
+void relay_entry::logDeferred(instant now)
+{
+    const auto &stamp = m_choice.deferred()->stamp;
+    m_log.write(now,
+        configuration_deferred{.era = stamp.point.era,
+            .revision = stamp.point.revision,
+            .version = stamp.version,
+            .kept = m_config->stamp.version,
+            .settlesInMs = static_cast<std::uint64_t>(restoreSettleTime.count())});
+}
+
+entry_notice relay_entry::makeNotice(instant now) const
 {
-    return {.name = m_options.name,
+    entry_notice notice{.name = m_options.name,
         .domain = m_options.domain,
         .boot = m_options.boot,
-        .revision = m_config ? m_config->revision : 0,
-        .domainsRevision = m_domains.revision,
-        .domainsOut = m_domains.names,
         .leaving = m_leavingSince.has_value(),
         .store = static_cast<std::uint64_t>(m_store)};
+    tellState(notice, stampOf(m_config), m_domains.listed(now));
+    return notice;
 }
 
 void relay_entry::send(const endpoint &to, const relay_message &message)
--- a/src/libtoucanrelay/relay_entry_test.cpp
+++ b/src/libtoucanrelay/relay_entry_test.cpp
@@ -120,20 +120,20 @@
 {
     entry_fixture fleet;
     fleet.report(reportOf("t1", target_standing::ready, 0));
-    fleet.engine.onDomains(fleet.now, {.revision = 5, .names = {"b"}}, "test");
+    fleet.engine.onDomains(fleet.now, {.point = {.revision = 5}, .names = {"b"}}, "test");
     boost::intrusive_ptr<relay_config> newer(new relay_config);
-    newer->revision = 7;
+    newer->stamp.point.revision = 7;
     newer->index[service] = 0;
     newer->routes.push_back({.name = "r", .address = service, .shares = {{.service = "main"}}});
     fleet.engine.onConfig(fleet.now, newer, "test");
     boost::intrusive_ptr<relay_config> older(new relay_config);
-    older->revision = 6;
+    older->stamp.point.revision = 6;
     fleet.engine.onConfig(fleet.now, older, "test");
-    fleet.engine.onDomains(fleet.now, {.revision = 4, .names = {"a"}}, "test");
+    fleet.engine.onDomains(fleet.now, {.point = {.revision = 4}, .names = {"a"}}, "test");
     auto late = reportOf("t1", target_standing::draining, 0);
     late.order = 0;
     fleet.report(late);
-    CHECK(fleet.engine.config()->revision == 7);
+    CHECK(fleet.engine.config()->stamp.point.revision == 7);
     CHECK(fleet.engine.domains().names == std::vector<std::string>{"b"});
     fleet.port = {};
     auto bytes = fleet.codec.encode(opening, {});
@@ -147,7 +147,7 @@
     entry_fixture fleet;
     fleet.report(reportOf("t1", target_standing::ready, 0));
     fleet.port = {};
-    fleet.engine.onDomains(fleet.now, {.revision = 5, .names = {"b"}}, "test");
+    fleet.engine.onDomains(fleet.now, {.point = {.revision = 5}, .names = {"b"}}, "test");
     const auto told = std::ranges::count_if(fleet.port.toPeers, [](const auto &sent) {
         const auto message = decodeRelayMessage(sent.second);
         const auto *value = valueOf(message);
--- a/src/libtoucanrelay/relay_packet.cpp
+++ b/src/libtoucanrelay/relay_packet.cpp
@@ -65,7 +65,7 @@
         size += cbor_encode_uint(value, out.data() + size, out.size() - size);
     };
     append(static_cast<std::uint64_t>(header.kind));
-    append(header.revision);
+    append(packPoint(header.point));
     append(packEndpoint(header.entry));
     append(header.serviceTag);
     append(header.search);
@@ -99,7 +99,7 @@
         || numbers[0] > static_cast<std::uint64_t>(relay_kind::not_found))
         return std::nullopt;
     relay_packet packet{.header = {.kind = static_cast<relay_kind>(numbers[0]),
-                            .revision = numbers[1],
+                            .point = unpackPoint(numbers[1]),
                             .entry = unpackEndpoint(numbers[2]),
                             .serviceTag = numbers[3],
                             .search = numbers[4],
--- a/src/libtoucanrelay/relay_target.cpp
+++ b/src/libtoucanrelay/relay_target.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <toucan/relay_target.h>
+#include <toucan/told_state.h>
 
 namespace toucan {
 namespace {
@@ -107,7 +108,7 @@
     item = {.entry = header.entry,
         .candidates = header.candidates,
         .serviceTag = header.serviceTag,
-        .revision = header.revision,
+        .point = header.point,
         .opening = byte_buffer(bytes.begin(), bytes.end()),
         .opened = now,
         .lastPacket = now};
@@ -118,9 +119,12 @@
 
 opening_verdict relay_target::judge(instant now, const relay_header &header)
 {
-    const bool stale = header.revision < m_revision && now - m_revisionAt > staleRouteLimit;
+    // Points of different eras say nothing of each other's configurations.
+    const auto &newest = m_newest.point;
+    const bool stale = header.point.era == newest.era && header.point < newest
+        && now - m_newestAt > staleRouteLimit;
     return judgeOpening({.standing = standing(now),
-        .domainOut = m_domains.contains(m_options.domain),
+        .domainOut = m_domains.inForce().contains(m_options.domain),
         .serviceMatches = header.serviceTag == serviceTagOf(service()),
         .routeStale = stale,
         .silent = isSilent(now),
@@ -171,7 +175,7 @@
     if (item.state == flow_state::probing) {
         item.candidates = header.candidates;
         item.serviceTag = header.serviceTag;
-        item.revision = header.revision;
+        item.point = header.point;
         item.search = header.search;
         item.doubtful = header.doubtful;
         item.callerAcknowledged = head.acknowledged;
@@ -227,7 +231,7 @@
 relay_header relay_target::headerOf(const flow &item)
 {
     return {.kind = relay_kind::established,
-        .revision = item.revision,
+        .point = item.point,
         .entry = item.entry,
         .serviceTag = item.serviceTag,
         .search = item.search,
@@ -303,6 +307,8 @@
 
 void relay_target::onTick(instant now)
 {
+    if (m_domains.onTick(now))
+        m_log.write(now, domainsLine(m_domains, "settled"));
     checkUnanswered(now);
     sweepExpected(now);
     passOnProbes(now);
@@ -317,8 +323,9 @@
         m_metrics.numberOf("toucan_requests_waiting").set(m_waiting);
         m_metrics.numberOf("toucan_openings_waiting").set(m_queue.size());
         m_metrics.numberOf("toucan_standing").set(static_cast<std::uint64_t>(standing(now)));
-        m_metrics.numberOf("toucan_config_revision").set(m_revision);
-        m_metrics.numberOf("toucan_domains_revision").set(m_domains.revision);
+        m_metrics.numberOf("toucan_config_revision").set(m_newest.point.revision);
+        m_metrics.numberOf("toucan_domains_revision").set(m_domains.inForce().point.revision);
+        m_metrics.numberOf("toucan_store_era").set(m_domains.inForce().point.era);
         std::erase_if(m_entries, [&](const auto &item) {
             const bool isSeed
                 = std::ranges::find(m_options.seeds, item.first) != m_options.seeds.end();
@@ -373,8 +380,8 @@
             .target = m_options.name,
             .load = occupied() + m_queue.size(),
             .eligible = m_flows.size(),
-            .revision = m_revision,
-            .domainsRevision = m_domains.revision});
+            .revision = m_newest.point.revision,
+            .domainsRevision = m_domains.inForce().point.revision});
 }
 
 } // namespace toucan
--- a/src/libtoucanrelay/relay_target_answers.cpp
+++ b/src/libtoucanrelay/relay_target_answers.cpp
@@ -132,7 +132,7 @@
 void relay_target::offerElsewhere(flow &item, byte_view opening)
 {
     const relay_header header{.kind = relay_kind::opening,
-        .revision = item.revision,
+        .point = item.point,
         .entry = item.entry,
         .serviceTag = item.serviceTag,
         .candidates = item.candidates};
--- a/src/libtoucanrelay/relay_target_entries.cpp
+++ b/src/libtoucanrelay/relay_target_entries.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <toucan/ranking.h>
 #include <toucan/relay_target.h>
+#include <toucan/told_state.h>
 
 namespace toucan {
 namespace {
@@ -73,27 +74,21 @@
                 .state = "regained",
                 .reason = "its notice came"});
     entry.heard = now;
-    if (message.revision > m_revision) {
-        m_revision = message.revision;
-        m_revisionAt = now;
-    }
-    if (message.domainsRevision > m_domains.revision) {
-        const bool changed = message.domainsOut != m_domains.names;
-        m_domains = {.revision = message.domainsRevision, .names = message.domainsOut};
-        if (changed)
-            m_log.write(now,
-                domains_changed{.revision = m_domains.revision,
-                    .source = message.name,
-                    .out = m_domains.names});
+    const auto told = toldStamp(message);
+    if (supersedes(told, m_newest)) {
+        m_newest = told;
+        m_newestAt = now;
     }
+    if (m_domains.apply(now, toldDomains(message)))
+        m_log.write(now, domainsLine(m_domains, message.name));
     for (const auto &bounds : message.bounds) {
         if (bounds.service == service())
             m_bounds = bounds;
     }
-    if (message.keepsCopy && message.revision > m_copyRevision
+    if (message.keepsCopy && supersedes(told, m_copy)
         && now - m_lastCopyFetch >= copyFetchInterval) {
         m_lastCopyFetch = now;
-        m_port.fetchConfig(from, message.revision);
+        m_port.fetchConfig(from, told);
     }
     onEntries(now, message.entries);
     if (isNew) {
@@ -175,10 +170,8 @@
             + m_failures.penalty(now),
         .openRate = coldLimit(),
         .leaving = m_leaving,
-        .intervalMs = static_cast<std::uint64_t>(interval.count()),
-        .copyRevision = m_copyRevision,
-        .domainsRevision = m_domains.revision,
-        .domainsOut = m_domains.names};
+        .intervalMs = static_cast<std::uint64_t>(interval.count())};
+    tellState(report, m_copy, m_domains.listed(now));
     for (const auto &address : recipients) {
         auto &entry = m_entries[address];
         if (!atOnce && now - entry.reported < interval)
--- a/src/libtoucanrelay/relay_target_lifetime.cpp
+++ b/src/libtoucanrelay/relay_target_lifetime.cpp
@@ -80,7 +80,7 @@
             flow_reset{.caller = key.caller,
                 .service = key.service,
                 .reason = std::string(reason),
-                .revision = m_revision,
+                .revision = m_newest.point.revision,
                 .open = true});
         m_port.sendCaller(key.caller, makeReset(m_codec, key, item.callerAcknowledged));
     }
--- a/src/toucanbridge/entry_relay_server.cpp
+++ b/src/toucanbridge/entry_relay_server.cpp
@@ -60,26 +60,16 @@
         m_settings.platformHistory - historyReserve, 1s, longestWatch);
     m_configFollower = std::make_unique<store_follower>(
         store, std::string(kinds.config),
-        [this](std::uint64_t, const store_follower::snapshot &objects) {
+        [this](const store_point &point, const store_follower::snapshot &objects) {
             const auto found = objects.find(std::string(m_adapter.kinds.configName));
-            const auto known = m_shelf.get();
-            if (found == objects.end() || (known && known->revision >= found->second.version))
-                return;
-            const auto read
-                = m_adapter.readConfig(found->second.version, found->second.body.dump());
-            if (const auto *config = valueOf(read))
-                takeConfig(*config, "store");
-            else
-                m_log.write(monotonicNow(),
-                    configuration_changed{.revision = found->second.version,
-                        .source = "store",
-                        .faults = errorOf(read)->detail});
+            if (found != objects.end())
+                readConfig({.era = point.era, .revision = found->second.version}, found->second);
         },
         watchTime);
     m_domainsFollower = std::make_unique<store_follower>(
         store, std::string(kinds.domainsOut),
-        [this](std::uint64_t revision, const store_follower::snapshot &objects) {
-            domains_out domains{.revision = revision};
+        [this](const store_point &point, const store_follower::snapshot &objects) {
+            domains_out domains{.point = point};
             for (const auto &[name, object] : objects)
                 domains.names.push_back(name);
             m_mailbox.put(domains_event{std::move(domains)});
@@ -95,9 +85,25 @@
         });
 }
 
+// The follower tells of each change of the kind, also when the configuration is none of them.
+void entry_relay_server::readConfig(const store_point &point, const stored_object &object)
+{
+    const auto known = stampOf(m_shelf.get()).point;
+    if (point.era == known.era && point.revision <= known.revision)
+        return;
+    const auto read = m_adapter.readConfig(point, object.body.dump());
+    if (const auto *config = valueOf(read))
+        takeConfig(*config, "store");
+    else
+        m_log.write(monotonicNow(),
+            configuration_changed{.era = point.era,
+                .revision = point.revision,
+                .source = "store",
+                .faults = errorOf(read)->detail});
+}
+
 void entry_relay_server::takeConfig(const relay_config_ptr &config, std::string source)
 {
-    m_shelf.put(config);
     m_mailbox.put(config_event{.config = config, .source = std::move(source)});
 }
 
@@ -127,6 +133,8 @@
         for (const auto &event : m_mailbox.take())
             std::visit([&](const auto &item) { handle(now, item); }, event);
         m_engine.onTick(now);
+        if (const auto &config = m_engine.config())
+            m_shelf.put(config);
         tendStore(now);
         m_ready = m_engine.isReady(now);
         if (m_ready)
@@ -162,6 +170,7 @@
 // Tells the directory who answers while it asks.
 void entry_relay_server::tendDirectory(instant now)
 {
+    m_registration->noteEra(std::max(m_storeEra.current(), m_engine.domains().point.era));
     if (!m_registration->isAsking() || now - m_lastHeardNote < heardNoteInterval)
         return;
     m_lastHeardNote = now;
@@ -178,10 +187,10 @@
             {"flows", item.flows}, {"load", item.load}});
     });
     return {{"name", m_settings.name}, {"role", "entry"}, {"domain", m_settings.domain},
-        {"version", config ? config->revision : 0}, {"configuration", config ? config->version : 0},
-        {"state", m_ready ? "ready" : "not ready"}, {"flows", m_engine.flowCount()},
-        {"entries", m_engine.heardEntries(now).size()}, {"domainsOut", m_engine.domains().names},
-        {"members", std::move(members)}};
+        {"era", stampOf(config).point.era}, {"version", stampOf(config).point.revision},
+        {"configuration", stampOf(config).version}, {"state", m_ready ? "ready" : "not ready"},
+        {"flows", m_engine.flowCount()}, {"entries", m_engine.heardEntries(now).size()},
+        {"domainsOut", m_engine.domains().names}, {"members", std::move(members)}};
 }
 
 void entry_relay_server::handle(instant now, const status_request &event)
--- a/src/toucanbridge/entry_relay_server.h
+++ b/src/toucanbridge/entry_relay_server.h
@@ -21,6 +21,7 @@
     void sendTarget(byte_view bytes) override;
 
     void startStore();
+    void readConfig(const store_point &point, const stored_object &object);
     void takeConfig(const relay_config_ptr &config, std::string source);
     http_response answer(const platform_question &question) const;
     void loop();
--- a/src/toucanbridge/status_command.cpp
+++ b/src/toucanbridge/status_command.cpp
@@ -5,6 +5,7 @@
 #include <platform/adapter.h>
 #include <thread>
 #include <toucan/fleet_status.h>
+#include <toucan/store_point.h>
 
 namespace toucan {
 namespace {
@@ -16,10 +17,19 @@
 constexpr auto nodeTimeout = 700ms;
 constexpr auto pollInterval = 200ms;
 
+// The revision, behind the era of the store where it states one.
+std::string versionText(std::uint64_t version)
+{
+    const auto point = unpackPoint(version);
+    const auto revision = std::to_string(point.revision);
+    return point.era == 0 ? revision : std::to_string(point.era) + ':' + revision;
+}
+
 json toJson(const node_status &node, std::uint64_t newest)
 {
     return {{"name", node.name}, {"role", node.role}, {"domain", node.domain},
-        {"reachable", node.reachable}, {"version", node.version}, {"state", node.state},
+        {"reachable", node.reachable}, {"era", unpackPoint(node.version).era},
+        {"version", unpackPoint(node.version).revision}, {"state", node.state},
         {"inForce", node.reachable && node.version >= newest}, {"detail", node.detail}};
 }
 
@@ -29,7 +39,7 @@
         : node.version >= newest          ? "in force"
                                           : "lags";
     std::cout << fmt::format("{:<16} {:<7} {:<12} {:>8} {:<11} {}\n", node.name, node.role,
-        node.domain, node.version, standing, node.state);
+        node.domain, versionText(node.version), standing, node.state);
 }
 
 json toJson(const seen_target &target)
@@ -72,15 +82,17 @@
 {
     const auto late = fleet.lagging(fleet.version);
     if (options.asJson) {
-        json line{{"version", fleet.version}, {"nodes", json::array()}, {"lagging", late.size()}};
+        json line{{"era", unpackPoint(fleet.version).era},
+            {"version", unpackPoint(fleet.version).revision}, {"nodes", json::array()},
+            {"lagging", late.size()}};
         for (const auto &node : fleet.nodes)
             line["nodes"].push_back(toJson(node, fleet.version));
         for (const auto &target : targets)
             line["targets"].push_back(toJson(target));
         std::cout << line << '\n';
     } else {
-        std::cout << fmt::format("version {} in force on {} of {} nodes\n", fleet.version,
-            fleet.nodes.size() - late.size(), fleet.nodes.size());
+        std::cout << fmt::format("version {} in force on {} of {} nodes\n",
+            versionText(fleet.version), fleet.nodes.size() - late.size(), fleet.nodes.size());
         for (const auto &node : fleet.nodes)
             printNode(node, fleet.version);
         for (const auto &target : targets)
@@ -122,18 +134,19 @@
             const auto late = fleet->lagging(version);
             if (late.empty()) {
                 if (options.asJson)
-                    std::cout << json{{"result", "in-force"}, {"version", version},
-                        {"nodes", fleet->nodes.size()}, {"elapsedMs", elapsed.count()}}
+                    std::cout << json{{"result", "in-force"},
+                        {"version", unpackPoint(version).revision}, {"nodes", fleet->nodes.size()},
+                        {"elapsedMs", elapsed.count()}}
                               << '\n';
                 else
                     std::cout << fmt::format("in force: version {} on all {} nodes after {} ms\n",
-                        version, fleet->nodes.size(), elapsed.count());
+                        versionText(version), fleet->nodes.size(), elapsed.count());
                 return 0;
             }
             where = "not on:";
             for (const auto *node : late)
                 where += ' ' + node->name
-                    + (node->reachable ? " (version " + std::to_string(node->version) + ')'
+                    + (node->reachable ? " (version " + versionText(node->version) + ')'
                                        : " (unreachable)");
         }
         if (elapsed >= options.wait)
--- a/src/toucanlab/main.cpp
+++ b/src/toucanlab/main.cpp
@@ -27,13 +27,14 @@
         cxxopts::value<std::size_t>()->default_value("2"))("cold-ms", "target: time until warm, ms",
         cxxopts::value<std::int64_t>()->default_value("3000"))("service-ms",
         "target: mean time for a request, ms", cxxopts::value<std::int64_t>()->default_value("20"))(
-        "health-lies", "target: the health endpoint always says ready")("log",
-        "target: log of requests run",
-        cxxopts::value<std::string>()->default_value(""))("seed", "seed of all random choices",
-        cxxopts::value<std::uint64_t>()->default_value("1"))("count", "soak: number of seeds",
-        cxxopts::value<std::uint64_t>()->default_value("1"))("entries", "soak: number of entries",
-        cxxopts::value<std::size_t>()->default_value("4"))("targets", "soak: number of targets",
-        cxxopts::value<std::size_t>()->default_value("8"))("help", "print this help");
+        "health-lies", "target: the health endpoint always says ready")(
+        "log", "target: log of requests run", cxxopts::value<std::string>()->default_value(""))(
+        "seed", "seed of all random choices", cxxopts::value<std::uint64_t>()->default_value("1"))(
+        "count", "soak: number of seeds", cxxopts::value<std::uint64_t>()->default_value("1"))(
+        "entries", "soak: number of entries", cxxopts::value<std::size_t>()->default_value("4"))(
+        "targets", "soak: number of targets", cxxopts::value<std::size_t>()->default_value("8"))(
+        "restores", "soak: among the faults, the store comes back from an older copy")(
+        "help", "print this help");
     parser.parse_positional({"command"});
     try {
         const auto given = parser.parse(argc, argv);
@@ -49,7 +50,8 @@
             return toucan::lab::runSoaks({.programs = given["programs"].as<std::string>(),
                                              .seed = given["seed"].as<std::uint64_t>(),
                                              .entries = given["entries"].as<std::size_t>(),
-                                             .targets = given["targets"].as<std::size_t>()},
+                                             .targets = given["targets"].as<std::size_t>(),
+                                             .restores = given.count("restores") != 0},
                 given["count"].as<std::uint64_t>());
         if (const auto status = toucan::lab::runStandIn(command, given))
             return *status;
--- a/src/toucantarget/target_relay_server.cpp
+++ b/src/toucantarget/target_relay_server.cpp
@@ -127,10 +127,12 @@
 
 void target_relay_server::handle(instant now, const config_event &event)
 {
-    m_engine.setCopyRevision(event.config->revision);
+    const auto &stamp = event.config->stamp;
+    m_engine.setCopy(stampOf(m_shelf.get()));
     m_log.write(now,
-        configuration_changed{.revision = event.config->revision,
-            .version = event.config->version,
+        configuration_changed{.era = stamp.point.era,
+            .revision = stamp.point.revision,
+            .version = stamp.version,
             .source = event.source,
             .routes = event.config->routes.size()});
 }
@@ -148,10 +150,10 @@
 void target_relay_server::handle(instant now, const status_request &event)
 {
     const auto copy = m_shelf.get();
-    event.answer->set_value(
-        {{"name", m_settings.name}, {"role", "target"}, {"domain", m_settings.domain},
-            {"version", copy ? copy->revision : 0}, {"state", toString(m_engine.standing(now))},
-            {"service", m_engine.service()}, {"flows", m_engine.flowCount()}});
+    event.answer->set_value({{"name", m_settings.name}, {"role", "target"},
+        {"domain", m_settings.domain}, {"version", stampOf(copy).point.revision},
+        {"era", stampOf(copy).point.era}, {"state", toString(m_engine.standing(now))},
+        {"service", m_engine.service()}, {"flows", m_engine.flowCount()}});
 }
 
 void target_relay_server::handle(instant now, const target_liveness &event)
--- a/testsuite/relay_program_test.cpp
+++ b/testsuite/relay_program_test.cpp
@@ -83,7 +83,7 @@
     void publishConfig(std::uint64_t version)
     {
         relay_config config;
-        config.version = version;
+        config.stamp.version = version;
         config.routes = {{.name = "r1",
             .address = {.ip = 0xc6120001, .port = 443},
             .shares = {{.service = "first"}}}};
@@ -305,3 +305,37 @@
     CHECK(waitFor([&] { return reloaded()["atNextStart"] == json{"vm.name"}; }, 5s));
     CHECK(deployment.process("entry-1").isRunning());
 }
+
+TEST_CASE("relay: store restored, a configuration with a lower revision is in force on all entries")
+{
+    relay_deployment deployment;
+    startSmall(deployment);
+    const auto versions = [&] {
+        const auto outcome = deployment.run({"status", "--relay", "--output", "json"});
+        const auto line = json::parse(outcome.output, nullptr, false);
+        std::vector<std::uint64_t> list;
+        for (const auto &node : line.is_object() ? line["nodes"] : json::array())
+            list.push_back(node["detail"].value("configuration", std::uint64_t{0}));
+        return list;
+    };
+    const auto areAll = [&](std::uint64_t version) {
+        return versions() == std::vector<std::uint64_t>{version, version};
+    };
+    REQUIRE(waitFor([&] { return areAll(1); }, 10s));
+    std::this_thread::sleep_for(100ms);
+    for (std::uint64_t version = 2; version < 10; ++version)
+        deployment.publishConfig(version);
+    REQUIRE(waitFor([&] { return areAll(9); }, 4s));
+    deployment.store().restore(10s);
+    deployment.publishConfig(1);
+    // The entries' records are there again, and nothing went back.
+    CHECK(waitFor([&] { return areAll(9); }, 2s));
+    std::this_thread::sleep_for(1s);
+    CHECK(areAll(9));
+    CHECK(deployment.newestLine("entry-1", "configuration_changed").value("version", 0) == 9);
+    deployment.publishConfig(10);
+    CHECK(waitFor([&] { return areAll(10); }, 4s));
+    CHECK(deployment.newestLine("entry-1", "store_era_changed").value("after", 0) == 2);
+    CHECK(deployment.newestLine("entry-1", "directory_record_checked").value("outcome", "")
+        == "written again");
+}
--- a/testsuite/relay_soak_test.cpp
+++ b/testsuite/relay_soak_test.cpp
@@ -14,9 +14,10 @@
     return text;
 }
 
-void soakWith(std::uint64_t seed)
+void soakWith(std::uint64_t seed, bool restores = false)
 {
-    relay_soak soak({.programs = TOUCAN_PROGRAMS, .seed = seed, .faultTime = 12s});
+    relay_soak soak(
+        {.programs = TOUCAN_PROGRAMS, .seed = seed, .faultTime = 12s, .restores = restores});
     const auto result = soak.run();
     INFO("seed " << seed << ", logs in " << result.logs.string()
                  << ", faults:" << listOf(result.faults));
@@ -44,3 +45,8 @@
 {
     soakWith(2052);
 }
+
+TEST_CASE("soak: the rules are kept while the store comes back from older copies")
+{
+    soakWith(20261205, true);
+}
