Let no old digest take a member's new address away

Test first, failed before: "digest: an old page does not take a member's new address away". Now what was heard later stays.

--- a/src/libtoucanrelay/digest_book_test.cpp
+++ b/src/libtoucanrelay/digest_book_test.cpp
@@ -231,3 +231,19 @@
     CHECK_FALSE(domain.tell(old).isNew);
     CHECK(domain.far.at(addressOf(0))->standing == target_standing::draining);
 }
+
+TEST_CASE("digest: an old page does not take a member's new address away")
+{
+    told_domain fleet(1);
+    const endpoint newAddress = addressOf(70);
+    fleet.far.apply(fleet.now, newAddress, reportOf(0, 1, target_standing::ready, 2));
+    fleet.far.apply(fleet.now, "b",
+        {.name = "t0",
+            .service = "main",
+            .address = addressOf(0),
+            .boot = 1,
+            .order = 5,
+            .silentMs = 3000});
+    CHECK(fleet.far.at(newAddress));
+    CHECK(fleet.far.count() == 1);
+}
--- a/src/libtoucanrelay/relay_members.cpp
+++ b/src/libtoucanrelay/relay_members.cpp
@@ -182,6 +182,10 @@
         return std::nullopt;
     if (same && state.order == known->order && known->isFirstHand(now) && !known->lost)
         return std::nullopt;
+    // A VM that came back at another address has been heard there since.
+    const auto *elsewhere = known ? nullptr : find(state.name);
+    if (elsewhere && elsewhere->heard > heard)
+        return std::nullopt;
     auto *item = place(state.address, state.name);
     if (!same)
         item->reportedAt = {};
