Ask a target whose report is late after its process was restarted

An entry that knew the owner reset the flow at once.

Now the process goes on asking the target with the segment until three reports could have come (4 s). Test first, failed before: "target process: one that was restarted denies no flow while its target's reports are late".

--- a/src/include/toucan/relay_target.h
+++ b/src/include/toucan/relay_target.h
@@ -151,6 +151,7 @@
     void endLifetime(instant now, instant lastHeard, std::string_view reason);
     void resetFlow(instant now, flow_map::iterator place, std::string_view reason);
     bool knowsAllFlows(instant now) const;
+    bool runsNowhere(instant now) const;
     bool isSilent(instant now);
     void checkUnanswered(instant now);
     void sweepFlows(instant now);
--- a/src/libtoucanrelay/relay_target.cpp
+++ b/src/libtoucanrelay/relay_target.cpp
@@ -214,7 +214,9 @@
             || found->second.opening.empty())
             continue;
         // Targets need not acknowledge at once, so their silence is no word against the flow.
-        found->second.doubtful = true;
+        // One that neither reports nor answers does not run.
+        if (standing(now) != target_standing::gone)
+            found->second.doubtful = true;
         passOnProbe(found);
     }
     m_probes.erase(m_probes.begin(), firstRecent);
@@ -255,7 +257,7 @@
     if (found != m_flows.end() && found->second.state != flow_state::probing)
         return isMine(found->second, acknowledged) ? flow_knowledge::held
                                                    : flow_knowledge::not_held;
-    const bool isCertain = knowsAllFlows(now) || standing(now) == target_standing::gone;
+    const bool isCertain = knowsAllFlows(now) || runsNowhere(now);
     return isCertain ? flow_knowledge::not_held : flow_knowledge::unknown;
 }
 
--- a/src/libtoucanrelay/relay_target_lifetime.cpp
+++ b/src/libtoucanrelay/relay_target_lifetime.cpp
@@ -116,6 +116,13 @@
     return static_cast<std::uint64_t>(std::max(1.0, std::min(rate, hard)));
 }
 
+// Until three reports can have come, one that has not reported may run: it is asked.
+bool relay_target::runsNowhere(instant now) const
+{
+    return standing(now) == target_standing::gone
+        && (m_liveness.latest() || now - m_started >= targetSilence);
+}
+
 bool relay_target::knowsAllFlows(instant now) const
 {
     return m_knowsAllFlows || now - m_started > m_options.flowLifetime;
--- a/src/libtoucanrelay/relay_target_test.cpp
+++ b/src/libtoucanrelay/relay_target_test.cpp
@@ -206,3 +206,25 @@
         CHECK(reportsAway == 0);
     }
 }
+
+TEST_CASE(
+    "target process: one that was restarted denies no flow while its target's reports are late")
+{
+    engine_fixture fleet;
+    relay_target engine({.name = "t1", .domain = "a", .service = "main", .peer = processAddress},
+        fleet.codec, fleet.port, fleet.metrics, fleet.log, fleet.now);
+    // Three reports in a row may be missing, each 1.2 s.
+    for (const auto time : {1600ms, 1000ms, 1000ms}) {
+        fleet.now += time;
+        engine.onTick(fleet.now);
+        fleet.port = {};
+        auto asked = fleet.packet(
+            {.kind = relay_kind::established, .entry = entryAddress, .search = 1}, request(1));
+        engine.onPeerBytes(fleet.now, entryAddress, asked);
+        CHECK(fleet.port.toTarget.size() == 1);
+        CHECK(fleet.port.takePackets().empty());
+        // The probe ends before the next one.
+        fleet.now += 100ms;
+        engine.onTick(fleet.now);
+    }
+}
