Let an entry that stood still learn the members anew before it resets flows

Test first, failed before (with onPause doing nothing): "entry: one that stood still resets no flow before it knows the members again". Now it asks like one that has just started, and is ready again once it knows them, at the latest after 1 s.

--- a/src/include/toucan/digest_book.h
+++ b/src/include/toucan/digest_book.h
@@ -47,6 +47,8 @@
     digest_outcome apply(instant now, member_table &members, const member_digest &page);
 
     /// True once somebody who knows the whole domain has told of it.
+    /// Takes no domain for known until it is told of again.
+    void forgetCompleteness();
     bool isComplete(std::string_view domain) const;
     /// Number of its members by the newest digest of somebody who knows all; nullopt before that.
     std::optional<std::uint64_t> countOf(std::string_view domain) const;
--- a/src/include/toucan/relay_entry.h
+++ b/src/include/toucan/relay_entry.h
@@ -59,6 +59,8 @@
     std::optional<bool> shouldFollowStore(instant now) const;
     /// Options that changed while the engine runs; names, addresses and `boot` must stay.
     void setOptions(relay_entry_options options) { m_options = std::move(options); }
+    /// The VM stood still: what came meanwhile is lost, and members may have come and gone.
+    void onPause(instant now);
     /// Time passed. Call at least each tickInterval.
     void onTick(instant now);
 
--- a/src/libtoucanrelay/digest_book.cpp
+++ b/src/libtoucanrelay/digest_book.cpp
@@ -143,6 +143,12 @@
     }
 }
 
+void digest_book::forgetCompleteness()
+{
+    for (auto &[domain, view] : m_views)
+        view.complete = false;
+}
+
 bool digest_book::isComplete(std::string_view domain) const
 {
     const auto found = m_views.find(domain);
--- a/src/libtoucanrelay/relay_entry_digests.cpp
+++ b/src/libtoucanrelay/relay_entry_digests.cpp
@@ -27,7 +27,16 @@
 constexpr int learningIntervals = 2;
 } // namespace
 
-digest_origin relay_entry::originOf(instant now) const
+// It knows as little as one that starts, and asks like one.
+void relay_entry::onPause(instant now)
+{
+    m_started = now;
+    m_ownComplete = false;
+    m_learned = false;
+    m_digests.forgetCompleteness();
+}
+
+digest_origin relay_entry::originOf() const
 {
     return {.address = m_options.peer,
         .domain = m_options.domain,
--- a/src/libtoucanrelay/relay_entry_search_test.cpp
+++ b/src/libtoucanrelay/relay_entry_search_test.cpp
@@ -234,3 +234,48 @@
         fleet.port.toPeers.clear();
     }
 }
+
+TEST_CASE("entry: a flow is not reset while another entry of the domain knows more members")
+{
+    entry_fixture fleet;
+    auto notice = encodeRelayMessage(
+        entry_notice{.name = "e2", .domain = "a", .boot = 2, .revision = 1, .knowsDomain = true});
+    fleet.engine.onPeerBytes(fleet.now, {.ip = 0x0a010002, .port = 7000}, notice);
+    fleet.report(reportOf("t1", target_standing::ready, 3));
+    fleet.pass(600ms);
+    fleet.sendRequest();
+    fleet.denyAll();
+    CHECK(fleet.port.toCallers.empty());
+}
+
+TEST_CASE("entry: one that nobody has reported to does not say soon that it knows its domain")
+{
+    entry_fixture fleet;
+    auto notice = encodeRelayMessage(entry_notice{.name = "e2", .domain = "b", .boot = 2});
+    fleet.engine.onPeerBytes(fleet.now, {.ip = 0x0a010002, .port = 7000}, notice);
+    const auto saysComplete = [&] {
+        return std::ranges::any_of(fleet.port.toPeers, [](const auto &sent) {
+            const auto message = decodeRelayMessage(sent.second);
+            const auto *digest
+                = valueOf(message) ? std::get_if<member_digest>(valueOf(message)) : nullptr;
+            return digest && digest->complete;
+        });
+    };
+    for (int i = 0; i < 10; ++i) {
+        fleet.now += 250ms;
+        fleet.engine.onTick(fleet.now);
+        CHECK_FALSE(saysComplete());
+    }
+}
+
+TEST_CASE("entry: one that stood still resets no flow before it knows the members again")
+{
+    entry_fixture fleet;
+    fleet.report(reportOf("t1", target_standing::ready, 3));
+    fleet.pass(600ms);
+    fleet.engine.onPause(fleet.now);
+    // Members that came meanwhile have not reported here yet.
+    fleet.sendRequest();
+    fleet.denyAll();
+    CHECK(fleet.port.toCallers.empty());
+}
--- a/src/toucanbridge/entry_relay_server.cpp
+++ b/src/toucanbridge/entry_relay_server.cpp
@@ -122,7 +122,9 @@
     while (!m_engine.mayExit(monotonicNow())) {
         waitForSockets(std::array<const udp_socket *, 2>{&*m_callers, &*m_peers}, pollInterval);
         const auto now = monotonicNow();
-        if (!discardAfterPause(now, *m_callers)) {
+        if (discardAfterPause(now, *m_callers)) {
+            m_engine.onPause(now);
+        } else {
             readBatch(*m_peers, m_buffer, [&](const endpoint &from, std::span<std::uint8_t> bytes) {
                 m_engine.onPeerBytes(now, from, bytes);
             });
