Conclude from time that a domain is known only while nobody there knows it

Now notices say whether their sender knows its domain. While one says so, an entry waits for its names; without any report it waits 3 s. Entries that start together conclude from time as before.

--- a/src/include/toucan/entry_roster.h
+++ b/src/include/toucan/entry_roster.h
@@ -39,6 +39,7 @@
     instant heard{};
     config_stamp config; ///< Of the configuration in force there.
     store_standing store = store_standing::not_asked;
+    bool knowsDomain = false; ///< It knows all members of its domain.
 };
 
 /// The entries that a process knows. Not thread-safe.
@@ -64,6 +65,8 @@
     /// The entry at an address, or nullptr.
     entry_peer *at(const endpoint &address);
     bool isHeard(const endpoint &address, instant now) const;
+    /// True when an entry of the own domain that is heard knows all of the domain's members.
+    bool isDomainKnown(instant now) const;
     /// Entries of a domain that are heard, without this one.
     std::vector<endpoint> heardIn(std::string_view domain, instant now) const;
     /// All entries that are heard, without this one.
--- a/src/libtoucanrelay/entry_roster.cpp
+++ b/src/libtoucanrelay/entry_roster.cpp
@@ -75,6 +75,14 @@
     return found != m_peers.end() && isHeard(found->second, now);
 }
 
+bool entry_roster::isDomainKnown(instant now) const
+{
+    return std::ranges::any_of(m_peers, [&](const auto &item) {
+        const auto &peer = item.second;
+        return peer.domain == m_domain && peer.knowsDomain && isHeard(peer, now);
+    });
+}
+
 std::vector<endpoint> entry_roster::heardIn(std::string_view domain, instant now) const
 {
     std::vector<endpoint> list;
--- a/src/libtoucanrelay/relay_entry_digests.cpp
+++ b/src/libtoucanrelay/relay_entry_digests.cpp
@@ -24,6 +24,9 @@
 // A member reports at once to an entry that it hears for the first time; without other entries to
 // name this one, it has reported after this many of its intervals.
 constexpr auto shortestLearning = 500ms;
+// Without any report, a domain is taken for empty after the time in which targets' processes find
+// its entries.
+constexpr instant learningWithoutReports = 3s;
 constexpr int learningIntervals = 2;
 } // namespace
 
@@ -233,11 +236,16 @@
 {
     if (m_ownComplete || m_digests.isComplete(m_options.domain))
         return true;
-    instant longest = shortestLearning;
+    // Somebody knows all members, and names them when asked.
+    if (m_roster.isDomainKnown(now))
+        return false;
+    instant longest{};
     m_members.forEach([&](const relay_member &item) {
         if (item.isFirstHand(now))
             longest = std::max<instant>(longest, item.interval * learningIntervals);
     });
+    if (longest == instant{})
+        longest = learningWithoutReports;
     return now - m_started >= longest && now - std::max(m_started, m_memberAddedAt) >= longest / 2;
 }
 
--- a/src/libtoucanrelay/relay_entry_peers.cpp
+++ b/src/libtoucanrelay/relay_entry_peers.cpp
@@ -101,6 +101,7 @@
     if (from == m_options.peer)
         return;
     hearEntry(now, {.address = from, .domain = message.domain}, message.name);
+    peer->knowsDomain = message.knowsDomain;
     auto *peer = m_roster.at(from);
     peer->config = toldStamp(message);
     peer->store = message.store <= static_cast<std::uint64_t>(store_standing::lost)
@@ -261,7 +262,8 @@
         .boot = m_options.boot,
         .leaving = m_leavingSince.has_value(),
         .store = static_cast<std::uint64_t>(m_store)};
-    tellState(notice, stampOf(m_config), m_domains.listed(now));
+    notice.knowsDomain = knowsOwnDomain(now);
+    tellState(notice, stampOf(m_config), m_domains.listed(), m_choice.order().settledEra());
     return notice;
 }
 
