Order configurations the same way everywhere: by era once an era has settled

Change: eras settle, once an entry has followed the store in one for 30 s, and all messages tell of the newest settled one; config_order, config_choice and domain_outages take it as an input. What displaces a configuration of a later era defers it. Interrupts end a watch only, by shutting the connection down. Equal revisions prefer the one with an era. Tests: "store restored: a process left behind takes nobody back after operators went back" and the earlier ones; an entry without a configuration has "entry: openings are rejected once no configuration has come for long".

--- a/src/include/toucan/digest_book.h
+++ b/src/include/toucan/digest_book.h
@@ -25,6 +25,7 @@
     std::uint64_t boot = 0;
     config_stamp config; ///< Of the configuration in force.
     domains_out domains;
+    std::uint64_t settledEra = 0; ///< Newest era of the store that has settled.
 };
 
 /// What a digest led to.
@@ -46,9 +47,9 @@
     /// Takes a page in.
     digest_outcome apply(instant now, member_table &members, const member_digest &page);
 
-    /// True once somebody who knows the whole domain has told of it.
     /// Takes no domain for known until it is told of again.
     void forgetCompleteness();
+    /// True once somebody who knows the whole domain has told of it.
     bool isComplete(std::string_view domain) const;
     /// Number of its members by the newest digest of somebody who knows all; nullopt before that.
     std::optional<std::uint64_t> countOf(std::string_view domain) const;
--- a/src/include/toucan/domain_outages.h
+++ b/src/include/toucan/domain_outages.h
@@ -2,7 +2,7 @@
 
 /// Which failure domains are out of service. Not thread-safe.
 
-#include <map>
+#include <set>
 #include <string>
 #include <toucan/relay_config.h>
 
@@ -15,25 +15,24 @@
 {
 public:
     /// Takes a list in, from the store or another process. True when other domains are out now.
-    bool apply(instant now, const domains_out &listed);
-    /// Time passed. True when other domains are out now.
-    bool onTick(instant now);
+    bool apply(const domains_out &listed);
+    /// An era of the store has settled. True when other domains are out now.
+    bool settle(std::uint64_t era);
 
     /// Those that get no openings.
     const domains_out &inForce() const { return m_inForce; }
     /// The store's list, for other processes.
-    domains_out listed(instant now) const;
+    const domains_out &listed() const { return m_listed; }
     /// Those that are out although the store does not list them.
-    std::vector<std::string> held() const;
+    const std::set<std::string> &held() const { return m_held; }
 
 private:
-    void holdMissing(instant now, const domains_out &listed);
     bool rebuild();
 
     domains_out m_listed;
     domains_out m_inForce;
-    instant m_eraSince{}; ///< When the era of the list was seen first.
-    std::map<std::string, instant> m_held; ///< Until when.
+    std::set<std::string> m_held;
+    std::uint64_t m_settledEra = 0;
 };
 
 } // namespace toucan
--- a/src/include/toucan/entry_directory.h
+++ b/src/include/toucan/entry_directory.h
@@ -60,7 +60,7 @@
     void run(const std::stop_token &stop);
     bool keepRecord(const std::stop_token &stop, std::span<const listed_entry> records);
     bool stand(const std::stop_token &stop, retry_pause &pause);
-    void compare(const std::stop_token &stop, std::vector<listed_entry> records);
+    void compare(const std::stop_token &stop, std::vector<listed_entry> records, std::uint64_t era);
     bool passTime(const std::stop_token &stop, std::chrono::milliseconds time);
     void checkRecord(const std::stop_token &stop);
     void remove(const listed_entry &record, const census_finding &found);
--- a/src/include/toucan/entry_roster.h
+++ b/src/include/toucan/entry_roster.h
@@ -86,10 +86,11 @@
     /// than that say that they follow it, and no more than mostFollowers try at a time.
     bool shouldFollowStore(instant now, store_standing own) const;
 
-    /// Where to fetch a configuration with `stamp`, or a newer one, that `teller` spoke of: one of
-    /// the entries of the own domain that have it, another one for each `choice`; else the teller.
-    endpoint sourceOf(
-        const config_stamp &stamp, const endpoint &teller, std::uint64_t choice, instant now) const;
+    /// Where to fetch a configuration with `stamp`, or a newer one by `order`, that `teller` spoke
+    /// of: one of the entries of the own domain that have it, another one for each `choice`; else
+    /// the teller.
+    endpoint sourceOf(const config_order &order, const config_stamp &stamp, const endpoint &teller,
+        std::uint64_t choice, instant now) const;
 
     /// Entries to name to a process of a domain: those of the domain and the delegates of others.
     std::vector<entry_place> placesFor(std::string_view domain, instant now) const;
--- a/src/include/toucan/platform_client.h
+++ b/src/include/toucan/platform_client.h
@@ -87,18 +87,17 @@
     /// Deletes on the same terms.
     result<std::uint64_t> remove(
         std::string_view kind, std::string_view name, std::uint64_t expected);
-    /// Waits up to `wait` for changes after `version`. Not_found when the platform no longer has
-    /// the changes since then: list again.
-    result<object_list> changesAfter(
-        std::uint64_t version, std::chrono::milliseconds wait, std::string_view kind = {});
+    /// Waits up to `wait` for changes after `version`, which was read in `era` of the store when
+    /// that is given. Not_found when the platform no longer has the changes since then, or is in
+    /// another era: list again.
+    result<object_list> changesAfter(std::uint64_t version, std::chrono::milliseconds wait,
+        std::string_view kind = {}, std::optional<std::uint64_t> era = {});
     /// Era that the newest answer stated; 0 when it stated none.
     std::uint64_t era() const { return m_answerEra; }
     /// Ends the call under way, and all later ones, with platform_unavailable. Any thread.
     void cancel();
-    /// Ends the call under way, or the next one, with platform_unavailable. Any thread.
+    /// Ends changesAfter(), when it is under way, with platform_unavailable. Any thread.
     void interrupt();
-    /// Forgets an interrupt that met no call.
-    void clearInterrupt();
 
 private:
     struct response
@@ -109,7 +108,7 @@
     class session;
     bool openSession();
     bool isEnded();
-    void abortSession();
+    void allowInterrupt(bool isAllowed);
     bool noteEra(std::optional<std::uint64_t> stated);
     void closeSession();
     result<response> call(const platform_request &request, std::chrono::milliseconds timeout);
@@ -126,6 +125,7 @@
     std::mutex m_mutex; ///< Guards the session's life against cancel().
     std::unique_ptr<session> m_session;
     bool m_cancelled = false;
+    bool m_mayInterrupt = false;
     bool m_interrupted = false;
 };
 
--- a/src/include/toucan/relay_config.h
+++ b/src/include/toucan/relay_config.h
@@ -60,9 +60,6 @@
 
 using relay_config_ptr = boost::intrusive_ptr<const relay_config>;
 
-/// The same configuration, known to be what the operators want.
-relay_config_ptr settledCopy(const relay_config &config);
-
 /// The stamp of a configuration; that of none comes before all others.
 config_stamp stampOf(const relay_config_ptr &config);
 
@@ -71,7 +68,6 @@
 {
     store_point point;
     std::vector<std::string> names; ///< Sorted.
-    bool settled = false; ///< The point's era has lasted for restoreSettleTime.
 
     bool contains(std::string_view domain) const;
     bool operator==(const domains_out &) const = default;
--- a/src/include/toucan/relay_entry.h
+++ b/src/include/toucan/relay_entry.h
@@ -4,6 +4,7 @@
 /// entry can rebuild from packets; does no I/O. Used by one thread.
 
 #include <map>
+#include <optional>
 #include <set>
 #include <toucan/config_choice.h>
 #include <toucan/digest_book.h>
@@ -16,6 +17,7 @@
 #include <toucan/relay_placement.h>
 #include <toucan/relay_port.h>
 #include <toucan/segment.h>
+#include <toucan/told_state.h>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -57,10 +59,10 @@
     /// True when this entry has to follow the store for its failure domain; nullopt while the
     /// process has just started and has not heard the others.
     std::optional<bool> shouldFollowStore(instant now) const;
-    /// Options that changed while the engine runs; names, addresses and `boot` must stay.
-    void setOptions(relay_entry_options options) { m_options = std::move(options); }
     /// The VM stood still: what came meanwhile is lost, and members may have come and gone.
     void onPause(instant now);
+    /// Options that changed while the engine runs; names, addresses and `boot` must stay.
+    void setOptions(relay_entry_options options) { m_options = std::move(options); }
     /// Time passed. Call at least each tickInterval.
     void onTick(instant now);
 
@@ -223,10 +225,13 @@
     void askForMembers(instant now);
     void logLearning(instant now);
     std::vector<std::string> vouchedDomains(instant now) const;
-    digest_origin originOf(instant now) const;
+    digest_origin originOf() const;
     void noteMembers(instant now, std::span<const member_change> changes);
     bool shouldKeepCopy(const relay_member &member) const;
+    template <class T>
+    void noteState(instant now, const endpoint &from, const T &message, std::string_view source);
     void noteConfig(instant now, const endpoint &from, const config_stamp &stamp);
+    void settle(instant now, std::uint64_t era);
     void useConfig(instant now, const relay_config_ptr &config, std::string_view source);
     void logDeferred(instant now);
     void noteDomains(instant now, std::string_view source);
@@ -248,6 +253,8 @@
     relay_config_ptr m_config; ///< In force.
     config_choice m_choice;
     domain_outages m_domains;
+    std::uint64_t m_heardEra = 0; ///< Of the store, when it was followed last.
+    std::optional<instant> m_eraHeardSince; ///< The store is followed in that era without a loss.
     std::unordered_set<endpoint> m_droppedRoutes; ///< Addresses that had a route before.
     member_table m_members;
     entry_roster m_roster;
@@ -277,4 +284,14 @@
     std::optional<instant> m_leavingSince;
 };
 
+// What other processes tell of the store's contents.
+template <class T>
+void relay_entry::noteState(
+    instant now, const endpoint &from, const T &message, std::string_view source)
+{
+    settle(now, message.settledEra);
+    noteConfig(now, from, toldStamp(message));
+    onDomains(now, toldDomains(message), source);
+}
+
 } // namespace toucan
--- a/src/include/toucan/relay_process.h
+++ b/src/include/toucan/relay_process.h
@@ -67,11 +67,11 @@
 class config_shelf
 {
 public:
-    /// Keeps a configuration unless what is there is newer.
+    /// Replaces what is there.
     void put(const relay_config_ptr &config);
     relay_config_ptr get() const;
-    /// Answers a control link that asks for what is newer than `have`; null when nothing is.
-    nlohmann::json newerThan(const nlohmann::json &have);
+    /// Answers a control link that asks for another one than it has; null when there is none.
+    nlohmann::json otherThan(const nlohmann::json &have);
 
 private:
     mutable std::mutex m_mutex;
@@ -96,7 +96,8 @@
     config_fetcher(const platform_adapter &adapter, event_log &log, handler onConfig);
     ~config_fetcher();
 
-    /// Fetches from a control link what is newer than `have`. Replaces a request that still waits.
+    /// Fetches from a control link what it has, unless it is `have`. Replaces a request that still
+    /// waits.
     void request(const endpoint &control, const config_stamp &have);
 
 private:
--- a/src/include/toucan/relay_program.h
+++ b/src/include/toucan/relay_program.h
@@ -106,7 +106,7 @@
         const auto asked = nlohmann::json::from_cbor(request, true, false);
         const auto operation = asked.is_object() ? asked.value("op", nlohmann::json()) : asked;
         if (operation == "config")
-            return m_shelf.newerThan(asked.value("have", nlohmann::json()));
+            return m_shelf.otherThan(asked.value("have", nlohmann::json()));
         if (operation == "status")
             return askTrafficThread(m_mailbox);
         return {{"error", "expected op config or status"}};
--- a/src/include/toucan/relay_target.h
+++ b/src/include/toucan/relay_target.h
@@ -184,6 +184,7 @@
 
     liveness_record m_liveness;
     domain_outages m_domains;
+    config_order m_order;
     config_stamp m_newest; ///< Of the newest configuration that an entry named.
     instant m_newestAt{}; ///< When it was named first.
     config_stamp m_copy; ///< Of the configuration that this process keeps.
--- a/src/include/toucan/store_follower.h
+++ b/src/include/toucan/store_follower.h
@@ -80,7 +80,6 @@
     void run(const std::stop_token &stop);
     bool follow(const std::stop_token &stop, retry_pause &pause);
     void noteList(const object_list &all);
-    result<object_list> watch(std::uint64_t revision);
     bool waitUntil(const std::stop_token &stop, const std::function<bool()> &condition);
     void noteAnswer();
     void noteFailure(const error &failure);
@@ -92,7 +91,6 @@
     platform_client m_client;
     store_era::listener m_onRise; ///< Ends a watch that began before.
     store_point m_listed; ///< Of the newest list.
-    std::atomic<bool> m_watching = false;
     /// Whether the follower makes calls.
     enum class call_mode : std::uint8_t { first_list, active, inactive };
     std::atomic<call_mode> m_mode = call_mode::first_list;
--- a/src/include/toucan/store_point.h
+++ b/src/include/toucan/store_point.h
@@ -9,8 +9,8 @@
 
 namespace toucan {
 
-/// Time after a return of the store from an older copy in which its contents may still lack what
-/// the operators wrote before: copies are seconds old, and operators' tools repeat their writes.
+/// Time of a new era in which the store has to be heard until its contents are taken for what the
+/// operators want: copies are seconds old, and operators' tools repeat their writes at once.
 inline constexpr std::chrono::milliseconds restoreSettleTime{30000};
 
 /// A point in the history of the store.
@@ -22,7 +22,8 @@
     auto operator<=>(const store_point &) const = default;
 };
 
-/// True when `point` comes after `known`. Revisions alone decide where one of them has no era.
+/// True when `point` comes after `known`. Where one of them has no era, revisions decide, and an
+/// equal revision with an era comes after the one without.
 bool isLater(const store_point &point, const store_point &known);
 
 /// A point as one number with the same order, which is the plain revision without an era.
@@ -34,14 +35,24 @@
 {
     store_point point; ///< Where the store said so last.
     std::uint64_t version = 0; ///< The operators' own number.
-    bool settled = false; ///< The store has said so for restoreSettleTime of its era.
 
     bool operator==(const config_stamp &) const = default;
 };
 
-/// True when a configuration takes the place of the one in force. Revisions decide within an era.
-/// Across eras the operators' version does, since an older copy comes back under a later era, until
-/// the later era has settled.
-bool supersedes(const config_stamp &candidate, const config_stamp &inForce);
+/// Orders configurations. Revisions decide within an era. Across eras the operators' version does,
+/// since an older copy comes back under a later era, until the later era has settled; then the
+/// later era does.
+class config_order
+{
+public:
+    /// True when a configuration takes the place of a known one.
+    bool supersedes(const config_stamp &candidate, const config_stamp &known) const;
+    /// An era has settled. True when this was not known.
+    bool settle(std::uint64_t era);
+    std::uint64_t settledEra() const { return m_settledEra; }
+
+private:
+    std::uint64_t m_settledEra = 0;
+};
 
 } // namespace toucan
--- a/src/include/toucan/told_state.h
+++ b/src/include/toucan/told_state.h
@@ -12,9 +12,8 @@
 template <class T>
 config_stamp toldStamp(const T &message)
 {
-    return {.point = {.era = message.era, .revision = message.revision},
-        .version = message.version,
-        .settled = message.settled};
+    return {
+        .point = {.era = message.era, .revision = message.revision}, .version = message.version};
 }
 
 /// The failure domains out of service that the sender of a message read or was told of.
@@ -22,22 +21,21 @@
 domains_out toldDomains(const T &message)
 {
     return {.point = {.era = message.domainsEra, .revision = message.domainsRevision},
-        .names = message.domainsOut,
-        .settled = message.domainsSettled};
+        .names = message.domainsOut};
 }
 
-/// Writes both into a message.
+/// Writes both into a message, and the newest era that has settled.
 template <class T>
-void tellState(T &message, const config_stamp &stamp, const domains_out &domains)
+void tellState(
+    T &message, const config_stamp &stamp, const domains_out &domains, std::uint64_t settledEra)
 {
     message.revision = stamp.point.revision;
     message.era = stamp.point.era;
     message.version = stamp.version;
-    message.settled = stamp.settled;
     message.domainsRevision = domains.point.revision;
     message.domainsEra = domains.point.era;
     message.domainsOut = domains.names;
-    message.domainsSettled = domains.settled;
+    message.settledEra = settledEra;
 }
 
 /// The log line on a change of the failure domains out of service.
@@ -48,7 +46,7 @@
         .revision = inForce.point.revision,
         .source = std::string(source),
         .out = inForce.names,
-        .held = domains.held()};
+        .held = {domains.held().begin(), domains.held().end()}};
 }
 
 } // namespace toucan
--- a/src/libtoucannet/entry_directory.cpp
+++ b/src/libtoucannet/entry_directory.cpp
@@ -141,9 +141,10 @@
         if (!records)
             continue;
         pause.reset();
+        const auto era = m_client.era();
         if (!keepRecord(stop, *records))
             return;
-        compare(stop, std::move(*records));
+        compare(stop, std::move(*records), era);
         const auto time = m_rhythm.interval - std::chrono::milliseconds(shorter(m_random));
         while (!passTime(stop, time) && !stop.stop_requested())
             checkRecord(stop);
@@ -173,9 +174,11 @@
 // All entries learn of the store's return at once, and must not call it together.
 void entry_registration::checkRecord(const std::stop_token &stop)
 {
+    std::uint64_t era = 0;
     {
         const std::lock_guard lock(m_mutex);
         m_isCheckDue = false;
+        era = m_era;
     }
     const auto spread = m_rhythm.checkSpread * static_cast<std::int64_t>(m_listedEntries);
     std::uniform_int_distribution<std::int64_t> part(0, spread.count());
@@ -187,8 +190,11 @@
         const auto found = m_client.get(m_kind, m_self.name);
         const auto *object = valueOf(found);
         const bool isGone = !object && errorOf(found)->kind == error_kind::not_found;
-        if (!object && !isGone) {
-            pauseAfterFailure(m_store, pause, "get " + m_kind, *errorOf(found), stop);
+        const bool isOfEra = m_client.era() == 0 || m_client.era() >= era;
+        if (!isOfEra || (!object && !isGone)) {
+            const error early{error_kind::platform_unavailable, "the answer is of an earlier era"};
+            pauseAfterFailure(
+                m_store, pause, "get " + m_kind, isOfEra ? *errorOf(found) : early, stop);
             continue;
         }
         const bool stands = object && object->body == recordOf(m_self);
@@ -237,9 +243,9 @@
     return false;
 }
 
-void entry_registration::compare(const std::stop_token &stop, std::vector<listed_entry> records)
+void entry_registration::compare(
+    const std::stop_token &stop, std::vector<listed_entry> records, std::uint64_t era)
 {
-    const auto era = m_store.era.current();
     m_listedEntries = std::max<std::size_t>(records.size(), 1);
     {
         // Entries of other failure domains are not all heard here.
--- a/src/libtoucannet/platform_client.cpp
+++ b/src/libtoucannet/platform_client.cpp
@@ -58,11 +58,28 @@
 public:
     using HTTPClientSession::HTTPClientSession;
 
+    /// Ends what waits at the connection, which stays open for its owner to close. Any thread.
+    void shutDown()
+    {
+        const std::lock_guard lock(m_mutex);
+        try {
+            if (m_open)
+                m_open->shutdown();
+        } catch (const Poco::Exception &) {
+            // The other end was first.
+            return;
+        }
+    }
+
 protected:
     void connect(const Poco::Net::SocketAddress &address) override
     {
         HTTPClientSession::connect(address);
         auto &open = socket();
+        {
+            const std::lock_guard lock(m_mutex);
+            m_open = open;
+        }
         open.setKeepAlive(true);
         open.setOption(IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
         open.setOption(IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
@@ -70,6 +87,10 @@
         open.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedMilliseconds);
         open.setNoDelay(true);
     }
+
+private:
+    std::mutex m_mutex;
+    std::optional<Poco::Net::StreamSocket> m_open; ///< The newest connection.
 };
 
 platform_client::platform_client(const endpoint &address, std::chrono::milliseconds timeout,
@@ -107,36 +128,34 @@
     return m_cancelled || m_interrupted;
 }
 
-void platform_client::clearInterrupt()
-{
-    const std::lock_guard lock(m_mutex);
-    m_interrupted = false;
-}
-
 void platform_client::cancel()
 {
     const std::lock_guard lock(m_mutex);
     m_cancelled = true;
-    abortSession();
+    try {
+        if (m_session)
+            m_session->abort();
+    } catch (const Poco::Exception &) {
+        // Not connected yet: the call under way sees the mark once it is.
+        return;
+    }
 }
 
 void platform_client::interrupt()
 {
     const std::lock_guard lock(m_mutex);
+    if (!m_mayInterrupt)
+        return;
     m_interrupted = true;
-    abortSession();
+    if (m_session)
+        m_session->shutDown();
 }
 
-// The mutex must be held.
-void platform_client::abortSession()
+void platform_client::allowInterrupt(bool isAllowed)
 {
-    try {
-        if (m_session)
-            m_session->abort();
-    } catch (const Poco::Exception &) {
-        // Not connected yet: the call under way sees the mark once it is.
-        return;
-    }
+    const std::lock_guard lock(m_mutex);
+    m_mayInterrupt = isAllowed;
+    m_interrupted = false;
 }
 
 bool platform_client::noteEra(std::optional<std::uint64_t> stated)
@@ -305,11 +324,16 @@
     return write(m_dialect.remove(kind, name, expected), pathOf(kind, name));
 }
 
-result<object_list> platform_client::changesAfter(
-    std::uint64_t version, std::chrono::milliseconds wait, std::string_view kind)
+result<object_list> platform_client::changesAfter(std::uint64_t version,
+    std::chrono::milliseconds wait, std::string_view kind, std::optional<std::uint64_t> era)
 {
-    const auto outcome
-        = read(m_dialect.watch(kind, version, wait), m_timeout + wait, "changes since a version");
+    allowInterrupt(true);
+    // A rise of the era is seen here, or interrupts.
+    const bool isOtherEra = era && m_era && m_era->current() != *era;
+    const auto outcome = isOtherEra
+        ? result<json>(error{error_kind::not_found, "the store is in another era"})
+        : read(m_dialect.watch(kind, version, wait), m_timeout + wait, "changes since a version");
+    allowInterrupt(false);
     const auto *answer = valueOf(outcome);
     if (!answer)
         return *errorOf(outcome);
--- a/src/libtoucannet/relay_process.cpp
+++ b/src/libtoucannet/relay_process.cpp
@@ -47,16 +47,15 @@
     if (!value.is_object())
         return {};
     return {.point = {.era = numberIn(value, "era"), .revision = numberIn(value, "revision")},
-        .version = numberIn(value, "version"),
-        .settled = value.value("settled", json()) == true};
+        .version = numberIn(value, "version")};
 }
 
 } // namespace
 
 json writeStamp(const config_stamp &stamp)
 {
-    return {{"era", stamp.point.era}, {"revision", stamp.point.revision},
-        {"version", stamp.version}, {"settled", stamp.settled}};
+    return {
+        {"era", stamp.point.era}, {"revision", stamp.point.revision}, {"version", stamp.version}};
 }
 
 std::uint64_t processorTime()
@@ -85,8 +84,7 @@
 void config_shelf::put(const relay_config_ptr &config)
 {
     const std::lock_guard lock(m_mutex);
-    if (!m_config || supersedes(config->stamp, m_config->stamp))
-        m_config = config;
+    m_config = config;
 }
 
 relay_config_ptr config_shelf::get() const
@@ -95,10 +93,10 @@
     return m_config;
 }
 
-json config_shelf::newerThan(const json &have)
+json config_shelf::otherThan(const json &have)
 {
     const std::lock_guard lock(m_mutex);
-    if (!m_config || !supersedes(m_config->stamp, readStamp(have)))
+    if (!m_config || m_config->stamp == readStamp(have))
         return nullptr;
     // Many peers fetch the same one, over links that carry callers' packets as well.
     if (m_packedOf != m_config) {
@@ -213,7 +211,7 @@
         return fail("its configuration is malformed");
     const auto config = m_adapter.readConfig(stamp.point, *text);
     if (const auto *value = valueOf(config))
-        m_handler(stamp.settled ? settledCopy(**value) : *value, item.control);
+        m_handler(*value, item.control);
     else
         fail(errorOf(config)->detail);
 }
--- a/src/libtoucannet/store_follower.cpp
+++ b/src/libtoucannet/store_follower.cpp
@@ -58,11 +58,7 @@
     , m_handler(std::move(onChange))
     , m_watchTime(watchTime)
     , m_client(m_store.address, m_store.timeout, m_store.dialect, &m_store.era)
-    , m_onRise(m_store.era,
-          [this] {
-              if (m_watching)
-                  m_client.interrupt();
-          })
+    , m_onRise(m_store.era, [this] { m_client.interrupt(); })
     , m_thread([this](const std::stop_token &stop) { run(stop); })
 { }
 
@@ -130,7 +126,8 @@
             if (m_mode != call_mode::active)
                 return true;
         }
-        const auto outcome = watch(revision);
+        countCall(m_store, "watch");
+        const auto outcome = m_client.changesAfter(revision, m_watchTime, m_kind, all->era);
         const auto *changes = valueOf(outcome);
         if (stop.stop_requested())
             return false;
@@ -163,22 +160,6 @@
     return false;
 }
 
-// A rise of the era that came before the call is seen by the caller, a later one ends the call.
-result<object_list> store_follower::watch(std::uint64_t revision)
-{
-    m_client.clearInterrupt();
-    m_watching = true;
-    if (m_store.era.current() != m_listed.era) {
-        m_watching = false;
-        return error{error_kind::platform_unavailable, "the store came back older"};
-    }
-    countCall(m_store, "watch");
-    auto outcome = m_client.changesAfter(revision, m_watchTime, m_kind);
-    m_watching = false;
-    m_client.clearInterrupt();
-    return outcome;
-}
-
 void store_follower::noteList(const object_list &all)
 {
     const store_point point{.era = all.era, .revision = all.version};
--- a/src/libtoucanrelay/config_choice.cpp
+++ b/src/libtoucanrelay/config_choice.cpp
@@ -1,39 +1,46 @@
 #include <toucan/config_choice.h>
+#include <utility>
 
 namespace toucan {
-namespace {
 
-bool comesAfterRestore(const config_stamp &candidate, const config_stamp &inForce)
+bool config_choice::wouldTake(const config_stamp &stamp) const
 {
-    return inForce.point.era != 0 && candidate.point.era > inForce.point.era;
+    return !m_inForce || m_order.supersedes(stamp, m_inForce->stamp);
 }
 
-} // namespace
-
-config_offer config_choice::offer(instant now, const relay_config_ptr &config)
+config_offer config_choice::offer(const relay_config_ptr &config)
 {
     const auto known = stampOf(m_inForce);
     const auto &stamp = config->stamp;
-    if (!m_inForce || supersedes(stamp, known)) {
-        const bool isSame = m_inForce && m_inForce->text == config->text && !config->text.empty();
-        m_inForce = config;
-        m_deferred.reset();
+    if (wouldTake(stamp)) {
+        const auto before = std::exchange(m_inForce, config);
+        if (m_deferred && stamp.point.era >= m_deferred->stamp.point.era)
+            m_deferred.reset();
+        // A process that started on the copy takes what others had before it.
+        if (before && known.point.era > stamp.point.era)
+            defer(before);
+        const bool isSame = before && before->text == config->text && !config->text.empty();
         return isSame ? config_offer::confirmed : config_offer::in_force;
     }
-    if (!comesAfterRestore(stamp, known) || (m_deferred && stamp.point <= m_deferred->stamp.point))
+    if (known.point.era == 0 || stamp.point.era <= known.point.era)
+        return config_offer::ignored;
+    if (m_deferred && stamp.point <= m_deferred->stamp.point)
         return config_offer::ignored;
-    if (!m_deferred || m_deferred->stamp.point.era != stamp.point.era)
-        m_deferredSince = now;
-    m_deferred = config;
+    defer(config);
     return config_offer::deferred;
 }
 
-bool config_choice::onTick(instant now)
+void config_choice::defer(const relay_config_ptr &config)
+{
+    if (!m_deferred || config->stamp.point > m_deferred->stamp.point)
+        m_deferred = config;
+}
+
+bool config_choice::settle(std::uint64_t era)
 {
-    if (!m_deferred || now - m_deferredSince < restoreSettleTime)
+    if (!m_order.settle(era) || !m_deferred || !wouldTake(m_deferred->stamp))
         return false;
-    m_inForce = settledCopy(*m_deferred);
-    m_deferred.reset();
+    m_inForce = std::exchange(m_deferred, nullptr);
     return true;
 }
 
--- a/src/libtoucanrelay/digest_book.cpp
+++ b/src/libtoucanrelay/digest_book.cpp
@@ -58,7 +58,7 @@
         .whole = whole,
         .count = summary.count,
         .hash = summary.hash};
-    tellState(head, origin.config, origin.domains);
+    tellState(head, origin.config, origin.domains, origin.settledEra);
     std::vector<member_digest> pages{head};
     members.forEach([&](const relay_member &item) {
         if (item.domain != domain || (!whole && now - item.changedAt > repeatTime))
--- a/src/libtoucanrelay/domain_outages.cpp
+++ b/src/libtoucanrelay/domain_outages.cpp
@@ -4,65 +4,34 @@
 
 namespace toucan {
 
-bool domain_outages::apply(instant now, const domains_out &listed)
+bool domain_outages::apply(const domains_out &listed)
 {
-    const auto &known = m_listed.point;
-    if (listed.point == known && listed.settled) {
-        m_listed.settled = true;
-        m_held.clear();
-        return rebuild();
-    }
+    const auto known = m_listed.point;
     if (!isLater(listed.point, known))
         return false;
-    const bool isNewEra = listed.point.era > known.era;
-    if (isNewEra)
-        m_eraSince = now;
-    if (isNewEra && known.era != 0 && !listed.settled)
-        holdMissing(now, listed);
+    const bool isNewEra = known.era != 0 && listed.point.era > known.era;
+    if (isNewEra && listed.point.era > m_settledEra)
+        m_held.insert(m_inForce.names.begin(), m_inForce.names.end());
     for (const auto &name : listed.names)
         m_held.erase(name);
-    if (listed.settled)
-        m_held.clear();
     m_listed = listed;
     return rebuild();
 }
 
-void domain_outages::holdMissing(instant now, const domains_out &listed)
-{
-    for (const auto &name : m_inForce.names) {
-        if (!listed.contains(name))
-            m_held[name] = now + restoreSettleTime;
-    }
-}
-
-bool domain_outages::onTick(instant now)
+bool domain_outages::settle(std::uint64_t era)
 {
-    if (m_held.empty())
+    if (era <= m_settledEra)
         return false;
-    std::erase_if(m_held, [&](const auto &item) { return now >= item.second; });
+    m_settledEra = era;
+    if (m_listed.point.era <= era)
+        m_held.clear();
     return rebuild();
 }
 
-domains_out domain_outages::listed(instant now) const
-{
-    auto list = m_listed;
-    list.settled = list.settled || now - m_eraSince >= restoreSettleTime;
-    return list;
-}
-
-std::vector<std::string> domain_outages::held() const
-{
-    std::vector<std::string> names;
-    for (const auto &[name, until] : m_held)
-        names.push_back(name);
-    return names;
-}
-
 bool domain_outages::rebuild()
 {
     auto names = m_listed.names;
-    const auto missing = held();
-    names.insert(names.end(), missing.begin(), missing.end());
+    names.insert(names.end(), m_held.begin(), m_held.end());
     std::ranges::sort(names);
     m_inForce.point = m_listed.point;
     return std::exchange(m_inForce.names, names) != names;
--- a/src/libtoucanrelay/entry_roster.cpp
+++ b/src/libtoucanrelay/entry_roster.cpp
@@ -178,12 +178,12 @@
     return others < delegatesForEachDomain && lostBefore < mostFollowers;
 }
 
-endpoint entry_roster::sourceOf(
-    const config_stamp &stamp, const endpoint &teller, std::uint64_t choice, instant now) const
+endpoint entry_roster::sourceOf(const config_order &order, const config_stamp &stamp,
+    const endpoint &teller, std::uint64_t choice, instant now) const
 {
     std::vector<endpoint> sources{teller};
     for (const auto &[address, peer] : m_peers) {
-        if (address != teller && peer.domain == m_domain && !supersedes(stamp, peer.config)
+        if (address != teller && peer.domain == m_domain && !order.supersedes(stamp, peer.config)
             && isHeard(peer, now))
             sources.push_back(address);
     }
--- a/src/libtoucanrelay/entry_roster_test.cpp
+++ b/src/libtoucanrelay/entry_roster_test.cpp
@@ -189,7 +189,7 @@
             roster.hear(now, {.address = entryAt(i), .domain = i == 5 ? "b" : "a"});
             roster.at(entryAt(i))->config.point.revision = i == 4 ? 6 : 7;
         }
-        sources.insert(roster.sourceOf({.point = {.revision = 7}}, entryAt(2), choice, now));
+        sources.insert(roster.sourceOf({}, {.point = {.revision = 7}}, entryAt(2), choice, now));
     }
     CHECK(sources == std::set<endpoint>{entryAt(2), entryAt(3)});
 }
--- a/src/libtoucanrelay/relay_config.cpp
+++ b/src/libtoucanrelay/relay_config.cpp
@@ -29,13 +29,6 @@
     return found == services.end() ? nullptr : &*found;
 }
 
-relay_config_ptr settledCopy(const relay_config &config)
-{
-    boost::intrusive_ptr<relay_config> copy(new relay_config(config));
-    copy->stamp.settled = true;
-    return copy;
-}
-
 config_stamp stampOf(const relay_config_ptr &config)
 {
     return config ? config->stamp : config_stamp{};
--- a/src/libtoucanrelay/relay_entry_digests.cpp
+++ b/src/libtoucanrelay/relay_entry_digests.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <toucan/relay_entry.h>
-#include <toucan/told_state.h>
 
 namespace toucan {
 namespace {
@@ -24,10 +23,10 @@
 // A member reports at once to an entry that it hears for the first time; without other entries to
 // name this one, it has reported after this many of its intervals.
 constexpr auto shortestLearning = 500ms;
+constexpr int learningIntervals = 2;
 // Without any report, a domain is taken for empty after the time in which targets' processes find
 // its entries.
 constexpr instant learningWithoutReports = 3s;
-constexpr int learningIntervals = 2;
 } // namespace
 
 // It knows as little as one that starts, and asks like one.
@@ -45,7 +44,8 @@
         .domain = m_options.domain,
         .boot = m_options.boot,
         .config = stampOf(m_config),
-        .domains = m_domains.listed(now)};
+        .domains = m_domains.listed(),
+        .settledEra = m_choice.order().settledEra()};
 }
 
 // Failure domains whose members this entry tells others of: its own when it is a delegate, and
@@ -73,8 +73,8 @@
     m_lastDigests = now;
     m_digestDue = instant::max();
     for (const auto &domain : vouchedDomains(now)) {
-        const auto pages = m_digests.make(
-            now, m_members, domain, originOf(now), knowsDomain(domain, now), false);
+        const auto pages
+            = m_digests.make(now, m_members, domain, originOf(), knowsDomain(domain, now), false);
         std::vector<endpoint> recipients;
         for (const auto &other : m_roster.otherDomains()) {
             const auto delegates = m_roster.delegatesOf(other, now);
@@ -95,7 +95,7 @@
 void relay_entry::sendWholeDigest(instant now, const endpoint &to, std::string_view domain)
 {
     for (const auto &page :
-        m_digests.make(now, m_members, domain, originOf(now), knowsDomain(domain, now), true))
+        m_digests.make(now, m_members, domain, originOf(), knowsDomain(domain, now), true))
         send(to, page);
 }
 
@@ -133,8 +133,7 @@
     const auto outcome = m_digests.apply(now, m_members, message);
     if (!outcome.isNew)
         return;
-    noteConfig(now, from, toldStamp(message));
-    onDomains(now, toldDomains(message), "entry");
+    noteState(now, from, message, "entry");
     // Delegates hear of other domains first and tell the entries of their own.
     if (from == message.origin && message.originDomain != m_options.domain && !message.whole) {
         const auto bytes = encodeRelayMessage(message);
@@ -242,7 +241,8 @@
     instant longest{};
     m_members.forEach([&](const relay_member &item) {
         if (item.isFirstHand(now))
-            longest = std::max<instant>(longest, item.interval * learningIntervals);
+            longest = std::max<instant>(
+                longest, std::max<instant>(shortestLearning, item.interval * learningIntervals));
     });
     if (longest == instant{})
         longest = learningWithoutReports;
--- a/src/libtoucanrelay/relay_entry_peers.cpp
+++ b/src/libtoucanrelay/relay_entry_peers.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <toucan/relay_entry.h>
-#include <toucan/told_state.h>
 
 namespace toucan {
 namespace {
@@ -65,8 +64,7 @@
         m_memberAddedAt = now;
     if (change)
         noteMembers(now, std::span(&*change, 1));
-    noteConfig(now, from, toldStamp(message));
-    onDomains(now, toldDomains(message), "target process");
+    noteState(now, from, message, "target process");
     const auto *member = m_members.at(from);
     if (message.wantsNotice && member)
         tellMember(now, *member);
@@ -101,16 +99,15 @@
     if (from == m_options.peer)
         return;
     hearEntry(now, {.address = from, .domain = message.domain}, message.name);
-    peer->knowsDomain = message.knowsDomain;
     auto *peer = m_roster.at(from);
     peer->config = toldStamp(message);
+    peer->knowsDomain = message.knowsDomain;
     peer->store = message.store <= static_cast<std::uint64_t>(store_standing::lost)
         ? static_cast<store_standing>(message.store)
         : store_standing::not_asked;
     if (message.leaving)
         m_roster.leave(now, from);
-    noteConfig(now, from, toldStamp(message));
-    onDomains(now, toldDomains(message), "entry");
+    noteState(now, from, message, "entry");
     onEntries(now, message.entries);
     if (message.wantsMembers)
         introduce(now, from);
@@ -123,10 +120,12 @@
 
 void relay_entry::noteConfig(instant now, const endpoint &from, const config_stamp &stamp)
 {
-    if (!supersedes(stamp, stampOf(m_config)) || now - m_lastFetch < fetchInterval)
+    const bool isWanted = stamp.point.revision != 0 && m_choice.wouldTake(stamp);
+    if (!isWanted || now - m_lastFetch < fetchInterval)
         return;
     m_lastFetch = now;
-    m_port.fetchConfig(m_roster.sourceOf(stamp, from, m_options.boot, now), stamp);
+    m_port.fetchConfig(
+        m_roster.sourceOf(m_choice.order(), stamp, from, m_options.boot, now), stamp);
 }
 
 void relay_entry::onEntries(instant now, std::span<const entry_place> entries)
@@ -160,7 +159,7 @@
 
 void relay_entry::onConfig(instant now, const relay_config_ptr &config, std::string_view source)
 {
-    switch (m_choice.offer(now, config)) {
+    switch (m_choice.offer(config)) {
     case config_offer::ignored:
         return;
     case config_offer::deferred:
@@ -210,7 +209,7 @@
 
 void relay_entry::onDomains(instant now, const domains_out &domains, std::string_view source)
 {
-    if (m_domains.apply(now, domains))
+    if (m_domains.apply(domains))
         noteDomains(now, source);
 }
 
@@ -235,12 +234,25 @@
     return before < copiesPerDomain;
 }
 
-// What the store's return from an older copy left open is decided once its era has settled.
+// An era settles while the store is heard: the operators cannot write to one that is away.
 void relay_entry::tendStoreState(instant now)
 {
-    if (m_choice.onTick(now))
+    const auto era = m_domains.listed().point.era;
+    if (m_store != store_standing::followed || era != m_heardEra)
+        m_eraHeardSince.reset();
+    else if (!m_eraHeardSince)
+        m_eraHeardSince = now;
+    else if (now - *m_eraHeardSince >= restoreSettleTime)
+        settle(now, era);
+    m_heardEra = era;
+}
+
+// What the store's return from an older copy left open is decided.
+void relay_entry::settle(instant now, std::uint64_t era)
+{
+    if (m_choice.settle(era))
         useConfig(now, m_choice.inForce(), "settled");
-    if (m_domains.onTick(now))
+    if (m_domains.settle(era))
         noteDomains(now, "settled");
 }
 
--- a/src/libtoucanrelay/relay_entry_test.cpp
+++ b/src/libtoucanrelay/relay_entry_test.cpp
@@ -156,3 +156,30 @@
     });
     CHECK(told == 1);
 }
+
+TEST_CASE("entry: openings are rejected once no configuration has come for long")
+{
+    engine_fixture fleet;
+    relay_entry engine({.name = "e1", .domain = "a", .peer = entryAddress}, fleet.codec, fleet.port,
+        fleet.metrics, fleet.log, fleet.now);
+    const auto open = [&] {
+        auto bytes = fleet.codec.encode(opening, {});
+        engine.onCallerBytes(fleet.now, bytes);
+    };
+    const auto isReset = [&] {
+        const auto sent = std::exchange(fleet.port.toCallers, {});
+        return sent.size() == 1 && fleet.codec.decode(sent.front())->reset;
+    };
+    open();
+    CHECK(fleet.port.toCallers.empty());
+    fleet.now += 1500ms;
+    engine.onTick(fleet.now);
+    open();
+    CHECK(fleet.port.toCallers.empty());
+    // One that waits, and one that comes later.
+    fleet.now += 600ms;
+    engine.onTick(fleet.now);
+    CHECK(isReset());
+    open();
+    CHECK(isReset());
+}
--- a/src/libtoucanrelay/relay_target.cpp
+++ b/src/libtoucanrelay/relay_target.cpp
@@ -1,6 +1,5 @@
 #include <algorithm>
 #include <toucan/relay_target.h>
-#include <toucan/told_state.h>
 
 namespace toucan {
 namespace {
@@ -119,10 +118,10 @@
 
 opening_verdict relay_target::judge(instant now, const relay_header &header)
 {
-    // Points of different eras say nothing of each other's configurations.
     const auto &newest = m_newest.point;
-    const bool stale = header.point.era == newest.era && header.point < newest
-        && now - m_newestAt > staleRouteLimit;
+    const bool isComparable
+        = header.point.era == newest.era || (header.point.era != 0 && newest.era != 0);
+    const bool stale = isComparable && header.point < newest && now - m_newestAt > staleRouteLimit;
     return judgeOpening({.standing = standing(now),
         .domainOut = m_domains.inForce().contains(m_options.domain),
         .serviceMatches = header.serviceTag == serviceTagOf(service()),
@@ -309,8 +308,6 @@
 
 void relay_target::onTick(instant now)
 {
-    if (m_domains.onTick(now))
-        m_log.write(now, domainsLine(m_domains, "settled"));
     checkUnanswered(now);
     sweepExpected(now);
     passOnProbes(now);
--- a/src/libtoucanrelay/relay_target_entries.cpp
+++ b/src/libtoucanrelay/relay_target_entries.cpp
@@ -75,17 +75,19 @@
                 .reason = "its notice came"});
     entry.heard = now;
     const auto told = toldStamp(message);
-    if (supersedes(told, m_newest)) {
+    m_order.settle(message.settledEra);
+    if (m_order.supersedes(told, m_newest)) {
         m_newest = told;
         m_newestAt = now;
     }
-    if (m_domains.apply(now, toldDomains(message)))
+    const bool isSettled = m_domains.settle(message.settledEra);
+    if (m_domains.apply(toldDomains(message)) || isSettled)
         m_log.write(now, domainsLine(m_domains, message.name));
     for (const auto &bounds : message.bounds) {
         if (bounds.service == service())
             m_bounds = bounds;
     }
-    if (message.keepsCopy && supersedes(told, m_copy)
+    if (message.keepsCopy && m_order.supersedes(told, m_copy)
         && now - m_lastCopyFetch >= copyFetchInterval) {
         m_lastCopyFetch = now;
         m_port.fetchConfig(from, told);
@@ -171,7 +173,7 @@
         .openRate = coldLimit(),
         .leaving = m_leaving,
         .intervalMs = static_cast<std::uint64_t>(interval.count())};
-    tellState(report, m_copy, m_domains.listed(now));
+    tellState(report, m_copy, m_domains.listed(), m_order.settledEra());
     for (const auto &address : recipients) {
         auto &entry = m_entries[address];
         if (!atOnce && now - entry.reported < interval)
--- a/src/libtoucanrelay/store_point.cpp
+++ b/src/libtoucanrelay/store_point.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <toucan/store_point.h>
 #include <tuple>
 
@@ -12,9 +13,10 @@
 
 bool isLater(const store_point &point, const store_point &known)
 {
-    if (point.era == 0 || known.era == 0)
-        return point.revision > known.revision;
-    return point > known;
+    if (point.era != 0 && known.era != 0)
+        return point > known;
+    return point.revision > known.revision
+        || (point.revision == known.revision && point.era > known.era);
 }
 
 std::uint64_t packPoint(const store_point &point)
@@ -27,19 +29,21 @@
     return {.era = packed >> revisionBits, .revision = packed & revisionMask};
 }
 
-bool supersedes(const config_stamp &candidate, const config_stamp &inForce)
+bool config_order::supersedes(const config_stamp &candidate, const config_stamp &known) const
 {
     const auto &point = candidate.point;
-    const auto &known = inForce.point;
-    if (point == known)
-        return candidate.settled && !inForce.settled;
-    if (point.era == known.era || point.era == 0 || known.era == 0)
-        return point.revision > known.revision;
-    if (point.era > known.era && candidate.settled)
-        return true;
-    if (point.era < known.era && inForce.settled)
+    const bool isOneEra = point.era == known.point.era || point.era == 0 || known.point.era == 0;
+    if (isOneEra || std::max(point.era, known.point.era) <= m_settledEra)
+        return isLater(point, known.point);
+    return std::tie(candidate.version, point) > std::tie(known.version, known.point);
+}
+
+bool config_order::settle(std::uint64_t era)
+{
+    if (era <= m_settledEra)
         return false;
-    return std::tie(candidate.version, point) > std::tie(inForce.version, known);
+    m_settledEra = era;
+    return true;
 }
 
 } // namespace toucan
--- a/src/libtoucanrelay/store_point_test.cpp
+++ b/src/libtoucanrelay/store_point_test.cpp
@@ -8,7 +8,7 @@
     CHECK(isLater({.era = 2, .revision = 5}, {.era = 1, .revision = 9}));
     CHECK_FALSE(isLater({.era = 1, .revision = 9}, {.era = 2, .revision = 5}));
     CHECK(isLater({.era = 0, .revision = 9}, {.era = 2, .revision = 5}));
-    CHECK_FALSE(isLater({.era = 2, .revision = 5}, {.era = 0, .revision = 5}));
+    CHECK_FALSE(isLater({.era = 0, .revision = 5}, {.era = 2, .revision = 5}));
 }
 
 TEST_CASE("store point: one number keeps the order, and is the revision without an era")
@@ -22,39 +22,54 @@
 
 TEST_CASE("store restored: the copy's older configuration does not replace a newer one")
 {
+    const config_order order;
     const config_stamp inForce{.point = {.era = 1, .revision = 100}, .version = 18};
     const config_stamp copy{.point = {.era = 2, .revision = 90}, .version = 17};
-    CHECK_FALSE(supersedes(copy, inForce));
+    CHECK_FALSE(order.supersedes(copy, inForce));
     // A process that started since has only the copy's.
-    CHECK(supersedes(inForce, copy));
+    CHECK(order.supersedes(inForce, copy));
     const config_stamp again{.point = {.era = 2, .revision = 93}, .version = 18};
-    CHECK(supersedes(again, inForce));
-    CHECK(supersedes(again, copy));
-    CHECK_FALSE(supersedes(inForce, again));
+    CHECK(order.supersedes(again, inForce));
+    CHECK(order.supersedes(again, copy));
+    CHECK_FALSE(order.supersedes(inForce, again));
 }
 
 TEST_CASE("store restored: a newer configuration with a lower revision is in force")
 {
-    CHECK(supersedes({.point = {.era = 2, .revision = 93}, .version = 19},
-        {.point = {.era = 1, .revision = 100}, .version = 18}));
-    CHECK_FALSE(supersedes({.point = {.era = 1, .revision = 100}, .version = 18},
-        {.point = {.era = 2, .revision = 93}, .version = 19}));
+    const config_order order;
+    const config_stamp before{.point = {.era = 1, .revision = 100}, .version = 18};
+    const config_stamp after{.point = {.era = 2, .revision = 93}, .version = 19};
+    CHECK(order.supersedes(after, before));
+    CHECK_FALSE(order.supersedes(before, after));
 }
 
 TEST_CASE("store restored: an older version is believed once the era has settled")
 {
+    config_order order;
     const config_stamp inForce{.point = {.era = 1, .revision = 100}, .version = 18};
-    const config_stamp settled{.point = {.era = 2, .revision = 90}, .version = 17, .settled = true};
-    CHECK(supersedes(settled, inForce));
-    CHECK_FALSE(supersedes(inForce, settled));
-    auto unsettled = settled;
-    unsettled.settled = false;
-    CHECK(supersedes(settled, unsettled));
-    CHECK_FALSE(supersedes(unsettled, settled));
+    const config_stamp copy{.point = {.era = 2, .revision = 90}, .version = 17};
+    CHECK(order.settle(2));
+    CHECK_FALSE(order.settle(1));
+    CHECK(order.supersedes(copy, inForce));
+    CHECK_FALSE(order.supersedes(inForce, copy));
+}
+
+TEST_CASE("store restored: a process left behind takes nobody back after operators went back")
+{
+    config_order order;
+    order.settle(2);
+    const config_stamp leftBehind{.point = {.era = 1, .revision = 9}, .version = 10};
+    const config_stamp newer{.point = {.era = 2, .revision = 5}, .version = 11};
+    const config_stamp back{.point = {.era = 2, .revision = 6}, .version = 9};
+    CHECK(order.supersedes(newer, leftBehind));
+    CHECK(order.supersedes(back, newer));
+    CHECK_FALSE(order.supersedes(leftBehind, back));
+    CHECK(order.supersedes(back, leftBehind));
 }
 
-TEST_CASE("config stamp: an operator who goes back within an era is believed at once")
+TEST_CASE("config order: an operator who goes back within an era is believed at once")
 {
-    CHECK(supersedes({.point = {.era = 1, .revision = 101}, .version = 17},
+    const config_order order;
+    CHECK(order.supersedes({.point = {.era = 1, .revision = 101}, .version = 17},
         {.point = {.era = 1, .revision = 100}, .version = 18}));
 }
--- a/src/toucanbridge/entry_relay_server.cpp
+++ b/src/toucanbridge/entry_relay_server.cpp
@@ -135,8 +135,10 @@
         for (const auto &event : m_mailbox.take())
             std::visit([&](const auto &item) { handle(now, item); }, event);
         m_engine.onTick(now);
-        if (const auto &config = m_engine.config())
-            m_shelf.put(config);
+        if (m_engine.config() != m_shelved) {
+            m_shelved = m_engine.config();
+            m_shelf.put(m_shelved);
+        }
         tendStore(now);
         m_ready = m_engine.isReady(now);
         if (m_ready)
@@ -172,7 +174,9 @@
 // Tells the directory who answers while it asks.
 void entry_relay_server::tendDirectory(instant now)
 {
-    m_registration->noteEra(std::max(m_storeEra.current(), m_engine.domains().point.era));
+    const auto era = std::max(m_storeEra.current(), m_engine.domains().point.era);
+    if (std::exchange(m_notedEra, era) != era)
+        m_registration->noteEra(era);
     if (!m_registration->isAsking() || now - m_lastHeardNote < heardNoteInterval)
         return;
     m_lastHeardNote = now;
--- a/src/toucanbridge/entry_relay_server.h
+++ b/src/toucanbridge/entry_relay_server.h
@@ -41,6 +41,8 @@
     std::unique_ptr<store_follower> m_domainsFollower;
     std::unique_ptr<entry_registration> m_registration;
     instant m_lastHeardNote{};
+    std::uint64_t m_notedEra = 0; ///< That the registration was told of.
+    relay_config_ptr m_shelved; ///< What peers get.
 };
 
 } // namespace toucan
