--- a/src/include/toucan/digest_book.h
+++ b/src/include/toucan/digest_book.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <set>
+#include <toucan/relay_config.h>
 #include <toucan/relay_members.h>
 
 namespace toucan {
@@ -22,9 +23,9 @@
     endpoint address;
     std::string domain;
     std::uint64_t boot = 0;
-    std::uint64_t revision = 0; ///< Of the configuration in force.
-    std::uint64_t domainsRevision = 0;
-    std::vector<std::string> domainsOut;
+    config_stamp config; ///< Of the configuration in force.
+    domains_out domains;
+    std::uint64_t settledEra = 0; ///< Newest era of the store that has settled.
 };
 
 /// What a digest led to.
@@ -46,6 +47,8 @@
     /// Takes a page in.
     digest_outcome apply(instant now, member_table &members, const member_digest &page);
 
+    /// Takes no domain for known until it is told of again.
+    void forgetCompleteness();
     /// True once somebody who knows the whole domain has told of it.
     bool isComplete(std::string_view domain) const;
     /// Number of its members by the newest digest of somebody who knows all; nullopt before that.
--- a/src/include/toucan/relay_entry.h
+++ b/src/include/toucan/relay_entry.h
@@ -4,8 +4,11 @@
 /// entry can rebuild from packets; does no I/O. Used by one thread.
 
 #include <map>
+#include <optional>
 #include <set>
+#include <toucan/config_choice.h>
 #include <toucan/digest_book.h>
+#include <toucan/domain_outages.h>
 #include <toucan/entry_roster.h>
 #include <toucan/event_log.h>
 #include <toucan/metrics.h>
@@ -14,6 +17,7 @@
 #include <toucan/relay_placement.h>
 #include <toucan/relay_port.h>
 #include <toucan/segment.h>
+#include <toucan/told_state.h>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -55,6 +59,8 @@
     /// True when this entry has to follow the store for its failure domain; nullopt while the
     /// process has just started and has not heard the others.
     std::optional<bool> shouldFollowStore(instant now) const;
+    /// The VM stood still: what came meanwhile is lost, and members may have come and gone.
+    void onPause(instant now);
     /// Options that changed while the engine runs; names, addresses and `boot` must stay.
     void setOptions(relay_entry_options options) { m_options = std::move(options); }
     /// Time passed. Call at least each tickInterval.
@@ -71,7 +77,7 @@
     bool mayExit(instant now) const;
 
     const relay_config_ptr &config() const { return m_config; }
-    const domains_out &domains() const { return m_domains; }
+    const domains_out &domains() const { return m_domains.inForce(); }
     std::size_t flowCount() const { return m_flows.size(); }
     std::size_t memberCount() const { return m_members.aliveCount(); }
     const member_table &members() const { return m_members; }
@@ -172,6 +178,8 @@
     void suspectOwner(instant now, const flow_key &flow);
     void park(const segment &head, byte_view bytes, instant begun, instant notBefore = {});
     void retryParked(instant now);
+    bool isWithoutConfig(instant now) const;
+    void rejectParked(instant now);
     void takeOpening(instant now, const segment &head, byte_view bytes, instant begun);
     bool isKept(const cached_flow &cached, instant now) const;
     relay_header openingHeader(
@@ -220,7 +228,14 @@
     digest_origin originOf() const;
     void noteMembers(instant now, std::span<const member_change> changes);
     bool shouldKeepCopy(const relay_member &member) const;
-    void noteRevision(instant now, const endpoint &from, std::uint64_t revision);
+    template <class T>
+    void noteState(instant now, const endpoint &from, const T &message, std::string_view source);
+    void noteConfig(instant now, const endpoint &from, const config_stamp &stamp);
+    void settle(instant now, std::uint64_t era);
+    void useConfig(instant now, const relay_config_ptr &config, std::string_view source);
+    void logDeferred(instant now);
+    void noteDomains(instant now, std::string_view source);
+    void tendStoreState(instant now);
     void sweepFlows(instant now);
     void publishGauges(instant now);
 
@@ -235,8 +250,11 @@
     metrics::number &m_dropped;
     metrics::number &m_malformed;
 
-    relay_config_ptr m_config;
-    domains_out m_domains;
+    relay_config_ptr m_config; ///< In force.
+    config_choice m_choice;
+    domain_outages m_domains;
+    std::uint64_t m_heardEra = 0; ///< Of the store, when it was followed last.
+    std::optional<instant> m_eraHeardSince; ///< The store is followed in that era without a loss.
     std::unordered_set<endpoint> m_droppedRoutes; ///< Addresses that had a route before.
     member_table m_members;
     entry_roster m_roster;
@@ -266,4 +284,14 @@
     std::optional<instant> m_leavingSince;
 };
 
+// What other processes tell of the store's contents.
+template <class T>
+void relay_entry::noteState(
+    instant now, const endpoint &from, const T &message, std::string_view source)
+{
+    settle(now, message.settledEra);
+    noteConfig(now, from, toldStamp(message));
+    onDomains(now, toldDomains(message), source);
+}
+
 } // namespace toucan
--- a/src/libtoucannet/platform_client.cpp
+++ b/src/libtoucannet/platform_client.cpp
@@ -3,6 +3,7 @@
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/StreamCopier.h>
+#include <charconv>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <toucan/platform_client.h>
@@ -38,6 +39,17 @@
     return std::string(kind) + '/' + std::string(name);
 }
 
+std::optional<std::uint64_t> statedEra(const HTTPResponse &answer, std::string_view header)
+{
+    const std::string name(header);
+    if (name.empty() || !answer.has(name))
+        return std::nullopt;
+    const auto &text = answer.get(name);
+    std::uint64_t era = 0;
+    const auto read = std::from_chars(text.data(), text.data() + text.size(), era);
+    return read.ec == std::errc() ? std::optional(era) : std::nullopt;
+}
+
 } // namespace
 
 /// An HTTP session whose connection finds out by itself that the other end is silent.
@@ -46,11 +58,28 @@
 public:
     using HTTPClientSession::HTTPClientSession;
 
+    /// Ends what waits at the connection, which stays open for its owner to close. Any thread.
+    void shutDown()
+    {
+        const std::lock_guard lock(m_mutex);
+        try {
+            if (m_open)
+                m_open->shutdown();
+        } catch (const Poco::Exception &) {
+            // The other end was first.
+            return;
+        }
+    }
+
 protected:
     void connect(const Poco::Net::SocketAddress &address) override
     {
         HTTPClientSession::connect(address);
         auto &open = socket();
+        {
+            const std::lock_guard lock(m_mutex);
+            m_open = open;
+        }
         open.setKeepAlive(true);
         open.setOption(IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
         open.setOption(IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
@@ -58,13 +87,18 @@
         open.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedMilliseconds);
         open.setNoDelay(true);
     }
+
+private:
+    std::mutex m_mutex;
+    std::optional<Poco::Net::StreamSocket> m_open; ///< The newest connection.
 };
 
-platform_client::platform_client(
-    const endpoint &address, std::chrono::milliseconds timeout, const platform_dialect &dialect)
+platform_client::platform_client(const endpoint &address, std::chrono::milliseconds timeout,
+    const platform_dialect &dialect, store_era *era)
     : m_address(address)
     , m_timeout(timeout)
     , m_dialect(dialect)
+    , m_era(era)
 { }
 
 platform_client::~platform_client() = default;
@@ -88,10 +122,10 @@
     m_session.reset();
 }
 
-bool platform_client::isCancelled()
+bool platform_client::isEnded()
 {
     const std::lock_guard lock(m_mutex);
-    return m_cancelled;
+    return m_cancelled || m_interrupted;
 }
 
 void platform_client::cancel()
@@ -107,6 +141,30 @@
     }
 }
 
+void platform_client::interrupt()
+{
+    const std::lock_guard lock(m_mutex);
+    if (!m_mayInterrupt)
+        return;
+    m_interrupted = true;
+    if (m_session)
+        m_session->shutDown();
+}
+
+void platform_client::allowInterrupt(bool isAllowed)
+{
+    const std::lock_guard lock(m_mutex);
+    m_mayInterrupt = isAllowed;
+    m_interrupted = false;
+}
+
+bool platform_client::noteEra(std::optional<std::uint64_t> stated)
+{
+    const bool isUsable = !m_era || m_era->note(stated);
+    m_answerEra = stated.value_or(m_era ? m_era->current() : 0);
+    return isUsable;
+}
+
 result<platform_client::response> platform_client::call(
     const platform_request &request, std::chrono::milliseconds timeout)
 {
@@ -141,8 +199,10 @@
             head.set(request.conditionName, request.conditionValue);
         m_session->sendRequest(head) << request.body;
         sent = true;
-        if (isCancelled())
+        if (isEnded()) {
+            closeSession();
             return error{error_kind::write_uncertain, "the call was cancelled"};
+        }
         HTTPResponse answer;
         std::string body;
         Poco::StreamCopier::copyToString(m_session->receiveResponse(answer), body);
@@ -152,6 +212,11 @@
             closeSession();
         if (cut)
             return error{error_kind::write_uncertain, "the platform's answer was cut short"};
+        if (!noteEra(statedEra(answer, m_dialect.eraHeader()))) {
+            closeSession();
+            return error{
+                error_kind::write_uncertain, "the answer is of an earlier era of the store"};
+        }
         return response{static_cast<int>(answer.getStatus()), std::move(body)};
     } catch (const Poco::Exception &failure) {
         closeSession();
@@ -191,8 +256,13 @@
         try {
             auto page = m_dialect.readList(kind, *answer);
             // Changes that come between two pages are seen by a watch from the first one.
-            if (all.version == 0)
+            if (all.objects.empty()) {
                 all.version = page.version;
+                all.era = m_answerEra;
+            }
+            if (all.era != m_answerEra)
+                return error{error_kind::platform_unavailable,
+                    "the store came back older between two pages"};
             all.more = page.more && !page.objects.empty();
             std::ranges::move(page.objects, std::back_inserter(all.objects));
         } catch (const json::exception &failure) {
@@ -254,16 +324,23 @@
     return write(m_dialect.remove(kind, name, expected), pathOf(kind, name));
 }
 
-result<object_list> platform_client::changesAfter(
-    std::uint64_t version, std::chrono::milliseconds wait, std::string_view kind)
+result<object_list> platform_client::changesAfter(std::uint64_t version,
+    std::chrono::milliseconds wait, std::string_view kind, std::optional<std::uint64_t> era)
 {
-    const auto outcome
-        = read(m_dialect.watch(kind, version, wait), m_timeout + wait, "changes since a version");
+    allowInterrupt(true);
+    // A rise of the era is seen here, or interrupts.
+    const bool isOtherEra = era && m_era && m_era->current() != *era;
+    const auto outcome = isOtherEra
+        ? result<json>(error{error_kind::not_found, "the store is in another era"})
+        : read(m_dialect.watch(kind, version, wait), m_timeout + wait, "changes since a version");
+    allowInterrupt(false);
     const auto *answer = valueOf(outcome);
     if (!answer)
         return *errorOf(outcome);
     try {
-        return m_dialect.readChanges(kind, *answer);
+        auto changes = m_dialect.readChanges(kind, *answer);
+        changes.era = m_answerEra;
+        return changes;
     } catch (const json::exception &failure) {
         return malformed(failure);
     }
--- a/src/libtoucanrelay/digest_book_test.cpp
+++ b/src/libtoucanrelay/digest_book_test.cpp
@@ -54,7 +54,8 @@
     std::vector<member_digest> make(bool whole, bool complete = true)
     {
         return nearBook.make(now, near, "b",
-            {.address = delegate, .domain = "b", .boot = 7, .revision = 3}, complete, whole);
+            {.address = delegate, .domain = "b", .boot = 7, .config = {.point = {.revision = 3}}},
+            complete, whole);
     }
     digest_outcome tell(const std::vector<member_digest> &pages)
     {
@@ -230,3 +231,19 @@
     CHECK_FALSE(domain.tell(old).isNew);
     CHECK(domain.far.at(addressOf(0))->standing == target_standing::draining);
 }
+
+TEST_CASE("digest: an old page does not take a member's new address away")
+{
+    told_domain fleet(1);
+    const endpoint newAddress = addressOf(70);
+    fleet.far.apply(fleet.now, newAddress, reportOf(0, 1, target_standing::ready, 2));
+    fleet.far.apply(fleet.now, "b",
+        {.name = "t0",
+            .service = "main",
+            .address = addressOf(0),
+            .boot = 1,
+            .order = 5,
+            .silentMs = 3000});
+    CHECK(fleet.far.at(newAddress));
+    CHECK(fleet.far.count() == 1);
+}
--- a/src/libtoucanrelay/entry_roster.cpp
+++ b/src/libtoucanrelay/entry_roster.cpp
@@ -75,6 +75,14 @@
     return found != m_peers.end() && isHeard(found->second, now);
 }
 
+bool entry_roster::isDomainKnown(instant now) const
+{
+    return std::ranges::any_of(m_peers, [&](const auto &item) {
+        const auto &peer = item.second;
+        return peer.domain == m_domain && peer.knowsDomain && isHeard(peer, now);
+    });
+}
+
 std::vector<endpoint> entry_roster::heardIn(std::string_view domain, instant now) const
 {
     std::vector<endpoint> list;
@@ -170,12 +178,12 @@
     return others < delegatesForEachDomain && lostBefore < mostFollowers;
 }
 
-endpoint entry_roster::sourceOf(
-    std::uint64_t revision, const endpoint &teller, std::uint64_t choice, instant now) const
+endpoint entry_roster::sourceOf(const config_order &order, const config_stamp &stamp,
+    const endpoint &teller, std::uint64_t choice, instant now) const
 {
     std::vector<endpoint> sources{teller};
     for (const auto &[address, peer] : m_peers) {
-        if (address != teller && peer.domain == m_domain && peer.revision >= revision
+        if (address != teller && peer.domain == m_domain && !order.supersedes(stamp, peer.config)
             && isHeard(peer, now))
             sources.push_back(address);
     }
--- a/src/libtoucanrelay/relay_entry_digests.cpp
+++ b/src/libtoucanrelay/relay_entry_digests.cpp
@@ -24,16 +24,28 @@
 // name this one, it has reported after this many of its intervals.
 constexpr auto shortestLearning = 500ms;
 constexpr int learningIntervals = 2;
+// Without any report, a domain is taken for empty after the time in which targets' processes find
+// its entries.
+constexpr instant learningWithoutReports = 3s;
 } // namespace
 
+// It knows as little as one that starts, and asks like one.
+void relay_entry::onPause(instant now)
+{
+    m_started = now;
+    m_ownComplete = false;
+    m_learned = false;
+    m_digests.forgetCompleteness();
+}
+
 digest_origin relay_entry::originOf() const
 {
     return {.address = m_options.peer,
         .domain = m_options.domain,
         .boot = m_options.boot,
-        .revision = m_config ? m_config->revision : 0,
-        .domainsRevision = m_domains.revision,
-        .domainsOut = m_domains.names};
+        .config = stampOf(m_config),
+        .domains = m_domains.listed(),
+        .settledEra = m_choice.order().settledEra()};
 }
 
 // Failure domains whose members this entry tells others of: its own when it is a delegate, and
@@ -121,8 +133,7 @@
     const auto outcome = m_digests.apply(now, m_members, message);
     if (!outcome.isNew)
         return;
-    noteRevision(now, from, message.revision);
-    onDomains(now, {.revision = message.domainsRevision, .names = message.domainsOut}, "entry");
+    noteState(now, from, message, "entry");
     // Delegates hear of other domains first and tell the entries of their own.
     if (from == message.origin && message.originDomain != m_options.domain && !message.whole) {
         const auto bytes = encodeRelayMessage(message);
@@ -224,11 +235,17 @@
 {
     if (m_ownComplete || m_digests.isComplete(m_options.domain))
         return true;
-    instant longest = shortestLearning;
+    // Somebody knows all members, and names them when asked.
+    if (m_roster.isDomainKnown(now))
+        return false;
+    instant longest{};
     m_members.forEach([&](const relay_member &item) {
         if (item.isFirstHand(now))
-            longest = std::max<instant>(longest, item.interval * learningIntervals);
+            longest = std::max<instant>(
+                longest, std::max<instant>(shortestLearning, item.interval * learningIntervals));
     });
+    if (longest == instant{})
+        longest = learningWithoutReports;
     return now - m_started >= longest && now - std::max(m_started, m_memberAddedAt) >= longest / 2;
 }
 
--- a/src/libtoucanrelay/relay_entry_test.cpp
+++ b/src/libtoucanrelay/relay_entry_test.cpp
@@ -120,20 +120,20 @@
 {
     entry_fixture fleet;
     fleet.report(reportOf("t1", target_standing::ready, 0));
-    fleet.engine.onDomains(fleet.now, {.revision = 5, .names = {"b"}}, "test");
+    fleet.engine.onDomains(fleet.now, {.point = {.revision = 5}, .names = {"b"}}, "test");
     boost::intrusive_ptr<relay_config> newer(new relay_config);
-    newer->revision = 7;
+    newer->stamp.point.revision = 7;
     newer->index[service] = 0;
     newer->routes.push_back({.name = "r", .address = service, .shares = {{.service = "main"}}});
     fleet.engine.onConfig(fleet.now, newer, "test");
     boost::intrusive_ptr<relay_config> older(new relay_config);
-    older->revision = 6;
+    older->stamp.point.revision = 6;
     fleet.engine.onConfig(fleet.now, older, "test");
-    fleet.engine.onDomains(fleet.now, {.revision = 4, .names = {"a"}}, "test");
+    fleet.engine.onDomains(fleet.now, {.point = {.revision = 4}, .names = {"a"}}, "test");
     auto late = reportOf("t1", target_standing::draining, 0);
     late.order = 0;
     fleet.report(late);
-    CHECK(fleet.engine.config()->revision == 7);
+    CHECK(fleet.engine.config()->stamp.point.revision == 7);
     CHECK(fleet.engine.domains().names == std::vector<std::string>{"b"});
     fleet.port = {};
     auto bytes = fleet.codec.encode(opening, {});
@@ -147,7 +147,7 @@
     entry_fixture fleet;
     fleet.report(reportOf("t1", target_standing::ready, 0));
     fleet.port = {};
-    fleet.engine.onDomains(fleet.now, {.revision = 5, .names = {"b"}}, "test");
+    fleet.engine.onDomains(fleet.now, {.point = {.revision = 5}, .names = {"b"}}, "test");
     const auto told = std::ranges::count_if(fleet.port.toPeers, [](const auto &sent) {
         const auto message = decodeRelayMessage(sent.second);
         const auto *value = valueOf(message);
@@ -156,3 +156,30 @@
     });
     CHECK(told == 1);
 }
+
+TEST_CASE("entry: openings are rejected once no configuration has come for long")
+{
+    engine_fixture fleet;
+    relay_entry engine({.name = "e1", .domain = "a", .peer = entryAddress}, fleet.codec, fleet.port,
+        fleet.metrics, fleet.log, fleet.now);
+    const auto open = [&] {
+        auto bytes = fleet.codec.encode(opening, {});
+        engine.onCallerBytes(fleet.now, bytes);
+    };
+    const auto isReset = [&] {
+        const auto sent = std::exchange(fleet.port.toCallers, {});
+        return sent.size() == 1 && fleet.codec.decode(sent.front())->reset;
+    };
+    open();
+    CHECK(fleet.port.toCallers.empty());
+    fleet.now += 1500ms;
+    engine.onTick(fleet.now);
+    open();
+    CHECK(fleet.port.toCallers.empty());
+    // One that waits, and one that comes later.
+    fleet.now += 600ms;
+    engine.onTick(fleet.now);
+    CHECK(isReset());
+    open();
+    CHECK(isReset());
+}
--- a/src/libtoucanrelay/relay_target_lifetime.cpp
+++ b/src/libtoucanrelay/relay_target_lifetime.cpp
@@ -80,7 +80,7 @@
             flow_reset{.caller = key.caller,
                 .service = key.service,
                 .reason = std::string(reason),
-                .revision = m_revision,
+                .revision = m_newest.point.revision,
                 .open = true});
         m_port.sendCaller(key.caller, makeReset(m_codec, key, item.callerAcknowledged));
     }
@@ -116,6 +116,13 @@
     return static_cast<std::uint64_t>(std::max(1.0, std::min(rate, hard)));
 }
 
+// Until three reports can have come, one that has not reported may run: it is asked.
+bool relay_target::runsNowhere(instant now) const
+{
+    return standing(now) == target_standing::gone
+        && (m_liveness.latest() || now - m_started >= targetSilence);
+}
+
 bool relay_target::knowsAllFlows(instant now) const
 {
     return m_knowsAllFlows || now - m_started > m_options.flowLifetime;
--- a/src/toucanbridge/entry_relay_server.h
+++ b/src/toucanbridge/entry_relay_server.h
@@ -21,6 +21,7 @@
     void sendTarget(byte_view bytes) override;
 
     void startStore();
+    void readConfig(const store_point &point, const stored_object &object);
     void takeConfig(const relay_config_ptr &config, std::string source);
     http_response answer(const platform_question &question) const;
     void loop();
@@ -40,6 +41,8 @@
     std::unique_ptr<store_follower> m_domainsFollower;
     std::unique_ptr<entry_registration> m_registration;
     instant m_lastHeardNote{};
+    std::uint64_t m_notedEra = 0; ///< That the registration was told of.
+    relay_config_ptr m_shelved; ///< What peers get.
 };
 
 } // namespace toucan
