Review case 2: flows of a new backend are reset while its zone's entry stops

While the only edge machine of a zone is stopped as planned, some entries of other zones don't learn of a new side process in time and reset flows that are open at its backend.

--- a/review/standins/ends.py
+++ b/review/standins/ends.py
@@ -27,12 +27,13 @@
     return host, int(port)
 
 
-async def http_call(address, method, path, body, timeout=1.0):
+async def http_call(address, method, path, body, timeout=1.0, source=None):
     """Returns the status of one HTTP call, or None when there is no answer in time."""
     host, port = to_address(address)
 
     async def call():
-        reader, writer = await asyncio.open_connection(host, port)
+        reader, writer = await asyncio.open_connection(
+            host, port, local_addr=(source, 0) if source else None)
         try:
             head = (f"{method} {path} HTTP/1.1\r\nHost: {address}\r\n"
                     f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n")
@@ -98,6 +99,19 @@
         self.sock.close()
         self.flows = {}
 
+    async def leave(self):
+        """Planned shutdown: reports that it drains, serves on, says good-bye and ends."""
+        self.state = "draining"
+        while await self.beat() != 200:
+            await asyncio.sleep(0.05)
+        self.lab.note(f"{self.name} drains, confirmed")
+        await asyncio.sleep(self.lab.drain + 0.5)
+        await http_call(self.machine.control, "DELETE", f"/v1/instances/{self.identity}", b"",
+                        source=self.machine.ip)
+        self.crash()
+        self.lab.note(f"{self.name} has left")
+        await self.machine.remove()
+
     def holds_open(self, key):
         flow = self.flows.get(key) if self.running else None
         return bool(flow and flow.open and not (flow.closed_by_us and flow.closed_by_peer))
@@ -109,7 +123,7 @@
                 "version": "v1", "slots": 9, "state": self.state, "warmupLeftMs": left,
                 "seqNo": self.sequence, "born": self.born}
         status = await http_call(self.machine.control, "PUT", f"/v1/instances/{self.identity}",
-                                 json.dumps(body).encode())
+                                 json.dumps(body).encode(), source=self.machine.ip)
         if status == 200 and self.state == "draining" and self.confirmed is None:
             self.confirmed = self.lab.now()
         return status
@@ -215,6 +229,9 @@
             if end not in flow.unacknowledged or self.flows.get(flow.key) is not flow:
                 return
             self._reply(flow, ACK, text, seq=seq)
+            if self.state == "draining" and not flow.closed_by_us:
+                flow.closed_by_us = True
+                self._reply(flow, ACK | FIN)
 
     async def _repeat_syn_ack(self, flow):
         for pause in RETRANSMISSIONS:
@@ -334,6 +351,11 @@
             self._signal()
         elif packet.data and self.state in ("open", "closed"):
             self.send(ACK)
+        if packet.flags & FIN and packet.seq == self.ack and self.state == "open":
+            self.ack = (self.ack + 1) & 0xFFFFFFFF
+            self.send(ACK | FIN)
+            self.state = "closed by its backend"
+            self._signal()
 
 
 class Requester:
--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -94,6 +94,7 @@
         self.wanted = True
         self.own_ends = []
         self.disturbed_at = None
+        self.stopping = False
         self.task = None
 
     def write_settings(self, bootstrap):
@@ -126,8 +127,11 @@
                 str(ROOT / "target/bin" / program), "relay", cwd=ROOT, env=environment,
                 stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log)
 
-    async def supervise(self):
-        bootstrap = True
+    def run(self, bootstrap=False):
+        """Starts the process and restarts it whenever it ends."""
+        self.task = asyncio.create_task(self.supervise(bootstrap))
+
+    async def supervise(self, bootstrap):
         while self.wanted:
             await self.start(bootstrap)
             bootstrap = False
@@ -135,13 +139,22 @@
             status = await process.wait()
             if not self.wanted:
                 return
-            if self.disturbed_at is None or self.lab.now() - self.disturbed_at > 1:
+            calm = self.disturbed_at is None or self.lab.now() - self.disturbed_at > 1
+            if not self.stopping and calm:
                 self.own_ends.append(self.lab.now())
                 self.lab.note(f"process of {self.name} ended by itself, status {status}")
+            self.stopping = False
             await asyncio.sleep(RESTART_DELAY)
 
+    async def remove(self):
+        """The machine is taken away after its backend: its process is stopped for good."""
+        self.wanted = False
+        self.signal(signal.SIGTERM)
+        await self.process.wait()
+
     def signal(self, number):
         self.disturbed_at = self.lab.now()
+        self.stopping = self.stopping or number == signal.SIGTERM
         self.process.send_signal(number)
 
 
@@ -179,7 +192,9 @@
 
 
 class Lab:
-    heartbeat = 0.77
+    # Figures of the site brazos-clear, seconds.
+    heartbeat = 1.2
+    drain = 3.0
 
     def __init__(self, folder, zones=("a", "b"), edges=(1, 1), sides=(), era=None):
         """`sides`: (zone, service) of each side machine."""
@@ -199,14 +214,19 @@
                 self.edges.append(Machine(self, f"edge-{zone}-{i + 1}", "edge",
                                           f"{self.network}.{11 + len(self.edges)}", zone))
         for zone, service in sides:
-            number = sum(m.zone == zone for m in self.sides) + 1
-            machine = Machine(self, f"side-{zone}-{number}", "side",
-                              f"{self.network}.{31 + len(self.sides)}", zone, service)
-            self.sides.append(machine)
-            self.backends.append(Backend(self, f"backend-{zone}-{number}", machine, service))
+            self.add_side(zone, service)
         self.router = Router(self)
         self.tasks = []
 
+    def add_side(self, zone, service):
+        """Adds a side machine and its backend; neither runs yet. Returns the backend."""
+        number = sum(m.zone == zone for m in self.sides) + 1
+        machine = Machine(self, f"side-{zone}-{number}", "side",
+                          f"{self.network}.{31 + len(self.sides)}", zone, service)
+        self.sides.append(machine)
+        self.backends.append(Backend(self, f"backend-{zone}-{number}", machine, service))
+        return self.backends[-1]
+
     def _free_network(self):
         for _ in range(50):
             network = f"127.{random.randrange(20, 250)}.{random.randrange(1, 250)}"
@@ -254,7 +274,7 @@
             raise CannotRun("target/bin is missing; run the build of deploy/system.toml first")
         await self.store.start()
         for machine in self.edges + self.sides:
-            machine.task = asyncio.create_task(machine.supervise())
+            machine.run(bootstrap=True)
         self.router.task = asyncio.create_task(self.router.probe())
 
     async def wait_ready(self, limit=20.0):
