Review case 1: the same fault as a script

Two of three entries of a zone are stopped as planned, in four rounds, with service backends in another zone.

--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/case.py"
