Review: loopback addresses for the routes of all scripts

The route address stands in the packets' headers only and was never sent to; it is a loopback address now as the issue asks.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,7 +8,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).parents[1] / "standins"))
 import lab as labs  # noqa: E402
 
-ROUTE = "198.18.0.1:8443"
+ROUTE = "127.198.0.1:8443"
 ROUNDS = 4
 ROUND_TIME = 12.0
 FLOWS_EACH = 3
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -10,7 +10,7 @@
 import lab as labs  # noqa: E402
 from ends import http_call  # noqa: E402
 
-ROUTE = "198.18.0.1:8443"
+ROUTE = "127.198.0.1:8443"
 
 
 async def case(lab):
