Keep entries that stop informed until they end

The fabric goes on sending to all entries of a domain when fewer than half are ready.

Cause: an entry that reported its stop counted as silent, so it got no digests of other failure domains, and took their members for gone after 4 s.

Change: the roster distinguishes alive entries from those that may still forward packets. The latter get digests, are announced to target processes, and are preferred to silent ones as recipients of digests. Silent entries are tried in turn also beside one alive delegate. Repeated log lines on a stopping entry are gone.

--- a/src/include/toucan/entry_roster.h
+++ b/src/include/toucan/entry_roster.h
@@ -36,7 +36,9 @@
 {
     std::string domain; ///< Empty while it is not known.
     std::uint64_t rank = 0; ///< Position in its domain's order; larger comes first.
+    std::uint64_t boot = 0; ///< Random number of its start; 0 while it is not known.
     instant lastSeen{}; ///< Time of its newest message.
+    bool leaving = false; ///< It reported that it stops; it still forwards packets until it ends.
     config_stamp config; ///< Of the configuration in force there.
     store_standing store = store_standing::not_asked;
     bool isDomainComplete = false; ///< It has all members of its domain.
@@ -56,11 +58,12 @@
     /// Adds an entry that was named by another process or in the settings, as not alive. True when
     /// it was not known.
     bool add(instant now, const entry_place &entry);
-    /// Records a message from an entry. True when the entry was not alive before.
-    bool recordSeen(instant now, const entry_place &entry);
-    /// Records that an entry stops: it is not alive any more.
-    void recordLeaving(instant now, const endpoint &address);
-    /// Removes entries silent for longer than forgetAfter, except those in `kept`.
+    /// Records a message from the start `boot` of an entry. True when nothing was received from
+    /// that start recently.
+    bool recordSeen(instant now, const entry_place &entry, std::uint64_t boot = 0);
+    /// Records that an entry stops: it is not alive any more, until another start of it is seen.
+    void recordLeaving(const endpoint &address);
+    /// Removes entries silent for forgetAfter, except those in `kept`.
     void sweep(instant now, std::span<const endpoint> kept);
 
     /// The entry at an address, or nullptr.
@@ -70,6 +73,9 @@
     bool hasCompletePeer(instant now) const;
     /// Alive entries of a domain, without this one.
     std::vector<endpoint> aliveIn(std::string_view domain, instant now) const;
+    /// Entries of a domain that may forward packets, without this one: alive ones, and stopping
+    /// ones that have not ended. They need the state of all members.
+    std::vector<endpoint> forwardingIn(std::string_view domain, instant now) const;
     /// All alive entries, without this one.
     std::vector<endpoint> alive(instant now) const;
     /// Entries of a domain, alive or not, and those of unknown domains, without this one.
@@ -77,8 +83,8 @@
     /// Domains of known entries other than the own one.
     std::vector<std::string> otherDomains() const;
 
-    /// Entries to contact for another domain: its delegates, and while fewer are alive, others of
-    /// the domain in turn.
+    /// Entries to contact for another domain: its delegates, and while fewer are alive, stopping
+    /// ones, then silent ones in turn.
     std::vector<endpoint> delegatesOf(std::string_view domain, instant now) const;
     /// True when this entry is a delegate of its own domain.
     bool isDelegate(instant now) const;
@@ -93,8 +99,8 @@
     endpoint sourceOf(const config_order &order, const config_stamp &stamp,
         const endpoint &reporter, std::uint64_t choice, instant now) const;
 
-    /// Entries to announce to a process of a domain: those of the domain and the delegates of
-    /// others.
+    /// Entries to announce to a process of a domain: those of the domain, stopping ones included,
+    /// and the delegates of others.
     std::vector<entry_place> entriesToAnnounce(std::string_view domain, instant now) const;
 
 private:
@@ -104,10 +110,16 @@
         const entry_peer *peer = nullptr;
     };
     std::vector<ranked_entry> orderOf(std::string_view domain) const;
-    bool isAlive(const entry_peer &peer, instant now) const
+    static bool mayForward(const entry_peer &peer, instant now)
     {
         return now - peer.lastSeen < silenceLimit;
     }
+    static bool isAlive(const entry_peer &peer, instant now)
+    {
+        return mayForward(peer, now) && !peer.leaving;
+    }
+    template <class Predicate>
+    std::vector<endpoint> addressesWhere(Predicate &&accept) const;
 
     endpoint m_self;
     std::string m_domain;
--- a/src/include/toucan/relay_entry.h
+++ b/src/include/toucan/relay_entry.h
@@ -218,7 +218,8 @@
     void requestNotice(instant now, const endpoint &to);
     void sendMemberNotice(instant now, const relay_member &member);
     void announceToMembers(instant now);
-    void recordEntrySeen(instant now, const entry_place &entry, std::string_view name);
+    void recordEntrySeen(
+        instant now, const entry_place &entry, std::uint64_t boot, std::string_view name);
     void sendNotices(instant now);
     void updatePeers(instant now);
     void sendDigests(instant now);
--- a/src/libtoucanlab/relay_fleet_test.cpp
+++ b/src/libtoucanlab/relay_fleet_test.cpp
@@ -107,6 +107,33 @@
     }
 }
 
+// Stopping entries forward packets until the fabric has left them. One that no longer receives
+// digests takes the members of other failure domains for gone.
+TEST_CASE("relay: entries that stop but still receive packets reset no open flow")
+{
+    const std::vector<std::size_t> entries{1, 3, 5};
+    for (const auto staying : entries) {
+        auto fleet = makeFleet({.entries = 6, .targets = 6, .domains = {"a", "b"}});
+        fleet.run(4s);
+        fleet.useEntries({0, 2});
+        const auto flows = openFlows(fleet, 60);
+        std::set<std::size_t> stopping;
+        std::ranges::copy_if(entries, std::inserter(stopping, stopping.end()),
+            [&](std::size_t entry) { return entry != staying; });
+        for (const auto entry : stopping)
+            fleet.leaveEntry(entry);
+        fleet.run(4500ms);
+        fleet.useEntries(stopping);
+        for (const auto flow : flows)
+            fleet.request(flow);
+        fleet.run(500ms);
+        INFO("staying " << staying);
+        CHECK(countAnswered(fleet, flows) == flows.size());
+        CHECK(countReset(fleet, flows) == 0);
+        CHECK(listOf(fleet.violations()).empty());
+    }
+}
+
 TEST_CASE("relay: an entry that joins a fleet of 150 targets resets no open flow")
 {
     for (std::uint64_t seed = 1; seed <= 3; ++seed) {
--- a/src/libtoucanrelay/entry_roster.cpp
+++ b/src/libtoucanrelay/entry_roster.cpp
@@ -35,22 +35,26 @@
     return isNew;
 }
 
-bool entry_roster::recordSeen(instant now, const entry_place &entry)
+bool entry_roster::recordSeen(instant now, const entry_place &entry, std::uint64_t boot)
 {
     if (entry.address == m_self)
         return false;
     add(now, entry);
     auto &peer = m_peers.at(entry.address);
-    const bool wasAlive = isAlive(peer, now);
+    const bool wasSeen = mayForward(peer, now);
+    const bool isRestarted = peer.leaving && peer.boot != boot;
+    if (isRestarted)
+        peer.leaving = false;
+    peer.boot = boot;
     peer.lastSeen = now;
     peer.domain = entry.domain;
-    return !wasAlive;
+    return !wasSeen || isRestarted;
 }
 
-void entry_roster::recordLeaving(instant now, const endpoint &address)
+void entry_roster::recordLeaving(const endpoint &address)
 {
     if (auto *peer = at(address)) {
-        peer->lastSeen = now - silenceLimit;
+        peer->leaving = true;
         peer->store = store_standing::lost;
     }
 }
@@ -58,7 +62,7 @@
 void entry_roster::sweep(instant now, std::span<const endpoint> kept)
 {
     std::erase_if(m_peers, [&](const auto &item) {
-        return now - item.second.lastSeen > forgetAfter
+        return now - item.second.lastSeen >= forgetAfter
             && std::ranges::find(kept, item.first) == kept.end();
     });
 }
@@ -83,34 +87,38 @@
     });
 }
 
-std::vector<endpoint> entry_roster::aliveIn(std::string_view domain, instant now) const
+template <class Predicate>
+std::vector<endpoint> entry_roster::addressesWhere(Predicate &&accept) const
 {
     std::vector<endpoint> list;
     for (const auto &[address, peer] : m_peers) {
-        if (peer.domain == domain && isAlive(peer, now))
+        if (accept(peer))
             list.push_back(address);
     }
     return list;
 }
 
+std::vector<endpoint> entry_roster::aliveIn(std::string_view domain, instant now) const
+{
+    return addressesWhere(
+        [&](const entry_peer &peer) { return peer.domain == domain && isAlive(peer, now); });
+}
+
+std::vector<endpoint> entry_roster::forwardingIn(std::string_view domain, instant now) const
+{
+    return addressesWhere(
+        [&](const entry_peer &peer) { return peer.domain == domain && mayForward(peer, now); });
+}
+
 std::vector<endpoint> entry_roster::alive(instant now) const
 {
-    std::vector<endpoint> list;
-    for (const auto &[address, peer] : m_peers) {
-        if (isAlive(peer, now))
-            list.push_back(address);
-    }
-    return list;
+    return addressesWhere([&](const entry_peer &peer) { return isAlive(peer, now); });
 }
 
 std::vector<endpoint> entry_roster::knownIn(std::string_view domain) const
 {
-    std::vector<endpoint> list;
-    for (const auto &[address, peer] : m_peers) {
-        if (peer.domain == domain || peer.domain.empty())
-            list.push_back(address);
-    }
-    return list;
+    return addressesWhere(
+        [&](const entry_peer &peer) { return peer.domain == domain || peer.domain.empty(); });
 }
 
 std::vector<std::string> entry_roster::otherDomains() const
@@ -138,16 +146,20 @@
 std::vector<endpoint> entry_roster::delegatesOf(std::string_view domain, instant now) const
 {
     std::vector<endpoint> chosen;
+    std::vector<endpoint> leaving;
     std::vector<endpoint> silent;
     for (const auto &item : orderOf(domain)) {
-        if (!isAlive(*item.peer, now))
-            silent.push_back(item.address);
-        else if (chosen.size() < delegatesPerDomain)
-            chosen.push_back(item.address);
+        auto &list = isAlive(*item.peer, now) ? chosen
+            : mayForward(*item.peer, now)     ? leaving
+                                              : silent;
+        list.push_back(item.address);
     }
+    chosen.insert(chosen.end(), leaving.begin(), leaving.end());
+    chosen.resize(std::min(chosen.size(), delegatesPerDomain));
+    const auto missing = std::min(delegatesPerDomain - chosen.size(), silent.size());
     const auto turn = static_cast<std::size_t>(now / trialTime);
-    for (std::size_t i = 0; i < silent.size() && chosen.size() < delegatesPerDomain; ++i)
-        chosen.push_back(silent[(turn * delegatesPerDomain + i) % silent.size()]);
+    for (std::size_t i = 0; i < missing; ++i)
+        chosen.push_back(silent[(turn * missing + i) % silent.size()]);
     return chosen;
 }
 
@@ -203,7 +215,7 @@
         if (each != domain)
             append(delegatesOf(each, now), each);
         else if (each == m_domain)
-            append(aliveIn(each, now), each);
+            append(forwardingIn(each, now), each);
         else
             append(knownIn(each), each);
     }
--- a/src/libtoucanrelay/entry_roster_test.cpp
+++ b/src/libtoucanrelay/entry_roster_test.cpp
@@ -173,12 +173,52 @@
     CHECK(roster.recordSeen(now, {.address = entryAt(2), .domain = "a"}));
     CHECK_FALSE(roster.recordSeen(now, {.address = entryAt(2), .domain = "a"}));
     CHECK(roster.isAlive(entryAt(2), now));
-    roster.recordLeaving(now, entryAt(2));
+    roster.recordLeaving(entryAt(2));
     CHECK_FALSE(roster.isAlive(entryAt(2), now));
     roster.sweep(now + entry_roster::forgetAfter, {});
     CHECK(roster.at(entryAt(2)) == nullptr);
 }
 
+TEST_CASE("roster: an entry that stops gets what forwarding requires until it ends")
+{
+    entry_roster roster(entryAt(1), "a");
+    const instant now = 100s;
+    for (std::uint32_t i = 2; i < 5; ++i)
+        roster.recordSeen(now, {.address = entryAt(i), .domain = "a"}, 7);
+    roster.recordLeaving(entryAt(2));
+    // Messages of the stopping entry do not make it alive again.
+    CHECK_FALSE(roster.recordSeen(now, {.address = entryAt(2), .domain = "a"}, 7));
+    CHECK_FALSE(roster.isAlive(entryAt(2), now));
+    CHECK(roster.aliveIn("a", now).size() == 2);
+    CHECK(roster.forwardingIn("a", now).size() == 3);
+    CHECK(roster.entriesToAnnounce("a", now).size() == 4);
+    CHECK(roster.forwardingIn("a", now + entry_roster::silenceLimit).empty());
+    CHECK(roster.recordSeen(now, {.address = entryAt(2), .domain = "a"}, 8));
+    CHECK(roster.isAlive(entryAt(2), now));
+}
+
+TEST_CASE("roster: beside one alive delegate all silent entries are tried, stopping ones first")
+{
+    entry_roster roster(entryAt(1), "a");
+    const instant now = 100s;
+    for (std::uint32_t i = 10; i < 14; ++i)
+        roster.add(now, {.address = entryAt(i), .domain = "b"});
+    const auto tried = [&] {
+        std::set<endpoint> list;
+        for (int second = 0; second < 4; ++second) {
+            roster.recordSeen(now + second * 1s, {.address = entryAt(10), .domain = "b"});
+            const auto chosen = roster.delegatesOf("b", now + second * 1s);
+            CHECK(chosen.size() == delegatesPerDomain);
+            list.insert(chosen.begin(), chosen.end());
+        }
+        return list;
+    };
+    CHECK(tried().size() == 4);
+    roster.recordSeen(now + 1s, {.address = entryAt(12), .domain = "b"});
+    roster.recordLeaving(entryAt(12));
+    CHECK(tried() == std::set<endpoint>{entryAt(10), entryAt(12)});
+}
+
 TEST_CASE("roster: a configuration is fetched from any entry of the domain that has it")
 {
     const instant now = 100s;
--- a/src/libtoucanrelay/relay_entry_digests.cpp
+++ b/src/libtoucanrelay/relay_entry_digests.cpp
@@ -82,7 +82,7 @@
             recipients.insert(recipients.end(), delegates.begin(), delegates.end());
         }
         if (domain != m_options.domain) {
-            const auto own = m_roster.aliveIn(m_options.domain, now);
+            const auto own = m_roster.forwardingIn(m_options.domain, now);
             recipients.insert(recipients.end(), own.begin(), own.end());
         }
         for (const auto &page : pages) {
@@ -131,15 +131,17 @@
     if (message.origin == m_options.peer)
         return;
     if (from == message.origin)
-        recordEntrySeen(now, {.address = from, .domain = message.originDomain}, toString(from));
+        recordEntrySeen(
+            now, {.address = from, .domain = message.originDomain}, message.boot, toString(from));
     const auto outcome = m_digests.apply(now, m_members, message);
     if (!outcome.isNew)
         return;
     applyReceivedState(now, from, message, "entry");
-    // Digests of other domains reach the delegates, which pass them on in their own domain.
+    // Digests of other domains reach the delegates, which pass them on in their own domain, also to
+    // entries that stop: those forward packets until the fabric has left them.
     if (from == message.origin && message.originDomain != m_options.domain && !message.whole) {
         const auto bytes = encodeRelayMessage(message);
-        for (const auto &to : m_roster.aliveIn(m_options.domain, now))
+        for (const auto &to : m_roster.forwardingIn(m_options.domain, now))
             m_port.sendPeer(to, bytes, {});
     }
     for (const auto &change : outcome.changes)
--- a/src/libtoucanrelay/relay_entry_peers.cpp
+++ b/src/libtoucanrelay/relay_entry_peers.cpp
@@ -83,10 +83,11 @@
     retryParked(now);
 }
 
-void relay_entry::recordEntrySeen(instant now, const entry_place &entry, std::string_view name)
+void relay_entry::recordEntrySeen(
+    instant now, const entry_place &entry, std::uint64_t boot, std::string_view name)
 {
     const bool known = m_roster.at(entry.address) != nullptr;
-    if (!m_roster.recordSeen(now, entry))
+    if (!m_roster.recordSeen(now, entry, boot))
         return;
     m_log.write(now,
         dependency_changed{.dependency = "entry",
@@ -99,7 +100,7 @@
 {
     if (from == m_options.peer)
         return;
-    recordEntrySeen(now, {.address = from, .domain = message.domain}, message.name);
+    recordEntrySeen(now, {.address = from, .domain = message.domain}, message.boot, message.name);
     auto *peer = m_roster.at(from);
     peer->config = receivedStamp(message);
     peer->isDomainComplete = message.knowsDomain;
@@ -107,7 +108,7 @@
         ? static_cast<store_standing>(message.store)
         : store_standing::not_asked;
     if (message.leaving)
-        m_roster.recordLeaving(now, from);
+        m_roster.recordLeaving(from);
     applyReceivedState(now, from, message, "entry");
     onEntries(now, message.entries);
     if (message.wantsMembers)
--- a/src/libtoucanrelay/relay_target_entries.cpp
+++ b/src/libtoucanrelay/relay_target_entries.cpp
@@ -67,7 +67,7 @@
     const bool isNew = entry.boot != message.boot;
     entry.boot = message.boot;
     entry.domain = message.domain;
-    if (now - entry.lastSeen > entrySilenceLimit)
+    if (now - entry.lastSeen > entrySilenceLimit && !message.leaving)
         m_log.write(now,
             dependency_changed{.dependency = "entry",
                 .name = message.name,
