Send digests of a failure domain until its stopping entry has ended

Cause: an entry ceased to send digests at its stop signal, though it still received reports and placed openings. Entries of other domains heard of the new target only through substitutes, two seconds later, and took the members that they knew for all.

Change: an entry that stops ranks last among the delegates instead of not at all, so it speaks for its domain while too few others do. Its notices also go to the delegates of other domains, which then send digests to an entry that stays.

An entry that is killed instead leads to the same resets; that needs a change of its own.

--- a/src/include/toucan/entry_roster.h
+++ b/src/include/toucan/entry_roster.h
@@ -86,8 +86,9 @@
     /// Entries to contact for another domain: its delegates, and while fewer are alive, stopping
     /// ones, then silent ones in turn.
     std::vector<endpoint> delegatesOf(std::string_view domain, instant now) const;
-    /// True when this entry is a delegate of its own domain.
-    bool isDelegate(instant now) const;
+    /// True when this entry is a delegate of its own domain. One that stops ranks after all alive
+    /// entries, so it remains a delegate while there are too few of them.
+    bool isDelegate(instant now, bool isStopping = false) const;
     /// True when this entry has to follow the store. The first delegatesPerDomain entries of
     /// the domain's order that have not lost it do. One that has lost it still tries while fewer
     /// than that report that they follow it; no more than maxFollowers try at a time.
--- a/src/include/toucan/relay_entry.h
+++ b/src/include/toucan/relay_entry.h
@@ -221,6 +221,7 @@
     void recordEntrySeen(
         instant now, const entry_place &entry, std::uint64_t boot, std::string_view name);
     void sendNotices(instant now);
+    void sendStopNotices(instant now, const entry_notice &notice);
     void updatePeers(instant now);
     void sendDigests(instant now);
     void sendWholeDigest(instant now, const endpoint &to, std::string_view domain);
--- a/src/libtoucanlab/relay_fleet_test.cpp
+++ b/src/libtoucanlab/relay_fleet_test.cpp
@@ -60,6 +60,46 @@
     return text;
 }
 
+// Opens flows at a target that starts just after the only entry of its failure domain has stopped
+// or was killed; returns how many of them were reset.
+std::size_t countResetAtAddedTarget(std::uint64_t seed, bool isPlanned)
+{
+    constexpr std::size_t onlyEntry = 6;
+    constexpr std::size_t targets = 13;
+    auto fleet = makeFleet({.entries = 7,
+        .targets = targets,
+        .domains = {"a", "b", "a", "b", "a", "b", "c"},
+        .seed = seed});
+    // Openings go to the domain of that entry.
+    for (std::size_t target = 0; target < targets; ++target) {
+        if (target != onlyEntry)
+            fleet.drainTarget(target);
+    }
+    fleet.run(4s);
+    fleet.useEntries({0, 1, 2, 3, 4, 5});
+    if (isPlanned)
+        fleet.leaveEntry(onlyEntry);
+    else
+        fleet.killEntry(onlyEntry);
+    fleet.run(50ms);
+    const auto added = fleet.addTarget();
+    std::vector<std::size_t> flows;
+    for (int round = 0; round < 80; ++round) {
+        flows.push_back(fleet.openFlow());
+        fleet.run(25ms);
+        for (const auto flow : flows) {
+            if (fleet.holder(flow) == added && fleet.wasAnswered(flow))
+                fleet.request(flow);
+        }
+        if (isPlanned && round == 60)
+            fleet.killEntry(onlyEntry);
+    }
+    fleet.run(4s);
+    CHECK(fleet.openingsTaken(added) > 0);
+    CHECK(listOf(fleet.violations()).empty());
+    return countReset(fleet, flows);
+}
+
 } // namespace
 
 TEST_CASE("relay: a calm fleet answers every request")
@@ -134,6 +174,16 @@
     }
 }
 
+// An entry that stops is the only one to which a target of its domain reports first, so it has to
+// tell other domains of targets that start until it ends.
+TEST_CASE("relay: flows of a target that starts while its domain's only entry stops are not reset")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        INFO("seed " << seed);
+        CHECK(countResetAtAddedTarget(seed, true) == 0);
+    }
+}
+
 TEST_CASE("relay: an entry that joins a fleet of 150 targets resets no open flow")
 {
     for (std::uint64_t seed = 1; seed <= 3; ++seed) {
--- a/src/libtoucanrelay/entry_roster.cpp
+++ b/src/libtoucanrelay/entry_roster.cpp
@@ -163,11 +163,11 @@
     return chosen;
 }
 
-bool entry_roster::isDelegate(instant now) const
+bool entry_roster::isDelegate(instant now, bool isStopping) const
 {
     const auto order = orderOf(m_domain);
     const auto before = std::ranges::count_if(order, [&](const ranked_entry &item) {
-        return item.peer->rank > m_ownRank && isAlive(*item.peer, now);
+        return (isStopping || item.peer->rank > m_ownRank) && isAlive(*item.peer, now);
     });
     return static_cast<std::size_t>(before) < delegatesPerDomain;
 }
--- a/src/libtoucanrelay/relay_entry_digests.cpp
+++ b/src/libtoucanrelay/relay_entry_digests.cpp
@@ -54,7 +54,7 @@
 std::vector<std::string> relay_entry::domainsToReport(instant now) const
 {
     std::set<std::string> domains;
-    if (m_roster.isDelegate(now))
+    if (m_roster.isDelegate(now, m_leavingSince.has_value()))
         domains.insert(m_options.domain);
     m_members.forEach([&](const relay_member &item) {
         const auto lastSeen = m_digests.lastSeen(item.domain);
@@ -69,7 +69,7 @@
 {
     const bool isDue = now - m_lastDigests >= digestInterval
         || (now >= m_digestDue && now - m_lastDigests >= minDigestGap);
-    if (!isDue || m_leavingSince)
+    if (!isDue)
         return;
     m_lastDigests = now;
     m_digestDue = instant::max();
--- a/src/libtoucanrelay/relay_entry_peers.cpp
+++ b/src/libtoucanrelay/relay_entry_peers.cpp
@@ -334,6 +334,17 @@
         notice.wantsNotice = isLearning(now) || !m_roster.isAlive(address, now);
         send(address, notice);
     }
+    if (m_leavingSince)
+        sendStopNotices(now, plain);
+}
+
+// Other domains choose other recipients for their digests before this entry ends.
+void relay_entry::sendStopNotices(instant now, const entry_notice &notice)
+{
+    for (const auto &domain : m_roster.otherDomains()) {
+        for (const auto &address : m_roster.delegatesOf(domain, now))
+            send(address, notice);
+    }
 }
 
 void relay_entry::logMember(instant now, const member_change &change)
