Reset unknown flows only on knowledge that is newer than the flow

Other entries reset their flows, since a domain that was complete once counted as complete for good.

Change: a search ends in a reset only when for each other domain a matching digest has arrived since the flow's first segment here (200 ms for the transit; a whole interval more for substitutes, who know some of the members each), or nobody has told of the domain for 4 s. Until then the search stays open, and the entry asks a delegate for news. Replies are marked so that they are not passed on. Retransmissions do not start the wait again.

--- a/src/include/toucan/digest_book.h
+++ b/src/include/toucan/digest_book.h
@@ -17,6 +17,10 @@
 /// Time between two digests of a domain whose members do not change.
 inline constexpr std::chrono::milliseconds digestInterval{1000};
 
+/// Time from a member's first report until a digest that lists it has arrived in other domains:
+/// digests of a new member are sent within 100 ms.
+inline constexpr std::chrono::milliseconds digestTransitTime{200};
+
 /// What an entry's digests carry about the entry itself.
 struct digest_origin
 {
@@ -56,12 +60,20 @@
     std::optional<std::uint64_t> countOf(std::string_view domain) const;
     /// Time of the last digest of the domain from one of its own entries; nullopt before the first.
     std::optional<instant> lastSeen(std::string_view domain) const;
+    /// True when a digest that matches the own view is so recent that the view includes each member
+    /// of the domain that was in use at `since`.
+    bool hasMatchedSince(std::string_view domain, instant since) const;
+    /// Time of the last digest of the domain from any entry; nullopt before the first.
+    std::optional<instant> lastReported(std::string_view domain) const;
 
 private:
     struct domain_view
     {
         bool complete = false;
         std::optional<instant> lastSeen;
+        std::optional<instant> lastReported; ///< Last digest, whichever entry sent it.
+        std::optional<instant> matchedAt; ///< Last match with a digest of one of its own entries.
+        std::optional<instant> matchedOthersAt; ///< Last match with a digest of another entry.
         std::optional<std::uint64_t> count; ///< Of its members, from an entry that has all.
         instant requestedAt{}; ///< Last request for a whole digest.
     };
--- a/src/include/toucan/relay_entry.h
+++ b/src/include/toucan/relay_entry.h
@@ -112,6 +112,7 @@
     {
         std::uint64_t number = 0; ///< Distinguishes the searches for one flow.
         instant startedAt{};
+        instant flowSeenAt{}; ///< First segment of the flow here for which no owner was known.
         segment head;
         byte_buffer bytes; ///< The segment.
         std::vector<byte_buffer> buffered; ///< Segments received during the search.
@@ -158,6 +159,8 @@
         instant now, const segment &head, const route_rule *route, std::span<std::uint8_t> bytes);
     void search(instant now, const segment &head, const route_rule &route, cached_flow &cached,
         byte_view bytes);
+    void startSearch(instant now, const segment &head, const route_rule &route, cached_flow &cached,
+        byte_view bytes, instant flowSeenAt);
     void sendSegment(instant now, cached_flow &cached, std::span<const searched_member> members);
     void recordNotHeld(instant now, cached_flow &cached, std::size_t position, bool inconclusive);
     void advanceSearch(instant now, cached_flow &cached);
@@ -190,6 +193,7 @@
     bool mayBePlaced(instant now, const parked_opening &item) const;
     bool isLearning(instant now) const;
     bool areMembersKnown(instant now) const;
+    std::vector<std::string> domainsWithoutNews(instant since, instant now) const;
     bool isOwnDomainComplete(instant now) const;
     bool isDomainComplete(std::string_view domain, instant now) const;
     std::vector<std::string> otherDomains() const;
@@ -225,6 +229,8 @@
     void updatePeers(instant now);
     void sendDigests(instant now);
     void sendWholeDigest(instant now, const endpoint &to, std::string_view domain);
+    void sendNews(instant now, const endpoint &to, std::string_view domain);
+    void requestNews(instant now, const std::string &domain);
     void sendCompleteDomains(instant now, const endpoint &to);
     void updateCompleteness(instant now);
     void askForMembers(instant now);
@@ -277,7 +283,8 @@
     std::unordered_map<flow_key, cached_flow> m_flows;
     std::map<flow_key, parked_opening> m_parked;
     std::set<flow_key> m_watchedSearches; ///< Flows whose search awaits answers.
-    std::set<flow_key> m_inconclusiveSearches; ///< Ended before all members were known.
+    std::set<flow_key> m_inconclusiveSearches; ///< Ended before all members were surely known.
+    std::map<std::string, instant, std::less<>> m_newsRequestedAt; ///< By failure domain.
     instant m_lastSearchTick{};
     instant m_started;
     instant m_configAt{};
--- a/src/libtoucanlab/relay_fleet_test.cpp
+++ b/src/libtoucanlab/relay_fleet_test.cpp
@@ -184,6 +184,17 @@
     }
 }
 
+// Substitutes report the targets of a domain without a running entry after two seconds; until then
+// entries that they do not report to must not conclude that nobody holds a flow.
+TEST_CASE(
+    "relay: flows of a target that starts while its domain's only entry is down are not reset")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        INFO("seed " << seed);
+        CHECK(countResetAtAddedTarget(seed, false) == 0);
+    }
+}
+
 TEST_CASE("relay: an entry that joins a fleet of 150 targets resets no open flow")
 {
     for (std::uint64_t seed = 1; seed <= 3; ++seed) {
--- a/src/libtoucanrelay/digest_book.cpp
+++ b/src/libtoucanrelay/digest_book.cpp
@@ -90,6 +90,7 @@
     auto &view = m_views[page.domain];
     if (page.originDomain == page.domain)
         view.lastSeen = now;
+    view.lastReported = now;
     if (!page.whole)
         members.recordDomainSeen(now, page.domain);
     for (const auto &state : page.members) {
@@ -131,6 +132,7 @@
     if (members.summaryOf(page.domain) == theirs) {
         differsSince.reset();
         view.complete = true;
+        (page.originDomain == page.domain ? view.matchedAt : view.matchedOthersAt) = now;
         members.confirm(now, page.domain);
         return;
     }
@@ -168,4 +170,21 @@
     return found == m_views.end() ? std::nullopt : found->second.lastSeen;
 }
 
+// Each substitute receives reports of some members only, so all of them have to have sent a digest.
+bool digest_book::hasMatchedSince(std::string_view domain, instant since) const
+{
+    const auto found = m_views.find(domain);
+    if (found == m_views.end())
+        return false;
+    const auto &view = found->second;
+    return view.matchedAt >= since + digestTransitTime
+        || view.matchedOthersAt >= since + digestInterval + digestTransitTime;
+}
+
+std::optional<instant> digest_book::lastReported(std::string_view domain) const
+{
+    const auto found = m_views.find(domain);
+    return found == m_views.end() ? std::nullopt : found->second.lastReported;
+}
+
 } // namespace toucan
--- a/src/libtoucanrelay/digest_book_test.cpp
+++ b/src/libtoucanrelay/digest_book_test.cpp
@@ -248,3 +248,24 @@
     CHECK(fleet.far.at(newAddress));
     CHECK(fleet.far.count() == 1);
 }
+
+// Substitutes know some of the members each, so a view that matches one of them may lack others.
+TEST_CASE("digest: a match proves the members of earlier moments only, one of a substitute later")
+{
+    for (const bool isSubstitute : {false, true}) {
+        domain_fixture domain(3);
+        auto pages = domain.make(true);
+        if (isSubstitute)
+            pages.front().originDomain = "c";
+        const auto sentAt = domain.now;
+        domain.deliver(pages);
+        REQUIRE(domain.farBook.isComplete("b"));
+        const auto margin
+            = digestTransitTime + (isSubstitute ? instant(digestInterval) : instant{});
+        INFO("substitute " << isSubstitute);
+        CHECK(domain.farBook.hasMatchedSince("b", sentAt - margin));
+        CHECK_FALSE(domain.farBook.hasMatchedSince("b", sentAt - margin + 1ms));
+        CHECK(domain.farBook.lastReported("b") == sentAt);
+        CHECK_FALSE(domain.farBook.hasMatchedSince("a", sentAt - 1h));
+    }
+}
--- a/src/libtoucanrelay/relay_entry_digests.cpp
+++ b/src/libtoucanrelay/relay_entry_digests.cpp
@@ -17,6 +17,8 @@
 // Time without a digest from a domain's own entries after which other entries that its members
 // report to send digests of it.
 constexpr instant ownDigestTimeout = digestInterval * 2;
+// Minimum time between two requests for news of the same domain.
+constexpr auto newsRequestInterval = 150ms;
 // All members are known within a few seconds of a start; until then a line is logged this often.
 constexpr auto learningLogInterval = 1s;
 
@@ -100,6 +102,27 @@
         send(to, page);
 }
 
+void relay_entry::sendNews(instant now, const endpoint &to, std::string_view domain)
+{
+    for (auto &page :
+        m_digests.make(now, m_members, domain, originOf(), isDomainComplete(domain, now), false)) {
+        page.direct = true;
+        send(to, page);
+    }
+}
+
+// Asks for newer knowledge of a domain than the periodic digests give. Either delegate has it.
+void relay_entry::requestNews(instant now, const std::string &domain)
+{
+    auto &requestedAt = m_newsRequestedAt[domain];
+    const auto delegates = m_roster.delegatesOf(domain, now);
+    if (delegates.empty() || now - requestedAt < newsRequestInterval)
+        return;
+    requestedAt = now;
+    const auto turn = static_cast<std::size_t>(now / newsRequestInterval);
+    send(delegates[turn % delegates.size()], digest_request{.domain = domain, .news = true});
+}
+
 // Sends whole digests of all complete domains to an entry that starts.
 void relay_entry::sendCompleteDomains(instant now, const endpoint &to)
 {
@@ -123,7 +146,10 @@
 
 void relay_entry::handle(instant now, const endpoint &from, const digest_request &message)
 {
-    sendWholeDigest(now, from, message.domain);
+    if (message.news)
+        sendNews(now, from, message.domain);
+    else
+        sendWholeDigest(now, from, message.domain);
 }
 
 void relay_entry::handle(instant now, const endpoint &from, const member_digest &message)
@@ -139,7 +165,8 @@
     applyReceivedState(now, from, message, "entry");
     // Digests of other domains reach the delegates, which pass them on in their own domain, also to
     // entries that stop: those forward packets until the fabric has left them.
-    if (from == message.origin && message.originDomain != m_options.domain && !message.whole) {
+    if (from == message.origin && message.originDomain != m_options.domain && !message.whole
+        && !message.direct) {
         const auto bytes = encodeRelayMessage(message);
         for (const auto &to : m_roster.forwardingIn(m_options.domain, now))
             m_port.sendPeer(to, bytes, {});
@@ -237,6 +264,22 @@
     });
 }
 
+// Failure domains of which members may be unknown that were in use at `since`. A member of a domain
+// without running entries reports to entries of other domains, which tell all others before
+// goneAfter has passed.
+std::vector<std::string> relay_entry::domainsWithoutNews(instant since, instant now) const
+{
+    auto domains = otherDomains();
+    std::erase_if(domains, [&](const std::string &domain) {
+        const auto heard = std::max(m_digests.lastReported(domain).value_or(m_started), m_started);
+        return (m_digests.isComplete(domain) && m_digests.hasMatchedSince(domain, since))
+            || now - heard > member_table::goneAfter;
+    });
+    if (!isOwnDomainComplete(now))
+        domains.push_back(m_options.domain);
+    return domains;
+}
+
 bool relay_entry::isOwnDomainComplete(instant now) const
 {
     if (m_ownDomainComplete || m_digests.isComplete(m_options.domain))
--- a/src/libtoucanrelay/relay_entry_search.cpp
+++ b/src/libtoucanrelay/relay_entry_search.cpp
@@ -20,6 +20,9 @@
 constexpr std::size_t maxFlowsPerQuestion = 40;
 // A segment that arrives later than this after the start of a search starts a new one.
 constexpr auto searchTimeout = 1s;
+// Callers retransmit within this time; a longer pause may be between two flows of the same
+// addresses.
+constexpr auto maxRetransmissionGap = 2s;
 // Members pass a segment on within a few milliseconds; one of them may ask its target first.
 constexpr auto searchAnswerTimeout = 100ms;
 constexpr auto searchTickInterval = 20ms;
@@ -83,8 +86,18 @@
             progress->buffered.emplace_back(bytes.begin(), bytes.end());
         return;
     }
+    // Retransmissions must not postpone the end of the search.
+    const bool isContinued = progress && now - progress->startedAt < maxRetransmissionGap;
+    startSearch(now, head, route, cached, bytes, isContinued ? progress->flowSeenAt : now);
+}
+
+void relay_entry::startSearch(instant now, const segment &head, const route_rule &route,
+    cached_flow &cached, byte_view bytes, instant flowSeenAt)
+{
+    auto &progress = cached.progress;
     progress = std::make_unique<search_progress>(search_progress{.number = ++cached.searches,
         .startedAt = now,
+        .flowSeenAt = flowSeenAt,
         .head = head,
         .bytes = byte_buffer(bytes.begin(), bytes.end())});
     const auto order = fullSearchOrder(now, route, head.flowFromCaller());
@@ -289,7 +302,8 @@
         progress.members.size(), reason);
     if (reason.empty())
         resetLostFlow(now, progress.head, progress.members.size());
-    else if (!areMembersKnown(now) && m_inconclusiveSearches.size() < maxWatchedSearches)
+    else if (!domainsWithoutNews(progress.flowSeenAt, now).empty()
+        && m_inconclusiveSearches.size() < maxWatchedSearches)
         m_inconclusiveSearches.insert(progress.head.flowFromCaller());
 }
 
@@ -301,35 +315,47 @@
     m_flows.erase(flow);
 }
 
-// Resets flows that are gone as soon as the members are known, not at the caller's next
+// Resets flows that are gone as soon as all members are surely known, not at the caller's next
 // retransmission, which may come after its deadline.
 void relay_entry::retryInconclusiveSearches(instant now)
 {
-    if (m_inconclusiveSearches.empty() || !m_config || !areMembersKnown(now))
+    if (!m_config)
         return;
+    std::set<std::string> unclear;
     for (const auto &flow : std::exchange(m_inconclusiveSearches, {})) {
         const auto found = m_flows.find(flow);
         if (found == m_flows.end() || found->second.owner || !found->second.progress
             || found->second.progress->stage != search_stage::ended)
             continue;
+        const auto flowSeenAt = found->second.progress->flowSeenAt;
+        if (const auto domains = domainsWithoutNews(flowSeenAt, now); !domains.empty()) {
+            m_inconclusiveSearches.insert(flow);
+            if (now - flowSeenAt >= digestTransitTime)
+                unclear.insert(domains.begin(), domains.end());
+            continue;
+        }
         const auto last = std::move(found->second.progress);
         const auto *route = m_config->routeAt(flow.service);
         if (inconclusiveReason(now, *last).empty())
             resetLostFlow(now, last->head, last->members.size());
         else if (route)
-            search(now, last->head, *route, found->second, last->bytes);
+            startSearch(now, last->head, *route, found->second, last->bytes, flowSeenAt);
     }
+    unclear.erase(m_options.domain);
+    for (const auto &domain : unclear)
+        requestNews(now, domain);
 }
 
 // Returns why the search does not show that the flow is gone; empty when it does. It does when all
-// members are known and each was asked and does not hold the flow. A member without an answer is
-// down; that is conclusive once it has been silent for goneAfter (plannedStopTime if it stopped as
-// planned with flows), or if it last reported that no target runs there.
+// members that may have opened the flow are known and each was asked and does not hold the flow. A
+// member without an answer is down; that is conclusive once it has been silent for goneAfter
+// (plannedStopTime if it stopped as planned with flows), or if it last reported that no target runs
+// there.
 std::string relay_entry::inconclusiveReason(instant now, const search_progress &progress) const
 {
     const auto &order = progress.members;
-    if (!areMembersKnown(now))
-        return "members may be unknown yet";
+    if (const auto domains = domainsWithoutNews(progress.flowSeenAt, now); !domains.empty())
+        return "members of " + domains.front() + " may be unknown yet";
     if (order.empty() || order.size() >= maxSearchedMembers)
         return "no members, or too many";
     const auto silent = std::ranges::find(order, true, &searched_member::inconclusive);
