Ignore liveness reports of another service or address

Cause: reports are ordered by the start of the lifetime that they state; any other identity with a later start counted as a new lifetime, whatever service it named. Evidence: in the script the process ends the lifetime at the foreign report (3 of 3 open flows reset) and discards the target's own reports as late from then on.

Change: a report whose service or address is not that of the settings is answered with 400, logged and ignored.

--- a/src/include/toucan/relay_target.h
+++ b/src/include/toucan/relay_target.h
@@ -23,8 +23,9 @@
 {
     std::string name; ///< Name of the VM.
     std::string domain;
-    std::string service; ///< Service of the target until it reports another.
+    std::string service; ///< Service of the target; empty: the one that it reports.
     endpoint peer; ///< Own address for other processes.
+    endpoint target; ///< Address of the target; zero: any that it reports.
     std::vector<endpoint> seeds; ///< Peer addresses of the entries that are always reported to.
     std::chrono::milliseconds flowLifetime{60000}; ///< Idle time after which a flow is removed.
     std::chrono::milliseconds reportInterval{1200}; ///< Time between two reports of the target.
--- a/src/include/toucan/target_liveness.h
+++ b/src/include/toucan/target_liveness.h
@@ -27,6 +27,8 @@
 {
     std::string id; ///< Identity of the target; may stay the same over a restart.
     std::string service;
+    endpoint
+        address; ///< Where the target receives packets; zero when the report does not state it.
     std::uint64_t startedMs = 0; ///< Start of this lifetime, Unix milliseconds.
     std::uint64_t sequence = 0; ///< Increases within a lifetime.
     std::uint64_t slots = 0; ///< Requests that it serves concurrently.
@@ -35,6 +37,11 @@
     std::chrono::milliseconds coldRemaining{0}; ///< Time until it is no longer cold.
 };
 
+/// Returns why a report is not one of the target of `service` at `address`, where both are known;
+/// empty when it may be. Another writer on the VM may report as well.
+std::string foreignReason(
+    const target_liveness &report, std::string_view service, const endpoint &address);
+
 /// Effect of a report.
 enum class liveness_outcome : std::uint8_t {
     applied, ///< Newest report of the current lifetime.
--- a/src/libtoucanrelay/engine_fixtures.h
+++ b/src/libtoucanrelay/engine_fixtures.h
@@ -16,6 +16,7 @@
 constexpr endpoint service{.ip = 0xc6120001, .port = 443};
 constexpr endpoint entryAddress{.ip = 0x0a010001, .port = 7000};
 constexpr endpoint processAddress{.ip = 0x0a020001, .port = 7000};
+constexpr endpoint targetAddress{.ip = 0x7f000001, .port = 8080};
 constexpr endpoint otherProcess{.ip = 0x0a020002, .port = 7000};
 
 struct recording_port : relay_port
@@ -88,8 +89,12 @@
     relay_target engine;
 
     target_fixture()
-        : engine({.name = "t1", .domain = "a", .service = "main", .peer = processAddress}, codec,
-            port, metrics, log, now)
+        : engine({.name = "t1",
+                     .domain = "a",
+                     .service = "main",
+                     .peer = processAddress,
+                     .target = targetAddress},
+            codec, port, metrics, log, now)
     {
         engine.onLiveness(
             now, {.id = "i1", .service = "main", .startedMs = 1, .sequence = 1, .slots = 4});
--- a/src/libtoucanrelay/relay_target_lifetime.cpp
+++ b/src/libtoucanrelay/relay_target_lifetime.cpp
@@ -22,6 +22,16 @@
 
 void relay_target::onLiveness(instant now, const target_liveness &report)
 {
+    if (const auto reason = foreignReason(report, m_options.service, m_options.target);
+        !reason.empty()) {
+        m_log.write(now,
+            liveness_report{.target = report.id,
+                .started = report.startedMs,
+                .sequence = report.sequence,
+                .standing = std::string(toString(standing(now))),
+                .outcome = "ignored: " + reason});
+        return;
+    }
     const auto before = standing(now);
     const auto serviceBefore = service();
     const bool first = !m_liveness.latest();
--- a/src/libtoucanrelay/relay_target_test.cpp
+++ b/src/libtoucanrelay/relay_target_test.cpp
@@ -227,3 +227,30 @@
         engine.onTick(fleet.now);
     }
 }
+
+// Another program on the VM may send reports with a later start than the target's.
+TEST_CASE("target process: a report of another service or address ends no flow of the target")
+{
+    const target_liveness foreign{
+        .id = "monitor", .service = "main", .startedMs = 900, .sequence = 1, .slots = 1};
+    auto otherService = foreign;
+    otherService.service = "node-monitor";
+    auto otherAddress = foreign;
+    otherAddress.address = {.ip = targetAddress.ip, .port = 9090};
+    for (const auto &report : {otherService, otherAddress}) {
+        target_fixture fleet;
+        fleet.sendRequest(target_fixture::sequence + 1);
+        REQUIRE(fleet.engine.flowCount() == 1);
+        fleet.now += 1s;
+        fleet.engine.onLiveness(
+            fleet.now, {.id = "i1", .service = "main", .startedMs = 1, .sequence = 2, .slots = 4});
+        fleet.engine.onLiveness(fleet.now, report);
+        CHECK(fleet.port.toCallers.empty());
+        CHECK(fleet.engine.flowCount() == 1);
+        // The target's own reports still count.
+        fleet.engine.onLiveness(fleet.now,
+            {.id = "i1", .service = "main", .startedMs = 1, .sequence = 3, .draining = true});
+        CHECK(fleet.engine.standing(fleet.now) == target_standing::draining);
+        CHECK(fleet.engine.service() == "main");
+    }
+}
--- a/src/libtoucanrelay/target_liveness.cpp
+++ b/src/libtoucanrelay/target_liveness.cpp
@@ -11,6 +11,19 @@
     return names[static_cast<std::size_t>(standing)];
 }
 
+std::string foreignReason(
+    const target_liveness &report, std::string_view service, const endpoint &address)
+{
+    // The last report of a lifetime carries its identity only.
+    if (report.leaving)
+        return {};
+    if (!service.empty() && report.service != service)
+        return "the target's service is not " + report.service;
+    if (address && report.address && report.address != address)
+        return "the target's address is not " + toString(report.address);
+    return {};
+}
+
 std::string_view toString(liveness_outcome outcome)
 {
     constexpr std::array<std::string_view, 3> names{"applied", "new lifetime", "late"};
--- a/src/toucantarget/target_relay_server.cpp
+++ b/src/toucantarget/target_relay_server.cpp
@@ -10,6 +10,7 @@
 constexpr auto leaveDuration = 150ms;
 // Without an answer from any entry for this long, the store is read for entries again.
 constexpr auto lookupInterval = 10s;
+constexpr int badRequest = 400;
 
 relay_target_options engineOptions(const target_relay_settings &settings, std::uint64_t boot)
 {
@@ -17,6 +18,7 @@
         .domain = settings.domain,
         .service = settings.service,
         .peer = settings.peer,
+        .target = settings.target,
         .seeds = seedPeers(settings.seeds, settings.peer),
         .flowLifetime = settings.flowLifetime,
         .reportInterval = settings.reportInterval,
@@ -33,6 +35,8 @@
     : relay_program(settings, std::move(fileName), adapter, "target")
     , m_engine(engineOptions(settings, m_boot), adapter.segments, *this, m_metrics, m_log,
           monotonicNow())
+    , m_service(settings.service)
+    , m_target(settings.target)
 { }
 
 int target_relay_server::run()
@@ -56,7 +60,6 @@
 
 http_response target_relay_server::answer(const incoming_request &question)
 {
-    constexpr int badRequest = 400;
     if (std::holds_alternative<readiness_probe>(question))
         return {.body = "ready\n"};
     if (const auto *report = std::get_if<target_liveness>(&question))
@@ -71,6 +74,9 @@
 http_response target_relay_server::answerReport(const target_liveness &report)
 {
     m_mailbox.put(report);
+    // The engine ignores such a report and logs it.
+    if (const auto reason = foreignReason(report, m_service, m_target); !reason.empty())
+        return {.status = badRequest, .body = reason + '\n'};
     return {.body = "{}", .contentType = "application/json"};
 }
 
--- a/src/toucantarget/target_relay_server.h
+++ b/src/toucantarget/target_relay_server.h
@@ -33,6 +33,9 @@
 
     std::optional<udp_socket> m_outboundSocket;
     relay_target m_engine;
+    // Read by the thread that answers requests; the settings may change meanwhile.
+    const std::string m_service;
+    const endpoint m_target;
     std::unique_ptr<directory_lookup> m_lookup;
     instant
         m_lookupIntervalStart{}; ///< Time of the newest lookup, or when an entry was last alive.
