Answer reports with an undecodable identity instead of ending the process

Cause: Poco::URI::decode() throws for such a path, readRequest() caught exceptions of the JSON library only, and nothing above it in the control server's thread caught any.

As the same would happen with any other exception of a handler, the server answers 500, logs it and goes on; a body is limited to 64 KiB.

--- a/src/libtoucannet/control_link.cpp
+++ b/src/libtoucannet/control_link.cpp
@@ -1,6 +1,7 @@
 #include <stdexcept>
 #include <thread>
 #include <toucan/control_link.h>
+#include <toucan/log.h>
 #include <websocketpp/client.hpp>
 #include <websocketpp/config/asio_no_tls.hpp>
 #include <websocketpp/config/asio_no_tls_client.hpp>
@@ -14,6 +15,9 @@
 
 // Sufficient for the configuration of the largest supported fleet.
 constexpr std::size_t maxMessageBytes = 64U << 20U;
+// Targets' reports take a few hundred bytes.
+constexpr std::size_t maxHttpBodyBytes = 64U << 10U;
+constexpr std::size_t maxLoggedPath = 200;
 
 std::vector<std::uint8_t> toBytes(const std::string &text)
 {
@@ -33,6 +37,7 @@
     void listen(const listen_address &address);
     void answerMessage(server_type &server, const websocketpp::connection_hdl &link,
         const server_type::message_ptr &message) const;
+    http_response handle(const http_request &request) const;
     void answerHttp(server_type &server, const websocketpp::connection_hdl &link) const;
 };
 
@@ -42,6 +47,7 @@
     server.clear_access_channels(websocketpp::log::alevel::all);
     server.clear_error_channels(websocketpp::log::elevel::all);
     server.set_max_message_size(maxMessageBytes);
+    server.set_max_http_body_size(maxHttpBodyBytes);
     server.init_asio(&context);
     server.set_reuse_addr(true);
     server.set_message_handler(
@@ -62,16 +68,40 @@
 void control_server::impl::answerMessage(server_type &server,
     const websocketpp::connection_hdl &link, const server_type::message_ptr &message) const
 {
-    const auto answer = onRequest(toBytes(message->get_payload()));
     websocketpp::lib::error_code failure;
+    std::vector<std::uint8_t> answer;
+    try {
+        answer = onRequest(toBytes(message->get_payload()));
+    } catch (const std::exception &reason) {
+        log::part("control")->error("message could not be handled error=\"{}\"", reason.what());
+        server.close(
+            link, websocketpp::close::status::internal_endpoint_error, "not handled", failure);
+        return;
+    }
     server.send(link, answer.data(), answer.size(), websocketpp::frame::opcode::binary, failure);
 }
 
+// Nobody catches an exception above this in the server's thread.
+http_response control_server::impl::handle(const http_request &request) const
+{
+    constexpr int internalError = 500;
+    try {
+        return onHttp(request);
+    } catch (const std::exception &failure) {
+        log::part("control")->error("request failed method={} path={} error=\"{}\"", request.method,
+            request.path.substr(0, maxLoggedPath), failure.what());
+        http_response answer;
+        answer.status = internalError;
+        answer.body = "the request could not be handled\n";
+        return answer;
+    }
+}
+
 void control_server::impl::answerHttp(
     server_type &server, const websocketpp::connection_hdl &link) const
 {
     const auto connection = server.get_con_from_hdl(link);
-    const auto answer = onHttp({connection->get_request().get_method(), connection->get_resource(),
+    const auto answer = handle({connection->get_request().get_method(), connection->get_resource(),
         connection->get_request_body()});
     connection->set_body(answer.body);
     connection->append_header("Content-Type", answer.contentType);
