Read lists of the store past objects that cannot be read

Report of other operators: one odd entry of another writer ended the machines that read the list, or they stopped following it. It could happen here: copying a deeply nested object overflowed the stack, and a number such as 1e999 or bytes that are not UTF-8 made the whole answer unreadable, so that the list was tried again without end.

--- a/src/include/toucan/node.h
+++ b/src/include/toucan/node.h
@@ -15,6 +15,9 @@
 
 namespace toucan::node {
 
+/// Longest request on a control link: the decoder recurses into what it contains.
+inline constexpr std::size_t maxRequestBytes = 4096;
+
 /// Installs handlers for SIGTERM, SIGINT (orderly stop) and SIGHUP (reload) and ignores SIGPIPE.
 /// Call once, before threads are started.
 void handleStopSignals();
--- a/src/include/toucan/platform_client.h
+++ b/src/include/toucan/platform_client.h
@@ -19,6 +19,7 @@
     std::uint64_t era = 0; ///< Era of the store; 0 when the answer states none.
     std::vector<stored_object> objects; ///< A deleted one has a null body.
     bool more = false; ///< Another page follows the last object.
+    std::size_t unreadable = 0; ///< Objects left out because they are malformed.
 };
 
 /// One HTTP request to the platform.
--- a/src/include/toucan/relay_program.h
+++ b/src/include/toucan/relay_program.h
@@ -106,6 +106,8 @@
     /// Answers a CBOR message received on a control link.
     nlohmann::json answerControl(const std::vector<std::uint8_t> &request)
     {
+        if (request.size() > node::maxRequestBytes)
+            return {{"error", "the request is too long"}};
         const auto message = nlohmann::json::from_cbor(request, true, false);
         const auto operation
             = message.is_object() ? message.value("op", nlohmann::json()) : message;
--- a/src/include/toucan/store_follower.h
+++ b/src/include/toucan/store_follower.h
@@ -85,6 +85,7 @@
     bool follow(const std::stop_token &stop, retry_backoff &backoff);
     void detectRestore(const object_list &all);
     bool waitUntil(const std::stop_token &stop, const std::function<bool()> &condition);
+    void logUnreadable(const object_list &objects);
     void markFollowing();
     void markLost(const error &failure);
 
--- a/src/libtoucannet/node.cpp
+++ b/src/libtoucannet/node.cpp
@@ -96,6 +96,8 @@
 {
     const auto onRequest = [&](const std::vector<std::uint8_t> &bytes) {
         try {
+            if (bytes.size() > maxRequestBytes)
+                return json::to_cbor(json{{"error", "the request is too long"}});
             return json::to_cbor(answerRequest(json::from_cbor(bytes), agent, status));
         } catch (const json::exception &failure) {
             return json::to_cbor(json{{"error", failure.what()}});
--- a/src/libtoucannet/platform_client.cpp
+++ b/src/libtoucannet/platform_client.cpp
@@ -7,6 +7,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <toucan/platform_client.h>
+#include <toucan/store_answer.h>
 
 namespace toucan {
 namespace {
@@ -238,7 +239,7 @@
     if (status != platform_status::done)
         return unexpectedStatus(answer->status, answer->body);
     try {
-        return json::parse(answer->body);
+        return parseStoreAnswer(answer->body);
     } catch (const json::exception &failure) {
         return malformed(failure);
     }
@@ -264,6 +265,7 @@
                 return error{error_kind::platform_unavailable,
                     "the store was restored from an older copy between two pages"};
             all.more = page.more && !page.objects.empty();
+            all.unreadable += page.unreadable;
             std::ranges::move(page.objects, std::back_inserter(all.objects));
         } catch (const json::exception &failure) {
             return malformed(failure);
@@ -306,7 +308,7 @@
     if (answer->body.empty())
         return std::uint64_t{0};
     try {
-        return m_dialect.readVersion(json::parse(answer->body));
+        return m_dialect.readVersion(parseStoreAnswer(answer->body));
     } catch (const json::exception &) {
         return error{error_kind::write_uncertain, "the platform's answer is malformed"};
     }
--- a/src/libtoucannet/store_follower.cpp
+++ b/src/libtoucannet/store_follower.cpp
@@ -116,6 +116,7 @@
     for (const auto &object : all->objects)
         objects[object.name] = object;
     detectRestore(*all);
+    logUnreadable(*all);
     m_handler({.era = all->era, .revision = all->version}, objects);
     auto revision = all->version;
     while (!stop.stop_requested()) {
@@ -148,6 +149,7 @@
             return pauseAfterFailure(m_store, backoff, "watch " + m_kind, failure, stop);
         }
         markFollowing();
+        logUnreadable(*changes);
         backoff.reset();
         revision = std::max(revision, changes->version);
         for (const auto &object : changes->objects) {
@@ -176,6 +178,15 @@
             .objects = all.objects.size()});
 }
 
+// Other writers' objects may be malformed; what was known of them before stays.
+void store_follower::logUnreadable(const object_list &objects)
+{
+    if (objects.unreadable > 0)
+        m_store.log.write(monotonicNow(),
+            objects_ignored{
+                .kind = m_kind, .count = objects.unreadable, .reason = "they cannot be read"});
+}
+
 void store_follower::markFollowing()
 {
     m_following = true;
--- a/src/toucanbridge/entry_relay_server.cpp
+++ b/src/toucanbridge/entry_relay_server.cpp
@@ -216,7 +216,17 @@
 
 void entry_relay_server::handle(instant now, const domains_event &event)
 {
-    m_engine.onDomains(now, event.domains, "store");
+    auto domains = event.domains;
+    const auto &known = m_settings.domains;
+    const auto ignored = known.empty() ? 0 : std::erase_if(domains.names, [&](const auto &name) {
+        return std::ranges::find(known, name) == known.end();
+    });
+    if (std::exchange(m_ignoredDomains, ignored) != ignored)
+        m_log.write(now,
+            objects_ignored{.kind = std::string(m_adapter.kinds.domainsOut),
+                .count = ignored,
+                .reason = "no failure domain of the settings has their names"});
+    m_engine.onDomains(now, domains, "store");
 }
 
 void entry_relay_server::handle(instant now, const entries_event &event)
--- a/src/toucanbridge/entry_relay_server.h
+++ b/src/toucanbridge/entry_relay_server.h
@@ -42,6 +42,7 @@
     std::unique_ptr<entry_registration> m_registration;
     instant m_lastAliveReport{};
     std::uint64_t m_registrationEra = 0; ///< Newest era passed to m_registration.
+    std::size_t m_ignoredDomains = 0; ///< Of the newest list of domains out of service.
     relay_config_ptr m_lastPublished; ///< Newest configuration put into m_publishedConfig.
 };
 
