--- a/src/include/toucan/target_liveness.h
+++ b/src/include/toucan/target_liveness.h
@@ -27,8 +27,7 @@
 {
     std::string id; ///< Identity of the target; may stay the same over a restart.
     std::string service;
-    endpoint
-        address; ///< Where the target receives packets; zero when the report does not state it.
+    endpoint address; ///< Where it receives packets; zero when not stated.
     std::uint64_t startedMs = 0; ///< Start of this lifetime, Unix milliseconds.
     std::uint64_t sequence = 0; ///< Increases within a lifetime.
     std::uint64_t slots = 0; ///< Requests that it serves concurrently.
