Soak: settings name the service of each target

The soak gave every target process the service 'first' and relied on reports to replace it. The users' platform names the service in the settings of each process, so the soak was wrong; its checks and bounds are unchanged.

--- a/src/libtoucanlab/relay_soak.cpp
+++ b/src/libtoucanlab/relay_soak.cpp
@@ -177,11 +177,14 @@
                             "[flows]\ncallers = {}\n[platform]\naddress = {}\n[log]\nrate = 500\n",
         item.name, item.domain, item.starts == 1, at(peerPort), at(listenPort), at(controlPort),
         at(readinessPort), at(reportsPort), seeds, at(callersPort), at(storePort));
-    if (item.program == "toucantarget")
+    const auto target = std::ranges::find_if(
+        m_targets, [&](const auto &each) { return each->options().vm == item.name; });
+    if (target != m_targets.end())
         text += fmt::format("[target]\naddress = {}\noutbound = {}\nservice = {}\n"
                             "report_interval = 1s\ncold_overshoot = {}\ncold_slack = {}\n",
-            at(targetPort), at(outboundPort), "first", m_options.bounds.coldOvershoot,
-            m_options.bounds.coldSlack);
+            at(targetPort), at(outboundPort),
+            serviceOf(static_cast<std::size_t>(target - m_targets.begin())),
+            m_options.bounds.coldOvershoot, m_options.bounds.coldSlack);
     return text;
 }
 
