--- a/src/include/toucan/store_answer.h
+++ b/src/include/toucan/store_answer.h
@@ -10,9 +10,9 @@
 /// Levels of nesting that an object may have: copies and output of a value recurse.
 inline constexpr std::size_t maxObjectDepth = 64;
 
-/// Parses an answer. Elements of its lists that cannot be read (numbers out of range, bytes that are
-/// not UTF-8, more than maxObjectDepth levels) become null, so that they do not hide the others.
-/// Throws json::exception when the rest cannot be read. Thread-safe.
+/// Parses an answer. Elements of its lists that cannot be read (numbers out of range, bytes that
+/// are not UTF-8, more than maxObjectDepth levels) become null, so that they do not hide the
+/// others. Throws json::exception when the rest cannot be read. Thread-safe.
 nlohmann::json parseStoreAnswer(std::string text);
 
 } // namespace toucan
--- a/src/libtoucannet/store_answer.cpp
+++ b/src/libtoucannet/store_answer.cpp
@@ -70,8 +70,8 @@
     bool m_isEscaped = false;
 };
 
-// Keeps the positions of the other elements. An element that cannot be read is longer than "null": it
-// has at least two brackets and the part that cannot be read.
+// Keeps the positions of the other elements. An element that cannot be read is longer than "null":
+// it has at least two brackets and the part that cannot be read.
 void replaceByNull(std::string &text, const list_element &element)
 {
     constexpr std::string_view null = "null";
@@ -83,12 +83,11 @@
 json parse(const std::string &text)
 {
     // Refuses to build what is nested too deeply outside of lists.
-    const auto isShallow
-        = [](int depth, json::parse_event_t event, json &) {
-              const bool opens = event == json::parse_event_t::object_start
-                  || event == json::parse_event_t::array_start;
-              return !opens || static_cast<std::size_t>(depth) <= maxObjectDepth + listDepth;
-          };
+    const auto isShallow = [](int depth, json::parse_event_t event, json &) {
+        const bool opens = event == json::parse_event_t::object_start
+            || event == json::parse_event_t::array_start;
+        return !opens || static_cast<std::size_t>(depth) <= maxObjectDepth + listDepth;
+    };
     return json::parse(text, isShallow);
 }
 
