Keep the flows of a target that serves on after its last report

Callers saw: all open flows of a target reset 0.5 s after the target's last report, while it still held and answered them (FLOW, planned replacement of targets).

Cause: a target process took the time since the last report (exitDelay, 0.5 s) for the target's end. On a machine in real time a target's end is as late as its machine.

Change: a good-bye stops openings only. Flows end when the target ends them, returns their segments, or starts a new lifetime.

Tests, both failing before: "flows of a target that serves on after its last report are not reset", "a late good-bye does not reset flows of a target with the same identity".

--- a/src/include/toucan/relay_target.h
+++ b/src/include/toucan/relay_target.h
@@ -212,7 +212,6 @@
     std::vector<std::pair<instant, flow_key>> m_probes; ///< Probes without an answer, oldest first.
     std::optional<instant> m_silentSince; ///< Since when the target has answered no opening.
     instant m_lastTrial{};
-    std::optional<instant> m_resetFlowsAt; ///< Set by the target's last report.
     bool m_flowTableComplete = false;
     bool m_leaving = false;
     instant m_started;
--- a/src/libtoucanrelay/relay_target.cpp
+++ b/src/libtoucanrelay/relay_target.cpp
@@ -312,8 +312,6 @@
     checkUnanswered(now);
     expireExpectedRequests(now);
     passOnProbes(now);
-    if (m_resetFlowsAt && now >= *m_resetFlowsAt)
-        endLifetime(now, now, "the target ended");
     serveQueue(now);
     sendReports(now, standing(now) != m_reportedStanding);
     if (now - m_lastSweep >= sweepInterval) {
--- a/src/libtoucanrelay/relay_target_lifetime.cpp
+++ b/src/libtoucanrelay/relay_target_lifetime.cpp
@@ -15,8 +15,6 @@
 constexpr auto openingAnswerTimeout = 80ms;
 // Interval at which an opening is tried on a target that answers none.
 constexpr auto trialInterval = 250ms;
-// Time between a target's last report and its end.
-constexpr auto exitDelay = 500ms;
 
 } // namespace
 
@@ -56,8 +54,6 @@
         m_failures = {};
         m_flowTableComplete = true;
     }
-    if (report.leaving)
-        m_resetFlowsAt = now + exitDelay;
     if (before != after || serviceBefore != service() || outcome == liveness_outcome::new_lifetime)
         sendReports(now, true);
 }
@@ -66,7 +62,6 @@
 // target's answers show that when their callers send again.
 void relay_target::endLifetime(instant now, instant lastSeen, std::string_view reason)
 {
-    m_resetFlowsAt.reset();
     m_silentSince.reset();
     for (auto it = m_flows.begin(); it != m_flows.end();) {
         const auto current = it++;
--- a/src/libtoucanrelay/relay_target_test.cpp
+++ b/src/libtoucanrelay/relay_target_test.cpp
@@ -254,3 +254,55 @@
         CHECK(fleet.engine.service() == "main");
     }
 }
+
+// The platform's targets say good-bye and end some time later.
+TEST_CASE("target process: flows of a target that serves on after its last report are not reset")
+{
+    target_fixture fleet;
+    fleet.sendRequest(target_fixture::sequence + 1);
+    fleet.engine.onLiveness(fleet.now, {.id = "i1", .leaving = true});
+    fleet.port = {};
+    for (int second = 0; second < 10; ++second) {
+        fleet.now += 1s;
+        fleet.engine.onTick(fleet.now);
+        fleet.sendRequest(target_fixture::sequence + 1);
+        CHECK(fleet.port.toTarget.size() == static_cast<std::size_t>(second) + 1);
+    }
+    CHECK(fleet.port.toCallers.empty());
+}
+
+TEST_CASE("target process: a late good-bye does not reset flows of a target with the same identity")
+{
+    target_fixture fleet;
+    const target_liveness restarted{
+        .id = "i1", .service = "main", .startedMs = 900, .sequence = 1, .slots = 4};
+    fleet.now += 2s;
+    fleet.engine.onLiveness(fleet.now, restarted);
+    auto bytes = fleet.packet({.kind = relay_kind::opening,
+                                  .entry = entryAddress,
+                                  .serviceTag = serviceTagOf("main")},
+        opening);
+    fleet.engine.onPeerBytes(fleet.now, entryAddress, bytes);
+    auto answer = fleet.codec.encode({.source = service,
+                                         .destination = caller,
+                                         .synchronize = true,
+                                         .acknowledge = true,
+                                         .sequence = target_fixture::sequence,
+                                         .acknowledged = 1},
+        {});
+    fleet.engine.onTargetBytes(fleet.now, answer);
+    fleet.sendRequest(target_fixture::sequence + 1);
+    REQUIRE(fleet.engine.flowCount() == 1);
+    fleet.port = {};
+    fleet.engine.onLiveness(fleet.now, {.id = "i1", .leaving = true});
+    for (int step = 0; step < 12; ++step) {
+        fleet.now += 100ms;
+        fleet.engine.onTick(fleet.now);
+    }
+    auto next = restarted;
+    next.sequence = 2;
+    fleet.engine.onLiveness(fleet.now, next);
+    CHECK(fleet.engine.standing(fleet.now) == target_standing::ready);
+    CHECK(fleet.engine.flowCount() == 1);
+    CHECK(fleet.port.toCallers.empty());
+}
