Deny flows of a target only when it is shown to be absent

Callers could see: an open flow reset by an entry while its target holds it, after the process beside the target was restarted as planned and the target's first report came late, or after a good-bye.

Cause: "gone" was drawn from times. 1.25 report intervals after its own start a process without a report called its target gone, and a good-bye made it gone at once. From then on the process denied flows that it does not know, took a missing answer within 20 ms as denial even for segments that need no answer, and reported no flows, which entries take as proof without an answer.

Change: the process asks the target about flows that it does not know. Silence is conclusive after 4 s without any sign of the target, or for data when it has given no sign since the process started. Until then a process that may have missed flows reports at least one.

Evidence: by reading; tests "a restarted process denies no flow of a target that reports late" and "... that said good-bye" failed before (2 and 4 checks).

--- a/src/include/toucan/relay_target.h
+++ b/src/include/toucan/relay_target.h
@@ -161,6 +161,8 @@
     void resetFlow(instant now, flow_map::iterator it, std::string_view reason);
     bool isFlowTableComplete(instant now) const;
     bool isTargetAbsent(instant now) const;
+    bool isSilenceConclusive(instant now, const flow &item) const;
+    std::size_t reportedFlowCount(instant now) const;
     bool shouldRefuseAsSilent(instant now);
     void checkUnanswered(instant now);
     void sweepFlows(instant now);
@@ -212,6 +214,7 @@
     std::vector<std::pair<instant, flow_key>> m_probes; ///< Probes without an answer, oldest first.
     std::optional<instant> m_silentSince; ///< Since when the target has answered no opening.
     instant m_lastTrial{};
+    instant m_targetLastSeen{}; ///< Newest report or segment of the target.
     bool m_flowTableComplete = false;
     bool m_leaving = false;
     instant m_started;
--- a/src/libtoucanrelay/relay_target.cpp
+++ b/src/libtoucanrelay/relay_target.cpp
@@ -213,15 +213,23 @@
         if (found == m_flows.end() || found->second.state != flow_state::probing
             || found->second.pendingSegment.empty())
             continue;
-        // Targets may delay acknowledgements, so a missing answer does not show that the target
-        // lacks the flow. A target that neither reports nor answers is not running.
-        if (standing(now) != target_standing::gone)
+        if (!isSilenceConclusive(now, found->second))
             found->second.inconclusive = true;
         passOnProbe(found);
     }
     m_probes.erase(m_probes.begin(), firstRecent);
 }
 
+// Targets may delay the acknowledgement of a segment without data, so that its missing answer shows
+// nothing. A target that has not reported since this process started and does not answer data is
+// not running.
+bool relay_target::isSilenceConclusive(instant now, const flow &item) const
+{
+    const auto head = m_codec.decode(item.pendingSegment);
+    const bool isUnseen = standing(now) == target_standing::gone && m_targetLastSeen == instant{};
+    return isTargetAbsent(now) || (isUnseen && head && head->length > 0);
+}
+
 void relay_target::passOnProbe(flow_map::iterator it)
 {
     auto &item = it->second;
@@ -257,8 +265,7 @@
     if (found != m_flows.end() && found->second.state != flow_state::probing)
         return acknowledgesThisTarget(found->second, acknowledged) ? flow_lookup_result::held
                                                                    : flow_lookup_result::not_held;
-    const bool isCertain = isFlowTableComplete(now) || isTargetAbsent(now);
-    return isCertain ? flow_lookup_result::not_held : flow_lookup_result::unknown;
+    return isFlowTableComplete(now) ? flow_lookup_result::not_held : flow_lookup_result::unknown;
 }
 
 void relay_target::handle(instant now, const endpoint &from, const flow_question &message)
--- a/src/libtoucanrelay/relay_target_entries.cpp
+++ b/src/libtoucanrelay/relay_target_entries.cpp
@@ -166,7 +166,7 @@
         .lifetime = m_liveness.lifetime(),
         .standing = static_cast<std::uint64_t>(m_reportedStanding),
         .slots = known,
-        .flows = heldFlowCount(),
+        .flows = reportedFlowCount(now),
         .waiting = occupiedSlots() + m_queue.size(),
         .load = static_cast<std::uint64_t>(m_load.read(now) * thousand / static_cast<double>(known))
             + m_failures.penalty(now),
@@ -186,6 +186,13 @@
     }
 }
 
+// Entries take a member without flows whose target is gone as one that holds none.
+std::size_t relay_target::reportedFlowCount(instant now) const
+{
+    const bool isCertain = isFlowTableComplete(now) || isTargetAbsent(now);
+    return std::max<std::size_t>(heldFlowCount(), isCertain ? 0 : 1);
+}
+
 void relay_target::startLeaving(instant now)
 {
     m_leaving = true;
--- a/src/libtoucanrelay/relay_target_lifetime.cpp
+++ b/src/libtoucanrelay/relay_target_lifetime.cpp
@@ -46,6 +46,7 @@
                 .outcome = std::string(toString(outcome))});
     if (outcome == liveness_outcome::late)
         return;
+    m_targetLastSeen = now;
     // No opening reaches a target before its first report, so no flow of it can be missing here.
     if (first && report.sequence <= 1)
         m_flowTableComplete = true;
@@ -122,12 +123,11 @@
     return static_cast<std::uint64_t>(std::max(1.0, std::min(rate, hard)));
 }
 
-// A target without a report may be running until the time of three reports has passed; until then
-// it is probed.
+// A target may serve its flows for a while after its last report, and its first report may be late.
 bool relay_target::isTargetAbsent(instant now) const
 {
     return standing(now) == target_standing::gone
-        && (m_liveness.latest() || now - m_started >= targetSilenceLimit);
+        && now - std::max(m_started, m_targetLastSeen) >= targetSilenceLimit;
 }
 
 bool relay_target::isFlowTableComplete(instant now) const
--- a/src/libtoucanrelay/relay_target_test.cpp
+++ b/src/libtoucanrelay/relay_target_test.cpp
@@ -306,3 +306,95 @@
     CHECK(fleet.engine.flowCount() == 1);
     CHECK(fleet.port.toCallers.empty());
 }
+
+namespace {
+
+/// A process that was started again beside a target that holds flows.
+struct restarted_fixture : engine_fixture
+{
+    relay_target engine;
+
+    restarted_fixture()
+        : engine({.name = "t1",
+                     .domain = "a",
+                     .service = "main",
+                     .peer = processAddress,
+                     .seeds = {entryAddress}},
+            codec, port, metrics, log, now)
+    { }
+
+    void advance(std::chrono::milliseconds time)
+    {
+        for (auto left = time; left > 0ms; left -= relay_target::tickInterval) {
+            now += relay_target::tickInterval;
+            engine.onTick(now);
+        }
+    }
+    // Result of a question about a flow that the process does not know.
+    std::uint64_t askForFlow()
+    {
+        auto question = encodeRelayMessage(
+            flow_question{.flows = {{.caller = caller, .service = service, .search = 1}}});
+        port = {};
+        engine.onPeerBytes(now, entryAddress, question);
+        const auto message = decodeRelayMessage(port.toPeers.at(0).second);
+        return std::get<flow_answer>(*valueOf(message)).flows.at(0).word;
+    }
+    // Whether an unanswered probe with this segment counts as proof that the target lacks the flow.
+    bool isSilenceConclusive(const segment &head)
+    {
+        port = {};
+        auto asked
+            = packet({.kind = relay_kind::established, .entry = entryAddress, .search = 1}, head);
+        engine.onPeerBytes(now, entryAddress, asked);
+        advance(30ms);
+        for (auto &[to, bytes] : port.toPeers) {
+            if (const auto packet = decodeRelayPacket(bytes))
+                return !packet->header.inconclusive;
+        }
+        FAIL("the search did not go on");
+        return false;
+    }
+    std::uint64_t reportedFlows()
+    {
+        port = {};
+        advance(300ms);
+        const auto message = decodeRelayMessage(port.toPeers.at(0).second);
+        return std::get<target_report>(*valueOf(message)).flows;
+    }
+};
+
+segment acknowledgement()
+{
+    auto head = request(1);
+    head.length = 0;
+    return head;
+}
+
+} // namespace
+
+// The reports of a target are late when its VM is.
+TEST_CASE("target process: a restarted process denies no flow of a target that reports late")
+{
+    restarted_fixture fleet;
+    fleet.advance(2s);
+    CHECK(fleet.reportedFlows() > 0);
+    CHECK(fleet.askForFlow() == static_cast<std::uint64_t>(flow_lookup_result::unknown));
+    CHECK_FALSE(fleet.isSilenceConclusive(acknowledgement()));
+}
+
+TEST_CASE("target process: a restarted process denies no flow of a target that said good-bye")
+{
+    restarted_fixture fleet;
+    fleet.engine.onLiveness(fleet.now,
+        {.id = "i1", .service = "main", .startedMs = 1, .sequence = 9, .slots = 4});
+    fleet.engine.onLiveness(fleet.now, {.id = "i1", .leaving = true});
+    CHECK(fleet.reportedFlows() > 0);
+    CHECK(fleet.askForFlow() == static_cast<std::uint64_t>(flow_lookup_result::unknown));
+    CHECK_FALSE(fleet.isSilenceConclusive(request(1)));
+    CHECK_FALSE(fleet.isSilenceConclusive(acknowledgement()));
+    // No target runs there after 4 s without any sign of it.
+    fleet.advance(4s);
+    CHECK(fleet.reportedFlows() == 0);
+    CHECK(fleet.isSilenceConclusive(acknowledgement()));
+}
