Don't trust "first start" beside a target that has reported before

Cause: a process with that setting claims to know all flows of its target, and denies those that it never saw.

Change: the first report received decides: number 1 shows that no opening came before; any other withdraws the claim. Test "a process denies no flow of a target that has reported to an earlier one" failed before. Found by reading; not shown to be what callers met.

--- a/src/libtoucanrelay/relay_target_lifetime.cpp
+++ b/src/libtoucanrelay/relay_target_lifetime.cpp
@@ -47,9 +47,10 @@
     if (outcome == liveness_outcome::late)
         return;
     m_targetLastSeen = now;
-    // No opening reaches a target before its first report, so no flow of it can be missing here.
-    if (first && report.sequence <= 1)
-        m_flowTableComplete = true;
+    // No opening reaches a target before its first report, so no flow of it can be missing here
+    // after that one. A later one shows that this is not the first start beside the target.
+    if (first)
+        m_flowTableComplete = report.sequence <= 1;
     if (outcome == liveness_outcome::new_lifetime) {
         endLifetime(now, lastSeen, "the target started anew");
         m_failures = {};
--- a/src/libtoucanrelay/relay_target_test.cpp
+++ b/src/libtoucanrelay/relay_target_test.cpp
@@ -314,12 +314,13 @@
 {
     relay_target engine;
 
-    restarted_fixture()
+    explicit restarted_fixture(bool firstStart = false)
         : engine({.name = "t1",
                      .domain = "a",
                      .service = "main",
                      .peer = processAddress,
-                     .seeds = {entryAddress}},
+                     .seeds = {entryAddress},
+                     .firstStart = firstStart},
             codec, port, metrics, log, now)
     { }
 
@@ -398,3 +399,12 @@
     CHECK(fleet.reportedFlows() == 0);
     CHECK(fleet.isSilenceConclusive(acknowledgement()));
 }
+
+// Settings that say "first start" may be used again at a later one.
+TEST_CASE("target process: a process denies no flow of a target that has reported to an earlier one")
+{
+    restarted_fixture fleet(true);
+    fleet.engine.onLiveness(fleet.now,
+        {.id = "i1", .service = "main", .startedMs = 1, .sequence = 9, .slots = 4});
+    CHECK(fleet.askForFlow() == static_cast<std::uint64_t>(flow_lookup_result::unknown));
+}
