Reset the flows of a target whose port is closed

Since a good-bye does not end flows any more, callers of a target that has ended would wait for their deadlines. The VM itself shows the end: it refuses segments for a port that nothing is bound to. The process beside the target asks for such refusals on its socket towards the target, and then resets all flows of the target at once, passes openings on, and denies flows that it does not know, until a report or a segment of the target arrives. This also serves callers of targets that crash without a message.

--- a/src/include/toucan/relay_target.h
+++ b/src/include/toucan/relay_target.h
@@ -46,6 +46,9 @@
     void onPeerBytes(instant now, const endpoint &from, std::span<std::uint8_t> bytes);
     /// Handles a segment from the target. May change the bytes.
     void onTargetBytes(instant now, std::span<std::uint8_t> bytes);
+    /// Call when a segment to the target was refused because its port is closed: no target runs, so
+    /// all flows opened there before are gone.
+    void onTargetRefused(instant now);
     /// Handles a liveness report of the target.
     void onLiveness(instant now, const target_liveness &report);
     /// Sets the stamp of the configuration copy that this process keeps for entries that start
@@ -157,6 +160,7 @@
     void beginRequest(instant now, flow &item);
     void endRequest(instant now, flow &item, bool answered);
     void erase(instant now, flow_map::iterator it, std::string_view outcome);
+    void recordTargetSeen(instant now);
     void endLifetime(instant now, instant lastSeen, std::string_view reason);
     void resetFlow(instant now, flow_map::iterator it, std::string_view reason);
     bool isFlowTableComplete(instant now) const;
@@ -215,6 +219,7 @@
     std::optional<instant> m_silentSince; ///< Since when the target has answered no opening.
     instant m_lastTrial{};
     instant m_targetLastSeen{}; ///< Newest report or segment of the target.
+    bool m_targetRefused = false; ///< Its port was closed and no sign of it came since.
     bool m_flowTableComplete = false;
     bool m_leaving = false;
     instant m_started;
--- a/src/include/toucan/udp_socket.h
+++ b/src/include/toucan/udp_socket.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <toucan/endpoint.h>
 #include <toucan/error.h>
+#include <utility>
 
 namespace toucan {
 
@@ -34,13 +35,22 @@
     /// Sends on a connected socket.
     void send(byte_view payload);
 
+    /// From now on the socket learns when the host of a recipient refuses a datagram, because
+    /// nothing is bound to the port.
+    void watchRefusals();
+    /// True when a datagram sent since the last call was refused.
+    bool takeRefusal() { return std::exchange(m_wasRefused, false); }
+
     /// The underlying socket, for poll().
     const Poco::Net::DatagramSocket &handle() const { return m_socket; }
     endpoint localAddress() const;
 
 private:
     explicit udp_socket(const Poco::Net::DatagramSocket &socket);
+    bool noteRefusal();
+
     Poco::Net::DatagramSocket m_socket;
+    bool m_wasRefused = false;
 };
 
 } // namespace toucan
--- a/src/libtoucannet/udp_socket.cpp
+++ b/src/libtoucannet/udp_socket.cpp
@@ -1,5 +1,6 @@
 #include <Poco/Net/NetException.h>
 #include <array>
+#include <cerrno>
 #include <chrono>
 #include <sys/socket.h>
 #include <sys/uio.h>
@@ -44,6 +45,27 @@
     return std::chrono::duration_cast<instant>(std::chrono::steady_clock::now().time_since_epoch());
 }
 
+void udp_socket::watchRefusals()
+{
+    // Where the option is not supported, refusals stay unknown.
+    const int enabled = 1;
+    static_cast<void>(
+        ::setsockopt(m_socket.impl()->sockfd(), IPPROTO_IP, IP_RECVERR, &enabled, sizeof(enabled)));
+}
+
+// Call after an error; returns whether it was a refusal. The socket's queue of errors is emptied,
+// as the socket counts as readable until then.
+bool udp_socket::noteRefusal()
+{
+    if (errno != ECONNREFUSED)
+        return false;
+    m_wasRefused = true;
+    msghdr ignored{};
+    while (::recvmsg(m_socket.impl()->sockfd(), &ignored, MSG_ERRQUEUE | MSG_DONTWAIT) >= 0)
+        ignored = {};
+    return true;
+}
+
 udp_socket::udp_socket(const Poco::Net::DatagramSocket &socket)
     : m_socket(socket)
 { }
@@ -86,8 +108,10 @@
     socklen_t fromSize = sizeof(from);
     const auto size = ::recvfrom(m_socket.impl()->sockfd(), buffer.data(), buffer.size(),
         MSG_DONTWAIT, reinterpret_cast<sockaddr *>(&from), &fromSize);
-    if (size < 0)
+    if (size < 0) {
+        noteRefusal();
         return std::nullopt;
+    }
     return datagram{
         .from = fromNative(from), .payload = buffer.first(static_cast<std::size_t>(size))};
 }
@@ -102,7 +126,12 @@
     message.msg_namelen = sizeof(native);
     message.msg_iov = parts.data();
     message.msg_iovlen = payload.empty() ? 1 : 2;
-    static_cast<void>(::sendmsg(m_socket.impl()->sockfd(), &message, MSG_DONTWAIT | MSG_NOSIGNAL));
+    const auto transmit = [&] {
+        return ::sendmsg(m_socket.impl()->sockfd(), &message, MSG_DONTWAIT | MSG_NOSIGNAL);
+    };
+    // A refusal of an earlier datagram is reported in place of sending this one.
+    if (transmit() < 0 && noteRefusal())
+        static_cast<void>(transmit());
 }
 
 void udp_socket::send(byte_view payload)
--- a/src/libtoucanrelay/relay_target.cpp
+++ b/src/libtoucanrelay/relay_target.cpp
@@ -265,7 +265,8 @@
     if (found != m_flows.end() && found->second.state != flow_state::probing)
         return acknowledgesThisTarget(found->second, acknowledged) ? flow_lookup_result::held
                                                                    : flow_lookup_result::not_held;
-    return isFlowTableComplete(now) ? flow_lookup_result::not_held : flow_lookup_result::unknown;
+    const bool isCertain = isFlowTableComplete(now) || m_targetRefused;
+    return isCertain ? flow_lookup_result::not_held : flow_lookup_result::unknown;
 }
 
 void relay_target::handle(instant now, const endpoint &from, const flow_question &message)
--- a/src/libtoucanrelay/relay_target_answers.cpp
+++ b/src/libtoucanrelay/relay_target_answers.cpp
@@ -53,7 +53,7 @@
                 .state = "regained",
                 .reason = "target answers again"});
     m_silentSince.reset();
-    m_targetLastSeen = now;
+    recordTargetSeen(now);
     if (head->returned) {
         onReturned(now, *head, bytes);
         return;
--- a/src/libtoucanrelay/relay_target_lifetime.cpp
+++ b/src/libtoucanrelay/relay_target_lifetime.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <toucan/relay_target.h>
+#include <utility>
 
 namespace toucan {
 namespace {
@@ -46,7 +47,9 @@
                 .outcome = std::string(toString(outcome))});
     if (outcome == liveness_outcome::late)
         return;
-    m_targetLastSeen = now;
+    // A good-bye may be read after the target has ended.
+    if (!report.leaving)
+        recordTargetSeen(now);
     // No opening reaches a target before its first report, so no flow of it can be missing here
     // after that one. A later one shows that this is not the first start beside the target.
     if (first)
@@ -60,6 +63,38 @@
         sendReports(now, true);
 }
 
+void relay_target::recordTargetSeen(instant now)
+{
+    m_targetLastSeen = now;
+    m_targetRefused = false;
+}
+
+void relay_target::onTargetRefused(instant now)
+{
+    if (!std::exchange(m_targetRefused, true))
+        m_log.write(now,
+            dependency_changed{.dependency = "target",
+                .name = service(),
+                .state = "lost",
+                .reason = "its port is closed"});
+    if (!m_silentSince) {
+        m_silentSince = now;
+        m_lastTrial = now;
+    }
+    for (auto it = m_flows.begin(); it != m_flows.end();) {
+        const auto current = it++;
+        if (current->second.state == flow_state::open) {
+            resetFlow(now, current, "the target's port is closed");
+        } else if (current->second.state == flow_state::offered) {
+            std::erase_if(m_unansweredOpenings,
+                [&](const auto &waiting) { return waiting.second == current->first; });
+            if (!current->second.pendingSegment.empty())
+                passOnOpening(current->second, current->second.pendingSegment);
+            erase(now, current, "turned away");
+        }
+    }
+}
+
 // Flows opened after the last report of the ended lifetime may already belong to the next one. The
 // target's answers show that when their callers send again.
 void relay_target::endLifetime(instant now, instant lastSeen, std::string_view reason)
@@ -127,6 +162,8 @@
 // A target may serve its flows for a while after its last report, and its first report may be late.
 bool relay_target::isTargetAbsent(instant now) const
 {
+    if (m_targetRefused)
+        return true;
     return standing(now) == target_standing::gone
         && now - std::max(m_started, m_targetLastSeen) >= targetSilenceLimit;
 }
--- a/src/libtoucanrelay/relay_target_test.cpp
+++ b/src/libtoucanrelay/relay_target_test.cpp
@@ -278,9 +278,8 @@
         .id = "i1", .service = "main", .startedMs = 900, .sequence = 1, .slots = 4};
     fleet.now += 2s;
     fleet.engine.onLiveness(fleet.now, restarted);
-    auto bytes = fleet.packet({.kind = relay_kind::opening,
-                                  .entry = entryAddress,
-                                  .serviceTag = serviceTagOf("main")},
+    auto bytes = fleet.packet(
+        {.kind = relay_kind::opening, .entry = entryAddress, .serviceTag = serviceTagOf("main")},
         opening);
     fleet.engine.onPeerBytes(fleet.now, entryAddress, bytes);
     auto answer = fleet.codec.encode({.source = service,
@@ -387,8 +386,8 @@
 TEST_CASE("target process: a restarted process denies no flow of a target that said good-bye")
 {
     restarted_fixture fleet;
-    fleet.engine.onLiveness(fleet.now,
-        {.id = "i1", .service = "main", .startedMs = 1, .sequence = 9, .slots = 4});
+    fleet.engine.onLiveness(
+        fleet.now, {.id = "i1", .service = "main", .startedMs = 1, .sequence = 9, .slots = 4});
     fleet.engine.onLiveness(fleet.now, {.id = "i1", .leaving = true});
     CHECK(fleet.reportedFlows() > 0);
     CHECK(fleet.askForFlow() == static_cast<std::uint64_t>(flow_lookup_result::unknown));
@@ -401,10 +400,44 @@
 }
 
 // Settings that say "first start" may be used again at a later one.
-TEST_CASE("target process: a process denies no flow of a target that has reported to an earlier one")
+TEST_CASE(
+    "target process: a process denies no flow of a target that has reported to an earlier one")
 {
     restarted_fixture fleet(true);
-    fleet.engine.onLiveness(fleet.now,
-        {.id = "i1", .service = "main", .startedMs = 1, .sequence = 9, .slots = 4});
+    fleet.engine.onLiveness(
+        fleet.now, {.id = "i1", .service = "main", .startedMs = 1, .sequence = 9, .slots = 4});
     CHECK(fleet.askForFlow() == static_cast<std::uint64_t>(flow_lookup_result::unknown));
 }
+
+// Callers of flows that ended with their target must not wait for their deadlines.
+TEST_CASE("target process: flows of a target whose port is closed are reset at once")
+{
+    target_fixture fleet;
+    fleet.sendRequest(target_fixture::sequence + 1);
+    fleet.engine.onLiveness(fleet.now, {.id = "i1", .leaving = true});
+    fleet.port = {};
+    fleet.engine.onTargetRefused(fleet.now);
+    CHECK(fleet.port.toCallers.size() == 1);
+    CHECK(fleet.engine.flowCount() == 0);
+}
+
+TEST_CASE("target process: an opening that a closed port refuses is passed on at once")
+{
+    engine_fixture fleet;
+    relay_target engine({.name = "t1", .domain = "a", .service = "main", .peer = processAddress},
+        fleet.codec, fleet.port, fleet.metrics, fleet.log, fleet.now);
+    engine.onLiveness(
+        fleet.now, {.id = "i1", .service = "main", .startedMs = 1, .sequence = 1, .slots = 4});
+    auto bytes = fleet.packet({.kind = relay_kind::opening,
+                                  .entry = entryAddress,
+                                  .serviceTag = serviceTagOf("main"),
+                                  .candidates = {otherProcess}},
+        opening);
+    engine.onPeerBytes(fleet.now, entryAddress, bytes);
+    fleet.port = {};
+    engine.onTargetRefused(fleet.now);
+    const auto packets = fleet.port.takePackets();
+    REQUIRE(packets.size() == 1);
+    CHECK(packets.front() == std::pair(relay_kind::opening, otherProcess));
+    CHECK(fleet.port.toCallers.empty());
+}
--- a/src/toucantarget/target_relay_server.cpp
+++ b/src/toucantarget/target_relay_server.cpp
@@ -44,6 +44,7 @@
     if (const auto failed
         = bindSockets(std::array{socket_binding{m_outboundSocket, m_settings.outbound}}))
         return *failed;
+    m_outboundSocket->watchRefusals();
     startFetcher([this](const relay_config_ptr &config, const endpoint &from) {
         m_publishedConfig.put(config);
         m_mailbox.put(config_event{.config = config, .source = toString(from)});
@@ -97,6 +98,8 @@
                 *m_outboundSocket, m_buffer, [&](const endpoint &, std::span<std::uint8_t> bytes) {
                     m_engine.onTargetBytes(now, bytes);
                 });
+            if (m_outboundSocket->takeRefusal())
+                m_engine.onTargetRefused(now);
             readBatch(
                 *m_peerSocket, m_buffer, [&](const endpoint &from, std::span<std::uint8_t> bytes) {
                     m_engine.onPeerBytes(now, from, bytes);
