Soak: planned work in overlapping series, targets that end late, strayed segments

Callers keep thousands of flows, most of them silent for longer than a drain. Targets serve on for up to 2.5 s after their last report; one that has ended closes its port (before, a stand-in target kept its port open for good, and ended before its last report). New check, in all soaks: three or more segments of an open flow reach other targets within 2 s, and none its own for 2 s.

--- a/src/include/toucan/lab/relay_soak.h
+++ b/src/include/toucan/lab/relay_soak.h
@@ -26,6 +26,7 @@
     double callersPerSecond = 80; ///< New flows, and as many requests on open ones.
     std::chrono::milliseconds faultInterval{900}; ///< Mean time between two faults.
     bool restores = false; ///< Among the faults, the store comes back from an older copy.
+    bool planned = false; ///< Mostly planned work, in series that overlap; targets end late.
     soak_bounds bounds;
 };
 
@@ -86,6 +87,7 @@
     void sendRequests();
     void onCallerSocket(udp_socket &socket);
     void onTargetSocket(soak_target &target);
+    void watchSockets(Poco::Net::PollSet &poll) const;
     void after(std::chrono::microseconds delay, std::function<void()> act);
     std::size_t pick(std::size_t count);
     std::chrono::milliseconds pickTime(
@@ -94,6 +96,8 @@
     // Rules.
     void checkOpening(soak_target &target, const flow_key &flow);
     void checkReset(std::size_t flow);
+    void checkStray(const soak_target &taker, const segment &head);
+    bool isCalmFor(std::size_t flow, const std::string &target) const;
     void checkRuns();
     void checkPrograms();
     void checkRecovery(std::size_t firstFlow, std::size_t endFlow);
@@ -108,6 +112,7 @@
         bool (relay_soak::*begin)();
     };
     static const std::vector<fault> faultTable;
+    static const std::vector<fault> plannedTable;
     void nextFault();
     void note(const std::string &text);
     vm *freeVm(bool isEntry);
@@ -126,6 +131,12 @@
     bool crashTarget();
     bool silenceTarget();
     bool replaceTarget();
+    void replace(soak_target &target, std::chrono::milliseconds endsAfter);
+    bool replaceTargets();
+    bool restartSeries(bool isEntry);
+    bool restartEntries() { return restartSeries(true); }
+    bool restartTargetPrograms() { return restartSeries(false); }
+    bool addEntries();
     bool harmLink();
     bool harmStore();
     bool forgetHistory();
@@ -151,10 +162,18 @@
     std::vector<std::unique_ptr<vm>> m_vms; ///< Entries first, spare ones included.
     std::size_t m_entryCount = 0; ///< Entries in use.
     std::vector<std::unique_ptr<soak_target>> m_targets;
+    bool m_targetsChanged = false; ///< A target opened or closed its socket.
     std::vector<udp_socket> m_callerSockets;
     std::optional<udp_socket> m_fabric;
     segment_callers m_callers;
     std::map<std::size_t, flow_entries> m_entriesOf; ///< That took the flow's newest segments.
+    /// Segments of an open flow that reached other targets since its own got the last one.
+    struct stray_segments
+    {
+        instant ownAt{}; ///< Its own target got a segment, or somebody was disturbed.
+        std::vector<instant> times;
+    };
+    std::map<std::size_t, stray_segments> m_strays; ///< By flow.
     std::string m_resetSender; ///< Who sent the segment that callers are reading.
     sent_segments m_fromCallers;
     sent_segments m_fromTargets;
--- a/src/include/toucan/lab/soak_target.h
+++ b/src/include/toucan/lab/soak_target.h
@@ -39,12 +39,12 @@
 
     /// A new lifetime begins, cold for so long.
     void start(instant now, std::chrono::milliseconds coldFor);
-    /// Ends without a word.
+    /// Ends: its port is closed and nothing is reported any more.
     void crash();
     /// Says that it leaves; confirmed() tells since when the system knows.
     void drain();
-    /// Says good-bye and ends.
-    void leave();
+    /// Sends its last report, and serves its flows until it ends.
+    void sayGoodbye();
     /// Takes no segments and sends none.
     void setSilent(bool silent) { m_silent = silent; }
 
@@ -55,7 +55,8 @@
     bool isCold(instant now) const { return now < m_coldUntil; }
     const soak_target_options &options() const { return m_options; }
     segment_target &end() { return m_end; }
-    udp_socket &socket() { return *m_socket; }
+    /// Its socket; null while it does not run.
+    udp_socket *socket() { return m_socket ? &*m_socket : nullptr; }
     cold_openings &coldOpenings() { return m_coldOpenings; }
     /// A segment came in.
     void onSegment(byte_view bytes);
@@ -73,6 +74,7 @@
 
     void report(const std::stop_token &stop);
     bool sendReport(const http_request &request) const;
+    void openSocket();
 
     soak_target_options m_options;
     std::optional<udp_socket> m_socket;
--- a/src/libtoucanlab/relay_soak.cpp
+++ b/src/libtoucanlab/relay_soak.cpp
@@ -43,6 +43,14 @@
 constexpr int missesAllowed = 2;
 // Entries whose state may have decided on a flow's reset.
 constexpr std::size_t entriesRemembered = 4;
+// Flows on which requests are sent now and then.
+constexpr std::size_t recentFlows = 400;
+constexpr std::size_t heldFlows = 3000;
+// Segments of an open flow may reach other targets, but not so many for so long with none at its
+// own.
+constexpr std::size_t strayLimit = 3;
+constexpr auto strayTime = 2000ms;
+constexpr auto readTime = 50ms;
 
 bool isReady(const endpoint &address)
 {
@@ -271,10 +279,7 @@
 void relay_soak::loop(instant until)
 {
     Poco::Net::PollSet poll;
-    for (const auto &socket : m_callerSockets)
-        poll.add(socket.handle(), Poco::Net::PollSet::POLL_READ);
-    for (const auto &target : m_targets)
-        poll.add(target->socket().handle(), Poco::Net::PollSet::POLL_READ);
+    watchSockets(poll);
     constexpr long pollMicroseconds = 2000;
     while (monotonicNow() < until) {
         if (!poll.poll(Poco::Timespan(pollMicroseconds)).empty()) {
@@ -284,6 +289,19 @@
         }
         m_events.runUntil(monotonicNow(), m_now);
         checkPrograms();
+        if (std::exchange(m_targetsChanged, false))
+            watchSockets(poll);
+    }
+}
+
+void relay_soak::watchSockets(Poco::Net::PollSet &poll) const
+{
+    poll.clear();
+    for (const auto &socket : m_callerSockets)
+        poll.add(socket.handle(), Poco::Net::PollSet::POLL_READ);
+    for (const auto &target : m_targets) {
+        if (auto *socket = target->socket())
+            poll.add(socket->handle(), Poco::Net::PollSet::POLL_READ);
     }
 }
 
@@ -335,9 +353,9 @@
 
 void relay_soak::sendRequests()
 {
-    constexpr std::size_t recentFlows = 400;
     if (m_callers.count() > 0) {
-        const auto recent = std::min(m_callers.count(), recentFlows);
+        const auto recent
+            = std::min(m_callers.count(), m_options.planned ? heldFlows : recentFlows);
         const auto flow = m_callers.count() - 1 - pick(recent);
         if (m_callers.wasAnswered(flow))
             m_callers.request(flow);
@@ -361,9 +379,14 @@
 
 void relay_soak::onTargetSocket(soak_target &target)
 {
-    while (const auto datagram = target.socket().receive(m_buffer)) {
+    while (target.socket()) {
+        const auto datagram = target.socket()->receive(m_buffer);
+        if (!datagram)
+            return;
         if (!m_fromCallers.contains(datagram->payload))
             violate("a target got a segment that no caller wrote");
+        else if (const auto head = platform::segments().decode(datagram->payload))
+            checkStray(target, *head);
         target.onSegment(datagram->payload);
     }
 }
@@ -441,16 +464,55 @@
     const auto &key = m_callers.key(flow);
     for (const auto &target : m_targets) {
         const auto &name = target->options().vm;
-        if (!target->end().holds(key) || !isCalm(name) || !isCalm(m_resetSender))
-            continue;
-        const bool calm = std::ranges::all_of(
-            m_entriesOf[flow], [&](const auto &item) { return isCalm(item); });
-        if (calm)
+        if (target->end().holds(key) && isCalm(m_resetSender) && isCalmFor(flow, name))
             violate(fmt::format("flow {} of {} was reset by {} while {} holds it", flow,
                 toString(key.caller), m_resetSender, name));
     }
 }
 
+// True when neither the target's VM nor the entries that took the flow's segments are disturbed.
+bool relay_soak::isCalmFor(std::size_t flow, const std::string &target) const
+{
+    const auto takers = m_entriesOf.find(flow);
+    return isCalm(target)
+        && (takers == m_entriesOf.end()
+            || std::ranges::all_of(takers->second, [&](const auto &item) { return isCalm(item); }));
+}
+
+void relay_soak::checkStray(const soak_target &taker, const segment &head)
+{
+    const auto key = head.flowFromCaller();
+    const auto flow = m_callers.flowOf(key.caller);
+    if (!flow || head.isOpening())
+        return;
+    const auto owner = std::ranges::find_if(
+        m_targets, [&](const auto &target) { return target->end().holds(key); });
+    if (owner == m_targets.end()) {
+        m_strays.erase(*flow);
+        return;
+    }
+    auto &item = m_strays[*flow];
+    const auto &name = (*owner)->options().vm;
+    const bool isStray = owner->get() != &taker;
+    if (!isCalmFor(*flow, name) || !isCalm(taker.options().vm)) {
+        item = {.ownAt = m_now};
+        return;
+    }
+    // Sockets are not read in the order in which segments arrived.
+    if (isStray && m_now - item.ownAt > readTime)
+        item.times.push_back(m_now);
+    for (std::size_t i = 0; i + strayLimit <= item.times.size(); ++i) {
+        if (item.times[i + strayLimit - 1] - item.times[i] <= strayTime
+            && m_now - item.times[i] >= strayTime) {
+            violate(fmt::format("{} segments of flow {} of {} reached other targets, and none {}",
+                item.times.size(), *flow, toString(key.caller), name));
+            item.times.clear();
+        }
+    }
+    if (!isStray)
+        item = {.ownAt = m_now};
+}
+
 void relay_soak::checkRuns()
 {
     std::map<std::pair<flow_key, std::uint32_t>, std::vector<std::string>> runs;
--- a/src/libtoucanlab/soak_faults.cpp
+++ b/src/libtoucanlab/soak_faults.cpp
@@ -15,6 +15,11 @@
 constexpr auto coldTime = 2000ms;
 // A target that leaves serves on for the platform's bound and a little longer.
 constexpr auto leavesAfter = 6500ms;
+// From a target's last report to its end.
+constexpr auto latestEnd = 2500ms;
+// Between the steps of planned work.
+constexpr auto shortStep = 100ms;
+constexpr auto longStep = 1200ms;
 
 } // namespace
 
@@ -34,6 +39,15 @@
     {"reload settings", &relay_soak::reloadSettings}, {"add an entry", &relay_soak::addEntry},
     {"restore the store", &relay_soak::restoreStore}};
 
+// Planned work comes in series that overlap; most faults are left to the other table.
+const std::vector<relay_soak::fault> relay_soak::plannedTable{
+    {"replace targets", &relay_soak::replaceTargets},
+    {"replace targets", &relay_soak::replaceTargets},
+    {"restart entries", &relay_soak::restartEntries},
+    {"restart targets' processes", &relay_soak::restartTargetPrograms},
+    {"add entries", &relay_soak::addEntries}, {"move a route", &relay_soak::moveRoute},
+    {"take a domain out or in", &relay_soak::moveDomain}, {"harm a link", &relay_soak::harmLink}};
+
 void relay_soak::note(const std::string &text)
 {
     m_result.faults.push_back(fmt::format(
@@ -45,7 +59,9 @@
     if (m_faultsOver)
         return;
     // The last one is optional, so that older seeds play what they played.
-    const auto &chosen = faultTable[pick(faultTable.size() - (m_options.restores ? 0 : 1))];
+    const auto &chosen = m_options.planned
+        ? plannedTable[pick(plannedTable.size())]
+        : faultTable[pick(faultTable.size() - (m_options.restores ? 0 : 1))];
     if (!(this->*chosen.begin)())
         note(fmt::format("{}: does not fit now", chosen.name));
     after(pickTime(m_options.faultInterval / 3, m_options.faultInterval * 5 / 3),
@@ -129,7 +145,11 @@
     const auto time = pickTime(shortFault, longFault / 2);
     note(fmt::format("crash {} for {} ms", target->options().name, time.count()));
     target->crash();
-    disturb(target->options().vm, time, [this, target] { target->start(m_now, coldTime); });
+    m_targetsChanged = true;
+    disturb(target->options().vm, time, [this, target] {
+        target->start(m_now, coldTime);
+        m_targetsChanged = true;
+    });
     return true;
 }
 
@@ -151,20 +171,59 @@
     auto *target = freeTarget();
     if (!target)
         return false;
-    note(fmt::format("replace {}", target->options().name));
-    target->drain();
-    after(leavesAfter, [this, target] {
-        if (!target->end().isRunning())
+    replace(*target, {});
+    return true;
+}
+
+void relay_soak::replace(soak_target &target, std::chrono::milliseconds endsAfter)
+{
+    note(fmt::format("replace {}, which ends {} ms after its last report", target.options().name,
+        endsAfter.count()));
+    target.drain();
+    after(leavesAfter, [this, &target, endsAfter] {
+        if (!target.end().isRunning())
             return;
-        target->leave();
-        after(pickTime(shortFault, longFault), [this, target] {
-            if (!target->end().isRunning())
-                target->start(m_now, coldTime);
+        target.sayGoodbye();
+        after(endsAfter, [this, &target] {
+            target.crash();
+            m_targetsChanged = true;
+            after(pickTime(shortFault, longFault), [this, &target] {
+                if (target.end().isRunning())
+                    return;
+                target.start(m_now, coldTime);
+                m_targetsChanged = true;
+            });
         });
     });
+}
+
+bool relay_soak::replaceTargets()
+{
+    const auto count = 1 + pick(std::max<std::size_t>(m_targets.size() / 4, 1));
+    for (std::size_t i = 0; i < count; ++i)
+        after(i * pickTime(shortStep, longStep), [this] {
+            if (auto *target = freeTarget())
+                replace(*target, pickTime(0ms, latestEnd));
+        });
+    return true;
+}
+
+bool relay_soak::restartSeries(bool isEntry)
+{
+    const auto count = 1 + pick(isEntry ? std::max<std::size_t>(m_entryCount / 2, 1) : 3);
+    for (std::size_t i = 0; i < count; ++i)
+        after(i * pickTime(shortStep, longStep), [this, isEntry] { terminateProgram(isEntry); });
     return true;
 }
 
+bool relay_soak::addEntries()
+{
+    bool added = false;
+    while (addEntry())
+        added = true;
+    return added;
+}
+
 bool relay_soak::harmLink()
 {
     auto *left = freeVm(true);
--- a/src/libtoucanlab/soak_target.cpp
+++ b/src/libtoucanlab/soak_target.cpp
@@ -29,7 +29,7 @@
           .seed = m_options.seed,
           .send =
               [this](byte_buffer bytes) {
-                  if (m_silent)
+                  if (m_silent || !m_socket)
                       return;
                   m_options.onAnswer(bytes);
                   m_socket->send(m_options.outbound, bytes);
@@ -38,10 +38,6 @@
           .onOpening = m_options.onOpening})
 {
     m_end.stop();
-    auto bound = udp_socket::bind(m_options.address);
-    if (const auto *failure = errorOf(bound))
-        throw std::runtime_error(failure->detail);
-    m_socket.emplace(std::get<udp_socket>(std::move(bound)));
     m_reporter = std::jthread([this](const std::stop_token &stop) { report(stop); });
 }
 
@@ -51,8 +47,18 @@
     m_wake.notify_all();
 }
 
+void soak_target::openSocket()
+{
+    auto bound = udp_socket::bind(m_options.address);
+    if (const auto *failure = errorOf(bound))
+        throw std::runtime_error(failure->detail);
+    m_socket.emplace(std::get<udp_socket>(std::move(bound)));
+}
+
 void soak_target::start(instant now, std::chrono::milliseconds coldFor)
 {
+    if (!m_socket)
+        openSocket();
     m_end.restart();
     m_coldUntil = now + coldFor;
     m_coldUntilMs = milliseconds(m_coldUntil);
@@ -68,6 +74,7 @@
 void soak_target::crash()
 {
     m_end.stop();
+    m_socket.reset();
     const std::lock_guard lock(m_mutex);
     m_state.running = false;
     m_state.confirmed.reset();
@@ -81,9 +88,8 @@
     m_wake.notify_all();
 }
 
-void soak_target::leave()
+void soak_target::sayGoodbye()
 {
-    m_end.stop();
     const std::lock_guard lock(m_mutex);
     m_state.leaving = true;
     m_state.confirmed.reset();
--- a/src/toucanlab/main.cpp
+++ b/src/toucanlab/main.cpp
@@ -34,6 +34,7 @@
         "entries", "soak: number of entries", cxxopts::value<std::size_t>()->default_value("4"))(
         "targets", "soak: number of targets", cxxopts::value<std::size_t>()->default_value("8"))(
         "restores", "soak: among the faults, the store comes back from an older copy")(
+        "planned", "soak: mostly planned work, in series that overlap; targets end late")(
         "help", "print this help");
     parser.parse_positional({"command"});
     try {
@@ -51,7 +52,8 @@
                                              .seed = given["seed"].as<std::uint64_t>(),
                                              .entries = given["entries"].as<std::size_t>(),
                                              .targets = given["targets"].as<std::size_t>(),
-                                             .restores = given.count("restores") != 0},
+                                             .restores = given.count("restores") != 0,
+                                             .planned = given.count("planned") != 0},
                 given["count"].as<std::uint64_t>());
         if (const auto status = toucan::lab::runStandIn(command, given))
             return *status;
--- a/testsuite/relay_soak_test.cpp
+++ b/testsuite/relay_soak_test.cpp
@@ -14,10 +14,13 @@
     return text;
 }
 
-void soakWith(std::uint64_t seed, bool restores = false)
+void soakWith(std::uint64_t seed, bool restores = false, bool planned = false)
 {
-    relay_soak soak(
-        {.programs = TOUCAN_PROGRAMS, .seed = seed, .faultTime = 12s, .restores = restores});
+    relay_soak soak({.programs = TOUCAN_PROGRAMS,
+        .seed = seed,
+        .faultTime = 12s,
+        .restores = restores,
+        .planned = planned});
     const auto result = soak.run();
     INFO("seed " << seed << ", logs in " << result.logs.string()
                  << ", faults:" << listOf(result.faults));
@@ -50,3 +53,10 @@
 {
     soakWith(20261205, true);
 }
+
+// Flows of targets were reset between their last reports and their ends.
+TEST_CASE(
+    "soak: planned work in overlapping series, with targets that serve after their last report")
+{
+    soakWith(391001, false, true);
+}
