Keep segments of a flow from other targets while its own process restarts as planned

Cause: a process that was restarted does not know all flows of its target, so it passes segments of unknown flows on to the target. While the flow's own process was down, each segment went along the whole order of the search, and each retransmission again. The more processes had been restarted before, the more targets got them. An entry did so even when it knew the owner and the owner had said that it stops.

Change: an entry that knows the owner keeps to it while its process restarts (15 s at most). A search passes a flow's segments to at most two targets in 2 s while any process is stopped as planned beside a target with flows; beyond that it asks the processes only. No flow is reset in that state, as before.

--- a/src/include/toucan/lab/relay_fleet.h
+++ b/src/include/toucan/lab/relay_fleet.h
@@ -59,6 +59,8 @@
     /// Process of the system beside a target.
     void killProcess(std::size_t target);
     void startProcess(std::size_t target);
+    /// Stops it as planned; it ends a moment later.
+    void leaveProcess(std::size_t target);
     /// The target itself.
     void crashTarget(std::size_t target);
     void startTarget(std::size_t target, std::chrono::milliseconds coldFor = {});
@@ -96,6 +98,8 @@
     /// Cuts a failure domain's processes off all others, but for callers, or heals it.
     void setDomainCut(const std::string &domain, bool cut);
 
+    /// Segments of an open flow that reached targets that do not hold it.
+    std::size_t strayedSegments(std::size_t flow) const;
     /// Openings that a target took since its lifetime began.
     std::size_t openingsTaken(std::size_t target) const;
     const caller_outcome &outcome() const { return m_callers.outcome(); }
@@ -130,6 +134,7 @@
     void toCaller(byte_buffer bytes);
     void sendFromCaller(byte_buffer bytes);
     void checkReset(std::size_t flow);
+    void countStray(byte_view bytes, const target_node &taker);
     void publish(entry_node &entry);
     void write(operator_write item);
     void apply(const operator_write &item, std::size_t writes);
@@ -164,6 +169,7 @@
     std::vector<operator_write> m_writes; ///< All of the operators, in order.
     std::uint64_t m_version = 0; ///< Newest one of the operators, given up ones included.
     std::map<std::string, instant> m_outSince;
+    std::map<flow_key, std::size_t> m_strayed; ///< Segments at targets that lack the flow.
     std::vector<std::string> m_violations;
 };
 
--- a/src/include/toucan/relay_entry.h
+++ b/src/include/toucan/relay_entry.h
@@ -100,6 +100,10 @@
         bool segmentSent = false; ///< The segment was sent to it, to ask its target.
     };
 
+    /// Segments of a flow that targets other than its own may get in strayWindow while its own
+    /// cannot be reached: the platform takes one more for a flow that was moved.
+    static constexpr std::size_t maxStraySegments = 2;
+
     /// Stage of a search.
     enum class search_stage : std::uint8_t {
         chain, ///< The segment is passed along the most likely owners.
@@ -136,6 +140,8 @@
         bool finishing = false; ///< The caller sent a finish or reset.
         instant startedAt{}; ///< Start of the caller's attempt to open it.
         std::optional<instant> keptAt; ///< Last report that the opening waits at the owner.
+        /// Newest segments passed to targets that may not hold the flow, oldest first.
+        std::array<instant, maxStraySegments> strayedAt{};
         std::uint16_t searches = 0; ///< Searches since the owner was last known.
         std::unique_ptr<search_progress> progress; ///< The last of these searches.
         bool wasParked = false; ///< Its opening was parked at this entry.
@@ -162,6 +168,9 @@
     void startSearch(instant now, const segment &head, const route_rule &route, cached_flow &cached,
         byte_view bytes, instant flowSeenAt);
     void sendSegment(instant now, cached_flow &cached, std::span<const searched_member> members);
+    bool isOwnerRestarting(instant now, const cached_flow &cached) const;
+    std::size_t allowedStrays(instant now, const cached_flow &cached) const;
+    static void recordStrays(instant now, cached_flow &cached, std::size_t count);
     void recordNotHeld(instant now, cached_flow &cached, std::size_t position, bool inconclusive);
     void advanceSearch(instant now, cached_flow &cached);
     void advanceSearchOnTick(instant now, cached_flow &cached, question_batch &batch);
--- a/src/include/toucan/relay_members.h
+++ b/src/include/toucan/relay_members.h
@@ -57,6 +57,9 @@
     /// True while reports of it or digests of its domain arrive, so that an opening sent there is
     /// likely to arrive.
     bool isReachable(instant now) const;
+    /// True while its process is stopped as planned and may start again beside its target, which
+    /// holds flows.
+    bool isRestarting(instant now) const;
     /// True when no target runs there, so that no flow can be open there.
     bool holdsNoFlows() const { return standing == target_standing::gone && flows == 0; }
     /// True when it is not lost and no opening to it is unanswered.
@@ -86,6 +89,9 @@
     /// Silence after which a member is gone for its callers: none waits longer for an answer, and a
     /// killed process restarts sooner.
     static constexpr std::chrono::milliseconds goneAfter{4000};
+    /// Silence after which a member is gone that stopped as planned while its target held flows:
+    /// its process restarts within this time.
+    static constexpr std::chrono::milliseconds plannedStopTime{15000};
     /// Silence after which a member is removed: flows live for a minute at most.
     static constexpr std::chrono::milliseconds forgetAfter{60000};
 
--- a/src/libtoucanlab/relay_fleet_nodes.h
+++ b/src/libtoucanlab/relay_fleet_nodes.h
@@ -104,8 +104,10 @@
     {
         fleet.after(fleet_layout::localDelay,
             [this, start = lifetime, data = byte_buffer(bytes.begin(), bytes.end())] {
-                if (lifetime == start && !silent)
-                    target.onSegment(data);
+                if (lifetime != start || silent)
+                    return;
+                fleet.countStray(data, *this);
+                target.onSegment(data);
             });
     }
     void fetchConfig(const endpoint &from, const config_stamp &) override
--- a/src/libtoucanlab/relay_fleet_targets.cpp
+++ b/src/libtoucanlab/relay_fleet_targets.cpp
@@ -69,6 +69,30 @@
     ++m_targets[target]->starts;
 }
 
+void relay_fleet::leaveProcess(std::size_t target)
+{
+    constexpr auto leaveDuration = 150ms;
+    auto &node = *m_targets[target];
+    node.engine->startLeaving(m_now);
+    after(leaveDuration, [this, target, start = node.starts] {
+        if (m_targets[target]->starts == start)
+            killProcess(target);
+    });
+}
+
+void relay_fleet::countStray(byte_view bytes, const target_node &taker)
+{
+    const auto head = m_codec.decode(bytes);
+    if (head && !head->isOpening() && !taker.target.holds(head->flowFromCaller()))
+        ++m_strayed[head->flowFromCaller()];
+}
+
+std::size_t relay_fleet::strayedSegments(std::size_t flow) const
+{
+    const auto found = m_strayed.find(m_callers.key(flow));
+    return found == m_strayed.end() ? 0 : found->second;
+}
+
 void relay_fleet::tickTarget(std::size_t target, std::uint64_t start)
 {
     auto &node = *m_targets[target];
--- a/src/libtoucanlab/relay_fleet_test.cpp
+++ b/src/libtoucanlab/relay_fleet_test.cpp
@@ -293,6 +293,49 @@
     CHECK(listOf(fleet.violations()).empty());
 }
 
+// Processes that have started again do not know all flows of their targets, so they pass segments
+// of unknown flows to them. A segment that falls into the restart of its own went to all of those.
+TEST_CASE(
+    "relay: segments of an open flow reach few other targets while their own process restarts")
+{
+    auto fleet = makeFleet({.targets = 9});
+    fleet.run(4s);
+    const auto flows = openFlows(fleet, 90);
+    fleet.run(1s);
+    for (std::size_t target = 0; target < 9; ++target) {
+        fleet.leaveProcess(target);
+        fleet.run(600ms);
+        fleet.startProcess(target);
+        fleet.run(2s);
+    }
+    std::vector<std::size_t> held;
+    std::ranges::copy_if(
+        flows, std::back_inserter(held), [&](std::size_t flow) { return fleet.holder(flow) == 0; });
+    REQUIRE_FALSE(held.empty());
+    // Another entry takes the flows, which does not know their owner.
+    fleet.leaveEntry(0);
+    fleet.run(300ms);
+    fleet.killEntry(0);
+    fleet.startEntry(0);
+    fleet.run(4s);
+    fleet.useEntries({0});
+    std::vector<std::size_t> before;
+    std::ranges::transform(held, std::back_inserter(before),
+        [&](std::size_t flow) { return fleet.strayedSegments(flow); });
+    fleet.leaveProcess(0);
+    fleet.run(200ms);
+    for (const auto flow : held)
+        fleet.request(flow);
+    // The platform's rule allows less than three in 2 s without one at the flow's own target.
+    fleet.run(2s);
+    for (std::size_t i = 0; i < held.size(); ++i)
+        CHECK(fleet.strayedSegments(held[i]) - before[i] < 3);
+    fleet.startProcess(0);
+    fleet.run(3s);
+    CHECK(countReset(fleet, held) == 0);
+    CHECK(listOf(fleet.violations()).empty());
+}
+
 // After a loss of power nobody remembers the flows; the callers' next try must not wait for a
 // time-out.
 TEST_CASE(
--- a/src/libtoucanrelay/relay_entry.cpp
+++ b/src/libtoucanrelay/relay_entry.cpp
@@ -277,7 +277,7 @@
     cached.lastPacket = now;
     cached.finishing = cached.finishing || head.finish || head.reset;
     auto *owner = cached.owner ? m_members.at(cached.owner) : nullptr;
-    if (!cached.owner || (owner && owner->lost)) {
+    if (!cached.owner || (owner && owner->lost && !isOwnerRestarting(now, cached))) {
         search(now, head, *route, cached, bytes);
         return;
     }
--- a/src/libtoucanrelay/relay_entry_search.cpp
+++ b/src/libtoucanrelay/relay_entry_search.cpp
@@ -9,9 +9,8 @@
 
 using namespace std::chrono_literals;
 
-// A process that is stopped for planned work restarts within this time; its target keeps running
-// and still holds the flows.
-constexpr auto plannedStopTime = 15s;
+// Time in which the platform counts segments that reached targets other than the flow's own.
+constexpr auto strayWindow = 2s;
 // Members that one search asks; positionBits allow for 4096.
 constexpr std::size_t maxSearchedMembers = 4000;
 // More than one round of questions, as a datagram may be lost.
@@ -107,16 +106,52 @@
     cached.tried.clear();
     cached.confirmed = false;
     cached.established = true;
-    progress->chainLength = std::min(maxHeaderCandidates + 1, order.size());
+    progress->chainLength
+        = std::min({maxHeaderCandidates + 1, order.size(), allowedStrays(now, cached)});
     if (order.empty()) {
         concludeSearch(now, cached);
         return;
     }
     m_searches.add();
     logSearch(now, cached, "asked", order.front()->address, progress->chainLength);
+    if (progress->chainLength == 0) {
+        progress->askedAt = now;
+        advanceSearch(now, cached);
+        return;
+    }
+    recordStrays(now, cached, progress->chainLength);
     sendSegment(now, cached, std::span(progress->members).first(progress->chainLength));
 }
 
+// The owner holds the flow until its process has started again; no other target can.
+bool relay_entry::isOwnerRestarting(instant now, const cached_flow &cached) const
+{
+    const auto *owner = m_members.at(cached.owner);
+    return cached.confirmed && owner && owner->isRestarting(now);
+}
+
+// Processes that have started again pass segments of flows that they do not know to their targets.
+// That is limited while a member that may hold the flow cannot answer.
+std::size_t relay_entry::allowedStrays(instant now, const cached_flow &cached) const
+{
+    bool isAnyRestarting = false;
+    m_members.forEach([&](const relay_member &item) {
+        isAnyRestarting = isAnyRestarting || item.isRestarting(now);
+    });
+    if (!isAnyRestarting)
+        return maxSearchedMembers;
+    return static_cast<std::size_t>(std::ranges::count_if(cached.strayedAt,
+        [&](instant time) { return time == instant{} || now - time > strayWindow; }));
+}
+
+void relay_entry::recordStrays(instant now, cached_flow &cached, std::size_t count)
+{
+    auto &times = cached.strayedAt;
+    const auto recorded = static_cast<std::ptrdiff_t>(std::min(count, times.size()));
+    std::rotate(times.begin(), times.begin() + recorded, times.end());
+    std::fill(times.end() - recorded, times.end(), now);
+}
+
 void relay_entry::sendSegment(
     instant now, cached_flow &cached, std::span<const searched_member> members)
 {
@@ -281,8 +316,10 @@
         } else if (item.word == static_cast<std::uint64_t>(flow_lookup_result::not_held)) {
             recordNotHeld(
                 now, cached, static_cast<std::size_t>(it - progress.members.begin()), false);
-        } else if (!std::exchange(it->segmentSent, true)) {
+        } else if (!it->segmentSent && allowedStrays(now, cached) > 0) {
             // Asking its target requires the segment.
+            it->segmentSent = true;
+            recordStrays(now, cached, 1);
             sendSegment(now, cached, std::span(&*it, 1));
         }
     }
@@ -364,8 +401,8 @@
     std::string reason;
     m_members.forEach([&](const relay_member &item) {
         const auto it = std::ranges::find(order, item.address, &searched_member::address);
-        const instant limit
-            = item.leaving && item.flows > 0 ? plannedStopTime : member_table::goneAfter;
+        const instant limit = item.leaving && item.flows > 0 ? member_table::plannedStopTime
+                                                             : member_table::goneAfter;
         const bool isGone = now - item.lastSeen > limit && isSilenceConclusive(item, now);
         const bool wasAsked = it != order.end();
         if (!(wasAsked && it->notHeld) && !isGone
--- a/src/libtoucanrelay/relay_members.cpp
+++ b/src/libtoucanrelay/relay_members.cpp
@@ -104,6 +104,12 @@
         || (domainSeenAt != instant{} && now - domainSeenAt <= member_table::domainSilenceLimit);
 }
 
+bool relay_member::isRestarting(instant now) const
+{
+    return leaving && flows > 0 && standing != target_standing::gone
+        && now - lastSeen <= member_table::plannedStopTime;
+}
+
 std::uint64_t relay_member::expectedLoad() const
 {
     constexpr std::uint64_t thousand = 1000;
