Keep "first start" for a target that started together with its process

It then passed segments of unknown flows on to its target.

Change: the claim is withdrawn only for a target that is older than the process by more than 5 s.

That the load alone made the members fall silent at that time is not shown.

--- a/src/libtoucanrelay/relay_target_lifetime.cpp
+++ b/src/libtoucanrelay/relay_target_lifetime.cpp
@@ -12,6 +12,8 @@
 
 // Targets report about every 1.2 s; three reports in a row may be lost.
 constexpr auto targetSilenceLimit = 4s;
+// Milliseconds by which a target may have started before the process beside it when all VMs start.
+constexpr std::uint64_t startTolerance = 5000;
 // Targets answer openings within a millisecond, also under load.
 constexpr auto openingAnswerTimeout = 80ms;
 // Interval at which an opening is tried on a target that answers none.
@@ -51,9 +53,11 @@
     if (!report.leaving)
         recordTargetSeen(now);
     // No opening reaches a target before its first report, so no flow of it can be missing here
-    // after that one. A later one shows that this is not the first start beside the target.
+    // after that one. At the first start of all, reports may have been lost before this process was
+    // up; a target that is older shows that another process was there before.
     if (first)
-        m_flowTableComplete = report.sequence <= 1;
+        m_flowTableComplete = report.sequence <= 1
+            || (m_options.firstStart && report.startedMs + startTolerance >= m_options.startedMs);
     if (outcome == liveness_outcome::new_lifetime) {
         endLifetime(now, lastSeen, "the target started anew");
         m_failures = {};
