--- a/src/libtoucanrelay/relay_target_test.cpp
+++ b/src/libtoucanrelay/relay_target_test.cpp
@@ -313,13 +313,14 @@
 {
     relay_target engine;
 
-    explicit restarted_fixture(bool firstStart = false)
+    explicit restarted_fixture(bool firstStart = false, std::uint64_t startedMs = 0)
         : engine({.name = "t1",
                      .domain = "a",
                      .service = "main",
                      .peer = processAddress,
                      .seeds = {entryAddress},
-                     .firstStart = firstStart},
+                     .firstStart = firstStart,
+                     .startedMs = startedMs},
             codec, port, metrics, log, now)
     { }
 
