Test of status: wait for the second entry's record

It stopped entry-2 before that had added its record to the list, so the status had no entry to miss. It now waits until the list names entry-2; its checks are unchanged.

--- a/testsuite/relay_program_test.cpp
+++ b/testsuite/relay_program_test.cpp
@@ -216,7 +216,13 @@
     relay_deployment deployment;
     startSmall(deployment);
     const std::vector<std::string> command{"status", "--relay"};
-    REQUIRE(waitFor([&] { return deployment.run(command).status == 0; }, 10s));
+    // The list of entries is complete once the second one has added its record.
+    REQUIRE(waitFor(
+        [&] {
+            const auto seen = deployment.run(command);
+            return seen.status == 0 && seen.output.find("entry-2") != std::string::npos;
+        },
+        10s));
     deployment.process("entry-2").signal(SIGSTOP);
     const auto stopped = deployment.run(command);
     deployment.process("entry-2").signal(SIGCONT);
