Pass the flow table of a target process over its planned restart

Change: a process that stops as planned sends its flow table to three entries, of its own failure domain first; it accepts no opening after that, so the table stays right until the process ends. The next start requests it, and denies or finds flows without a segment to its target. An entry that keeps the table of a stopped process also knows the owner of its flows. Not a store of the system: a copy exists between two starts only, and without it the process asks its target as before.

--- a/src/include/toucan/relay_entry.h
+++ b/src/include/toucan/relay_entry.h
@@ -11,6 +11,7 @@
 #include <toucan/domain_outages.h>
 #include <toucan/entry_roster.h>
 #include <toucan/event_log.h>
+#include <toucan/flow_table_keeper.h>
 #include <toucan/message_state.h>
 #include <toucan/metrics.h>
 #include <toucan/opening_queue.h>
@@ -100,10 +101,6 @@
         bool segmentSent = false; ///< The segment was sent to it, to ask its target.
     };
 
-    /// Segments of a flow that targets other than its own may get in strayWindow while its own
-    /// cannot be reached: the platform takes one more for a flow that was moved.
-    static constexpr std::size_t maxStraySegments = 2;
-
     /// Stage of a search.
     enum class search_stage : std::uint8_t {
         chain, ///< The segment is passed along the most likely owners.
@@ -140,8 +137,6 @@
         bool finishing = false; ///< The caller sent a finish or reset.
         instant startedAt{}; ///< Start of the caller's attempt to open it.
         std::optional<instant> keptAt; ///< Last report that the opening waits at the owner.
-        /// Newest segments passed to targets that may not hold the flow, oldest first.
-        std::array<instant, maxStraySegments> strayedAt{};
         std::uint16_t searches = 0; ///< Searches since the owner was last known.
         std::unique_ptr<search_progress> progress; ///< The last of these searches.
         bool wasParked = false; ///< Its opening was parked at this entry.
@@ -169,8 +164,7 @@
         byte_view bytes, instant flowSeenAt);
     void sendSegment(instant now, cached_flow &cached, std::span<const searched_member> members);
     bool isOwnerRestarting(instant now, const cached_flow &cached) const;
-    std::size_t allowedStrays(instant now, const cached_flow &cached) const;
-    static void recordStrays(instant now, cached_flow &cached, std::size_t count);
+    bool adoptStoppedOwner(instant now, const flow_key &flow, cached_flow &cached);
     void recordNotHeld(instant now, cached_flow &cached, std::size_t position, bool inconclusive);
     void advanceSearch(instant now, cached_flow &cached);
     void advanceSearchOnTick(instant now, cached_flow &cached, question_batch &batch);
@@ -224,6 +218,10 @@
     void handle(instant now, const endpoint &from, const digest_request &message);
     void handle(instant now, const endpoint &from, const flow_question &message);
     void handle(instant now, const endpoint &from, const flow_answer &message);
+    void handle(instant now, const endpoint &from, const flow_table_page &message);
+    void handle(instant now, const endpoint &from, const flow_table_request &message);
+    void logFlowTable(
+        instant now, const flow_table_keeper::summary &table, std::string_view outcome);
     void handlePacket(instant now, const endpoint &from, const relay_packet &packet);
     void logMember(instant now, const member_change &change);
     entry_notice makeNotice(instant now) const;
@@ -280,6 +278,7 @@
     member_table m_members;
     entry_roster m_roster;
     digest_book m_digests;
+    flow_table_keeper m_flowTables;
     bool m_ownDomainComplete = false; ///< All members of the own domain were known.
     store_standing m_store = store_standing::not_asked;
     instant m_storeLostAt{};
--- a/src/include/toucan/relay_target.h
+++ b/src/include/toucan/relay_target.h
@@ -182,6 +182,15 @@
     void handle(instant now, const endpoint &from, const digest_request &message);
     void handle(instant now, const endpoint &from, const flow_question &message);
     void handle(instant now, const endpoint &from, const flow_answer &message);
+    void handle(instant now, const endpoint &from, const flow_table_page &message);
+    void handle(instant now, const endpoint &from, const flow_table_request &message);
+    std::vector<endpoint> entriesByRank(instant now, std::string_view domain, bool alive) const;
+    std::vector<flow_table_page> makeFlowTable(instant now) const;
+    void sendFlowTable(instant now);
+    bool isRecovering(instant now) const;
+    void requestFlowTable(instant now);
+    void restoreFlowTable(instant now);
+    void restoreFlow(instant now, const tracked_flow &record);
     std::vector<endpoint> reportRecipients(instant now) const;
     void sendReports(instant now, bool atOnce);
     void logOpening(instant now, const segment &head, std::string_view outcome);
@@ -222,6 +231,13 @@
     instant m_targetLastSeen{}; ///< Newest report or segment of the target.
     bool m_targetRefused = false; ///< Its port was closed and no sign of it came since.
     bool m_flowTableComplete = false;
+    instant m_observedSince; ///< Every opening since then was seen here or by earlier starts.
+    std::map<std::uint64_t, flow_table_page> m_returnedPages; ///< Of the start before, by number.
+    bool m_recoveryEnded = false;
+    instant m_lastTableRequest{};
+    std::vector<byte_buffer> m_flowTable; ///< Pages of the own table while this process leaves.
+    std::vector<endpoint> m_flowTableKeepers; ///< Entries that get these pages.
+    std::size_t m_flowTableSends = 0;
     bool m_leaving = false;
     instant m_started;
     instant m_lastSweep{};
--- a/src/include/toucan/target_liveness.h
+++ b/src/include/toucan/target_liveness.h
@@ -57,6 +57,9 @@
 public:
     /// Stores a report, unless it is late.
     liveness_outcome apply(instant now, const target_liveness &report);
+    /// Takes the newest report that an earlier start of the process stored. The standing is
+    /// unknown, or draining, until the target reports again.
+    void restore(instant now, const target_liveness &report);
     /// The newest report, or nullopt before the first.
     const std::optional<target_liveness> &latest() const { return m_latest; }
     /// Current standing; unknown when the newest report is older than `silenceLimit`.
@@ -70,6 +73,7 @@
     std::optional<target_liveness> m_latest;
     instant m_lastSeen{};
     instant m_coldUntil{};
+    bool m_restored = false; ///< The newest report is of an earlier start of the process.
 };
 
 } // namespace toucan
--- a/src/libtoucanrelay/relay_entry.cpp
+++ b/src/libtoucanrelay/relay_entry.cpp
@@ -277,7 +277,9 @@
     cached.lastPacket = now;
     cached.finishing = cached.finishing || head.finish || head.reset;
     auto *owner = cached.owner ? m_members.at(cached.owner) : nullptr;
-    if (!cached.owner || (owner && owner->lost && !isOwnerRestarting(now, cached))) {
+    const bool isOwnerUsable
+        = cached.owner && (!owner || !owner->lost || isOwnerRestarting(now, cached));
+    if (!isOwnerUsable && !adoptStoppedOwner(now, flow, cached)) {
         search(now, head, *route, cached, bytes);
         return;
     }
@@ -391,6 +393,7 @@
     if (now - m_lastSweep >= sweepInterval) {
         m_lastSweep = now;
         sweepFlows(now);
+        m_flowTables.sweep(now);
         publishGauges(now);
     }
 }
--- a/src/libtoucanrelay/relay_entry_peers.cpp
+++ b/src/libtoucanrelay/relay_entry_peers.cpp
@@ -60,6 +60,8 @@
 void relay_entry::handle(instant now, const endpoint &from, const target_report &message)
 {
     const auto before = m_members.count();
+    if (const auto dropped = m_flowTables.recordStart(now, from, message.boot))
+        logFlowTable(now, *dropped, "discarded: the process has started twice since");
     const auto change = m_members.apply(now, from, message);
     if (m_members.count() > before)
         m_memberAddedAt = now;
@@ -71,6 +73,40 @@
         sendMemberNotice(now, *member);
 }
 
+void relay_entry::handle(instant now, const endpoint &from, const flow_table_page &message)
+{
+    if (const auto table = m_flowTables.keep(now, from, message))
+        logFlowTable(now, *table, "kept");
+}
+
+void relay_entry::handle(instant now, const endpoint &from, const flow_table_request &message)
+{
+    const auto *known = m_members.at(from);
+    const auto pages = m_flowTables.pagesFor(now, from, message, known ? known->boot : 0);
+    for (const auto &page : pages)
+        send(from, page);
+    if (const auto dropped = m_flowTables.recordStart(now, from, message.boot))
+        logFlowTable(now, *dropped, "discarded: the process has started twice since");
+    if (!pages.empty())
+        m_log.write(now,
+            flow_table_passed{.member = message.member,
+                .outcome = "returned",
+                .boot = pages.front().boot,
+                .complete = pages.front().complete});
+}
+
+void relay_entry::logFlowTable(
+    instant now, const flow_table_keeper::summary &table, std::string_view outcome)
+{
+    m_log.write(now,
+        flow_table_passed{.member = table.member,
+            .outcome = std::string(outcome),
+            .boot = table.boot,
+            .flows = table.flows,
+            .complete = table.complete,
+            .ageMs = static_cast<std::uint64_t>(table.age.count())});
+}
+
 // Schedules an early digest to other domains; changes that come together share it.
 void relay_entry::handleMemberChanges(instant now, std::span<const member_change> changes)
 {
--- a/src/libtoucanrelay/relay_entry_search.cpp
+++ b/src/libtoucanrelay/relay_entry_search.cpp
@@ -9,8 +9,6 @@
 
 using namespace std::chrono_literals;
 
-// Time in which the platform counts segments that reached targets other than the flow's own.
-constexpr auto strayWindow = 2s;
 // Members that one search asks; positionBits allow for 4096.
 constexpr std::size_t maxSearchedMembers = 4000;
 // More than one round of questions, as a datagram may be lost.
@@ -106,20 +104,13 @@
     cached.tried.clear();
     cached.confirmed = false;
     cached.established = true;
-    progress->chainLength
-        = std::min({maxHeaderCandidates + 1, order.size(), allowedStrays(now, cached)});
+    progress->chainLength = std::min(maxHeaderCandidates + 1, order.size());
     if (order.empty()) {
         concludeSearch(now, cached);
         return;
     }
     m_searches.add();
     logSearch(now, cached, "asked", order.front()->address, progress->chainLength);
-    if (progress->chainLength == 0) {
-        progress->askedAt = now;
-        advanceSearch(now, cached);
-        return;
-    }
-    recordStrays(now, cached, progress->chainLength);
     sendSegment(now, cached, std::span(progress->members).first(progress->chainLength));
 }
 
@@ -130,26 +121,16 @@
     return cached.confirmed && owner && owner->isRestarting(now);
 }
 
-// Processes that have started again pass segments of flows that they do not know to their targets.
-// That is limited while a member that may hold the flow cannot answer.
-std::size_t relay_entry::allowedStrays(instant now, const cached_flow &cached) const
-{
-    bool isAnyRestarting = false;
-    m_members.forEach([&](const relay_member &item) {
-        isAnyRestarting = isAnyRestarting || item.isRestarting(now);
-    });
-    if (!isAnyRestarting)
-        return maxSearchedMembers;
-    return static_cast<std::size_t>(std::ranges::count_if(cached.strayedAt,
-        [&](instant time) { return time == instant{} || now - time > strayWindow; }));
-}
-
-void relay_entry::recordStrays(instant now, cached_flow &cached, std::size_t count)
+// A process that stopped as planned left its flows with entries. Its target holds them until it has
+// started again.
+bool relay_entry::adoptStoppedOwner(instant now, const flow_key &flow, cached_flow &cached)
 {
-    auto &times = cached.strayedAt;
-    const auto recorded = static_cast<std::ptrdiff_t>(std::min(count, times.size()));
-    std::rotate(times.begin(), times.begin() + recorded, times.end());
-    std::fill(times.end() - recorded, times.end(), now);
+    const auto owner = m_flowTables.ownerOf(now, flow);
+    const auto *member = owner ? m_members.at(owner) : nullptr;
+    if (!member || !member->isRestarting(now))
+        return false;
+    adoptOwner(now, flow, cached, owner, true);
+    return true;
 }
 
 void relay_entry::sendSegment(
@@ -316,10 +297,8 @@
         } else if (item.word == static_cast<std::uint64_t>(flow_lookup_result::not_held)) {
             recordNotHeld(
                 now, cached, static_cast<std::size_t>(it - progress.members.begin()), false);
-        } else if (!it->segmentSent && allowedStrays(now, cached) > 0) {
+        } else if (!std::exchange(it->segmentSent, true)) {
             // Asking its target requires the segment.
-            it->segmentSent = true;
-            recordStrays(now, cached, 1);
             sendSegment(now, cached, std::span(&*it, 1));
         }
     }
--- a/src/libtoucanrelay/relay_target.cpp
+++ b/src/libtoucanrelay/relay_target.cpp
@@ -39,6 +39,7 @@
     , m_unansweredRequests(metrics.numberOf("toucan_requests_unanswered_total"))
     , m_load(loadMemory)
     , m_flowTableComplete(m_options.firstStart)
+    , m_observedSince(now)
     , m_started(now)
 {
     for (std::size_t i = 0; i < m_verdicts.size(); ++i)
@@ -322,6 +323,10 @@
     passOnProbes(now);
     serveQueue(now);
     sendReports(now, standing(now) != m_reportedStanding);
+    if (m_leaving)
+        sendFlowTable(now);
+    else
+        requestFlowTable(now);
     if (now - m_lastSweep >= sweepInterval) {
         m_lastSweep = now;
         sweepFlows(now);
--- a/src/libtoucanrelay/relay_target_entries.cpp
+++ b/src/libtoucanrelay/relay_target_entries.cpp
@@ -113,8 +113,11 @@
             found->second.domain = place.domain;
         added |= isNew;
     }
-    if (added)
+    if (added) {
         sendReports(now, false);
+        m_lastTableRequest = {};
+        requestFlowTable(now);
+    }
 }
 
 bool relay_target::hasAliveEntry(instant now) const
@@ -197,6 +200,7 @@
 {
     m_leaving = true;
     sendReports(now, true);
+    sendFlowTable(now);
 }
 
 } // namespace toucan
--- a/src/libtoucanrelay/relay_target_lifetime.cpp
+++ b/src/libtoucanrelay/relay_target_lifetime.cpp
@@ -174,7 +174,7 @@
 
 bool relay_target::isFlowTableComplete(instant now) const
 {
-    return m_flowTableComplete || now - m_started > m_options.flowLifetime;
+    return m_flowTableComplete || now - m_observedSince > m_options.flowLifetime;
 }
 
 // True while the target is silent, except for one trial opening in each trialInterval.
--- /dev/null
+++ b/src/libtoucanrelay/relay_target_recovery.cpp
@@ -0,0 +1,209 @@
+// relay_target: the flow table that outlasts a planned restart of the process. Entries keep it
+// meanwhile, as VMs have no persistent storage.
+
+#include <algorithm>
+#include <toucan/ranking.h>
+#include <toucan/relay_target.h>
+
+namespace toucan {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Entries that keep the table, and times that it is sent: a datagram or an entry may be lost.
+constexpr std::size_t maxKeepers = 3;
+constexpr std::size_t maxTableSends = 3;
+// Entries asked for the table. Those known at the start may not include all that keep it.
+constexpr std::size_t maxKeepersAsked = 12;
+// Time in which entries answer after a start, and interval of the requests.
+constexpr auto recoveryTime = 3s;
+constexpr auto requestInterval = 100ms;
+// A page fits a datagram.
+constexpr std::size_t maxFlowsPerPage = 32;
+
+} // namespace
+
+// Entries of a failure domain, or of all others when `domain` is empty, in an order that is the
+// same after a restart.
+std::vector<endpoint> relay_target::entriesByRank(
+    instant now, std::string_view domain, bool alive) const
+{
+    constexpr auto silenceLimit = 5s;
+    std::vector<endpoint> entries;
+    for (const auto &[address, entry] : m_entries) {
+        const bool isIncluded
+            = domain.empty() ? entry.domain != m_options.domain : entry.domain == domain;
+        if (isIncluded && (!alive || now - entry.lastSeen < silenceLimit))
+            entries.push_back(address);
+    }
+    const auto hash = hashText(m_options.name);
+    std::ranges::sort(entries, std::greater<>(),
+        [&](const endpoint &address) { return rankWeight(hash, hashText(toString(address))); });
+    return entries;
+}
+
+std::vector<flow_table_page> relay_target::makeFlowTable(instant now) const
+{
+    const auto &latest = m_liveness.latest();
+    flow_table_page page{.member = m_options.name,
+        .boot = m_options.boot,
+        .complete = isFlowTableComplete(now),
+        .observedMs = static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(now - m_observedSince).count()),
+        .target = latest ? latest->id : std::string(),
+        .service = service(),
+        .startedMs = latest ? latest->startedMs : 0,
+        .sequence = latest ? latest->sequence : 0,
+        .slots = slots(),
+        .draining = latest && latest->draining};
+    std::vector<flow_table_page> pages(1, page);
+    for (const auto &[key, item] : m_flows) {
+        if (item.state == flow_state::probing || (item.callerFinished && item.targetFinished))
+            continue;
+        if (pages.back().flows.size() == maxFlowsPerPage)
+            pages.push_back(page);
+        pages.back().flows.push_back({.caller = key.caller,
+            .service = key.service,
+            .acknowledged = item.callerAcknowledged,
+            .open = item.state == flow_state::open,
+            .answered = item.targetSequence.has_value(),
+            .sequence = item.targetSequence.value_or(0),
+            .precedesReport = latest && item.openedAt < m_liveness.lastSeen(),
+            .callerFinished = item.callerFinished,
+            .targetFinished = item.targetFinished});
+    }
+    for (std::size_t number = 0; number < pages.size(); ++number) {
+        pages[number].page = number;
+        pages[number].pages = pages.size();
+    }
+    return pages;
+}
+
+// A process that leaves accepts no more openings, so that the table needs no update until it ends.
+void relay_target::sendFlowTable(instant now)
+{
+    // The flows of a target that has ended are reset by its next lifetime or its closed port.
+    if (m_flowTableSends >= maxTableSends || standing(now) == target_standing::gone)
+        return;
+    if (m_flowTableSends++ == 0) {
+        const auto pages = makeFlowTable(now);
+        std::ranges::transform(pages, std::back_inserter(m_flowTable),
+            [](const auto &page) { return encodeRelayMessage(page); });
+        m_flowTableKeepers = entriesByRank(now, m_options.domain, true);
+        const auto others = entriesByRank(now, {}, false);
+        m_flowTableKeepers.insert(m_flowTableKeepers.end(), others.begin(), others.end());
+        m_flowTableKeepers.resize(std::min(m_flowTableKeepers.size(), maxKeepers));
+        m_log.write(now,
+            flow_table_passed{.member = m_options.name,
+                .outcome = "sent",
+                .boot = m_options.boot,
+                .flows = heldFlowCount(),
+                .complete = pages.front().complete,
+                .copies = m_flowTableKeepers.size()});
+    }
+    for (const auto &keeper : m_flowTableKeepers) {
+        for (const auto &page : m_flowTable)
+            m_port.sendPeer(keeper, page, {});
+    }
+}
+
+bool relay_target::isRecovering(instant now) const
+{
+    return !m_recoveryEnded && !isFlowTableComplete(now);
+}
+
+void relay_target::requestFlowTable(instant now)
+{
+    if (!isRecovering(now) || m_leaving || now - m_lastTableRequest < requestInterval)
+        return;
+    m_lastTableRequest = now;
+    auto asked = entriesByRank(now, m_options.domain, false);
+    const auto others = entriesByRank(now, {}, false);
+    asked.insert(asked.end(), others.begin(), others.end());
+    asked.resize(std::min(asked.size(), maxKeepersAsked));
+    if (now - m_started > recoveryTime) {
+        m_recoveryEnded = true;
+        m_returnedPages.clear();
+        m_log.write(now,
+            flow_table_passed{
+                .member = m_options.name, .outcome = "not restored", .copies = asked.size()});
+        return;
+    }
+    const auto request
+        = encodeRelayMessage(flow_table_request{.member = m_options.name, .boot = m_options.boot});
+    for (const auto &entry : asked)
+        m_port.sendPeer(entry, request, {});
+}
+
+void relay_target::handle(instant, const endpoint &, const flow_table_request &)
+{
+    m_malformed.add();
+}
+
+void relay_target::handle(instant now, const endpoint &, const flow_table_page &message)
+{
+    if (!isRecovering(now) || message.member != m_options.name || message.boot == m_options.boot)
+        return;
+    if (!m_returnedPages.empty() && m_returnedPages.begin()->second.boot != message.boot)
+        m_returnedPages.clear();
+    m_returnedPages.try_emplace(message.page, message);
+    if (m_returnedPages.size() == message.pages)
+        restoreFlowTable(now);
+}
+
+void relay_target::restoreFlowTable(instant now)
+{
+    m_recoveryEnded = true;
+    const auto pages = std::exchange(m_returnedPages, {});
+    const auto &first = pages.begin()->second;
+    const target_liveness before{.id = first.target,
+        .service = first.service,
+        .startedMs = first.startedMs,
+        .sequence = first.sequence,
+        .slots = first.slots,
+        .draining = first.draining};
+    const auto &latest = m_liveness.latest();
+    const bool isSucceeded = latest && latest->startedMs > before.startedMs;
+    if (!latest && !before.id.empty())
+        m_liveness.restore(m_started, before);
+    for (const auto &[number, page] : pages) {
+        for (const auto &record : page.flows)
+            restoreFlow(now, record);
+    }
+    m_observedSince = std::min<instant>(
+        m_observedSince, m_started - std::chrono::milliseconds(first.observedMs));
+    m_flowTableComplete = m_flowTableComplete || first.complete;
+    if (isSucceeded)
+        endLifetime(now, m_started, "the target started anew");
+    m_log.write(now,
+        flow_table_passed{.member = m_options.name,
+            .outcome = "restored",
+            .boot = first.boot,
+            .flows = heldFlowCount(),
+            .complete = first.complete,
+            .ageMs = static_cast<std::uint64_t>(
+                std::chrono::duration_cast<std::chrono::milliseconds>(now - m_started).count())});
+}
+
+void relay_target::restoreFlow(instant now, const tracked_flow &record)
+{
+    const flow_key key{.caller = record.caller, .service = record.service};
+    const auto [found, isNew] = m_flows.try_emplace(key);
+    auto &item = found->second;
+    if (!isNew && item.state != flow_state::probing)
+        return;
+    // Flows opened after the target's newest report may belong to its next lifetime.
+    item.openedAt = record.precedesReport ? m_started - 1ms : m_started;
+    item.lastPacketAt = now;
+    item.callerAcknowledged
+        = std::max(item.callerAcknowledged, static_cast<std::uint32_t>(record.acknowledged));
+    item.callerFinished = item.callerFinished || record.callerFinished;
+    item.targetFinished = record.targetFinished;
+    if (record.answered)
+        item.targetSequence = static_cast<std::uint32_t>(record.sequence);
+    item.state = record.open ? flow_state::open : flow_state::offered;
+    if (record.open && item.entry)
+        notifyEntry(key, item);
+}
+
+} // namespace toucan
--- a/src/libtoucanrelay/target_liveness.cpp
+++ b/src/libtoucanrelay/target_liveness.cpp
@@ -50,9 +50,17 @@
     m_latest = report;
     m_lastSeen = now;
     m_coldUntil = now + report.coldRemaining;
+    m_restored = false;
     return outcome;
 }
 
+void liveness_record::restore(instant now, const target_liveness &report)
+{
+    m_latest = report;
+    m_lastSeen = now;
+    m_restored = true;
+}
+
 target_standing liveness_record::standing(instant now, std::chrono::milliseconds silenceLimit) const
 {
     if (!m_latest)
@@ -61,7 +69,7 @@
         return target_standing::gone;
     if (m_latest->draining)
         return target_standing::draining;
-    if (now - m_lastSeen > silenceLimit)
+    if (m_restored || now - m_lastSeen > silenceLimit)
         return target_standing::unknown;
     return now < m_coldUntil ? target_standing::cold : target_standing::ready;
 }
