--- a/src/include/toucan/flow_table_keeper.h
+++ b/src/include/toucan/flow_table_keeper.h
@@ -53,6 +53,7 @@
     {
         std::string member;
         std::uint64_t boot = 0;
+        std::uint64_t previousBoot = 0; ///< The start whose table this one replaced.
         std::uint64_t nextBoot = 0; ///< The start after `boot`; 0 while the process is stopped.
         instant keptAt{};
         std::size_t pageCount = 0;
--- a/src/include/toucan/relay_target.h
+++ b/src/include/toucan/relay_target.h
@@ -189,6 +189,7 @@
     void sendFlowTable(instant now);
     bool isRecovering(instant now) const;
     void requestFlowTable(instant now);
+    void requestFlowTableAtOnce(instant now);
     void restoreFlowTable(instant now);
     void restoreFlow(instant now, const tracked_flow &record);
     std::vector<endpoint> reportRecipients(instant now) const;
@@ -234,7 +235,7 @@
     instant m_observedSince; ///< Every opening since then was seen here or by earlier starts.
     std::map<std::uint64_t, flow_table_page> m_returnedPages; ///< Of the start before, by number.
     bool m_recoveryEnded = false;
-    instant m_lastTableRequest{};
+    instant m_nextTableRequest{};
     std::vector<byte_buffer> m_flowTable; ///< Pages of the own table while this process leaves.
     std::vector<endpoint> m_flowTableKeepers; ///< Entries that get these pages.
     std::size_t m_flowTableSends = 0;
--- a/src/libtoucanrelay/flow_table_keeper.cpp
+++ b/src/libtoucanrelay/flow_table_keeper.cpp
@@ -15,17 +15,20 @@
 std::optional<flow_table_keeper::summary> flow_table_keeper::keep(
     instant now, const endpoint &from, const flow_table_page &page)
 {
-    const bool isKnown = m_tables.contains(from);
-    if (page.pages == 0 || page.pages > maxPages || page.page >= page.pages
-        || (!isKnown && m_tables.size() >= maxTables))
+    if (page.boot == 0 || page.page >= page.pages || page.pages > maxPages
+        || (!m_tables.contains(from) && m_tables.size() >= maxTables))
         return std::nullopt;
     auto &item = m_tables[from];
+    const bool isNewTable = item.boot != page.boot;
     // A late copy of a page must not bring an older table back.
-    if (isKnown && item.boot != page.boot && item.nextBoot != 0 && item.nextBoot != page.boot)
+    const bool isLate = item.boot != 0 && isNewTable
+        && (page.boot == item.previousBoot || (item.nextBoot != 0 && item.nextBoot != page.boot));
+    if (isLate)
         return std::nullopt;
-    if (!isKnown || item.boot != page.boot || item.pageCount != page.pages)
+    if (isNewTable)
         item = {.member = page.member,
             .boot = page.boot,
+            .previousBoot = item.boot,
             .keptAt = now,
             .pageCount = static_cast<std::size_t>(page.pages)};
     const bool wasWhole = item.isWhole();
--- a/src/libtoucanrelay/relay_target_entries.cpp
+++ b/src/libtoucanrelay/relay_target_entries.cpp
@@ -97,6 +97,7 @@
         // A new or restarted entry has no state of this process yet.
         m_entries[from].lastReportSent = {};
         sendReports(now, false);
+        requestFlowTableAtOnce(now);
     }
     if (message.leaving)
         m_entries[from].lastSeen = now - entrySilenceLimit;
@@ -115,8 +116,7 @@
     }
     if (added) {
         sendReports(now, false);
-        m_lastTableRequest = {};
-        requestFlowTable(now);
+        requestFlowTableAtOnce(now);
     }
 }
 
--- a/src/libtoucanrelay/relay_target_recovery.cpp
+++ b/src/libtoucanrelay/relay_target_recovery.cpp
@@ -15,9 +15,10 @@
 constexpr std::size_t maxTableSends = 3;
 // Entries asked for the table. Those known at the start may not include all that keep it.
 constexpr std::size_t maxKeepersAsked = 12;
-// Time in which entries answer after a start, and interval of the requests.
+// Time in which entries answer after a start, and interval between the first requests, which
+// doubles.
 constexpr auto recoveryTime = 3s;
-constexpr auto requestInterval = 100ms;
+constexpr auto firstRequestInterval = 100ms;
 // A page fits a datagram.
 constexpr std::size_t maxFlowsPerPage = 32;
 
@@ -114,9 +115,9 @@
 
 void relay_target::requestFlowTable(instant now)
 {
-    if (!isRecovering(now) || m_leaving || now - m_lastTableRequest < requestInterval)
+    if (!isRecovering(now) || m_leaving || now < m_nextTableRequest)
         return;
-    m_lastTableRequest = now;
+    m_nextTableRequest = now + std::max<instant>(firstRequestInterval, now - m_started);
     auto asked = entriesByRank(now, m_options.domain, false);
     const auto others = entriesByRank(now, {}, false);
     asked.insert(asked.end(), others.begin(), others.end());
@@ -135,6 +136,13 @@
         m_port.sendPeer(entry, request, {});
 }
 
+// For entries that have just become known.
+void relay_target::requestFlowTableAtOnce(instant now)
+{
+    m_nextTableRequest = now;
+    requestFlowTable(now);
+}
+
 void relay_target::handle(instant, const endpoint &, const flow_table_request &)
 {
     m_malformed.add();
--- /dev/null
+++ b/src/libtoucanrelay/relay_target_recovery_test.cpp
@@ -0,0 +1,176 @@
+#include "engine_fixtures.h"
+
+#include <catch2/catch.hpp>
+
+using namespace toucan;
+using namespace toucan::testing;
+
+namespace {
+
+constexpr endpoint otherCaller{.ip = 0x64400001, .port = 40002};
+
+// A process whose target holds one flow is told to stop; `start` begins its next start.
+struct restart_fixture : target_fixture
+{
+    std::vector<byte_buffer> pages; ///< Sent to the entry while it stopped.
+    std::optional<relay_target> restarted;
+
+    explicit restart_fixture(bool isOpen = true)
+    {
+        hearEntry(engine);
+        if (isOpen)
+            sendRequest(sequence + 1);
+        now += 1s;
+        engine.onLiveness(
+            now, {.id = "i1", .service = "main", .startedMs = 1, .sequence = 2, .slots = 4});
+        port = {};
+        engine.startLeaving(now);
+        pages = takeMessages<flow_table_page>(entryAddress);
+    }
+
+    void hearEntry(relay_target &process)
+    {
+        auto notice = encodeRelayMessage(entry_notice{.name = "e1", .domain = "a", .boot = 7});
+        process.onPeerBytes(now, entryAddress, notice);
+    }
+    void start(bool returnTable = true)
+    {
+        now += 700ms;
+        restarted.emplace(relay_target_options{.name = "t1",
+                              .domain = "a",
+                              .service = "main",
+                              .peer = processAddress,
+                              .target = targetAddress,
+                              .boot = 2},
+            codec, port, metrics, log, now);
+        port = {};
+        hearEntry(*restarted);
+        if (!returnTable)
+            return;
+        for (auto page : pages)
+            restarted->onPeerBytes(now, entryAddress, page);
+        port = {};
+    }
+    void report(std::uint64_t startedMs, std::uint64_t number)
+    {
+        restarted->onLiveness(now,
+            {.id = "i1",
+                .service = "main",
+                .startedMs = startedMs,
+                .sequence = number,
+                .slots = 4});
+    }
+    std::uint64_t askFor(const endpoint &from, std::uint32_t acknowledged = sequence + 1)
+    {
+        auto question = encodeRelayMessage(flow_question{
+            .flows = {{.caller = from, .service = service, .acknowledged = acknowledged}}});
+        port = {};
+        restarted->onPeerBytes(now, entryAddress, question);
+        const auto answers = takeMessages<flow_answer>(entryAddress);
+        REQUIRE(answers.size() == 1);
+        return std::get<flow_answer>(*valueOf(decodeRelayMessage(answers.front())))
+            .flows.front()
+            .word;
+    }
+    template <class T>
+    std::vector<byte_buffer> takeMessages(const endpoint &recipient)
+    {
+        std::vector<byte_buffer> found;
+        for (auto &[to, bytes] : std::exchange(port.toPeers, {})) {
+            const auto message = decodeRelayMessage(bytes);
+            if (to == recipient && valueOf(message) && std::holds_alternative<T>(*valueOf(message)))
+                found.push_back(bytes);
+        }
+        return found;
+    }
+};
+
+constexpr auto held = static_cast<std::uint64_t>(flow_lookup_result::held);
+constexpr auto notHeld = static_cast<std::uint64_t>(flow_lookup_result::not_held);
+constexpr auto unknown = static_cast<std::uint64_t>(flow_lookup_result::unknown);
+
+} // namespace
+
+TEST_CASE("target process: a process restarted as planned denies other targets' flows unasked")
+{
+    restart_fixture fleet;
+    fleet.start();
+    CHECK(fleet.askFor(caller) == held);
+    CHECK(fleet.askFor(otherCaller) == notHeld);
+    // Neither answer rests on a segment to the target.
+    CHECK(fleet.port.toTarget.empty());
+    CHECK(fleet.restarted->standing(fleet.now) == target_standing::unknown);
+    fleet.report(1, 3);
+    CHECK(fleet.askFor(caller) == held);
+    CHECK(fleet.restarted->standing(fleet.now) == target_standing::ready);
+}
+
+TEST_CASE("target process: without the table of the start before, no flow is denied")
+{
+    restart_fixture fleet;
+    fleet.start(false);
+    CHECK(fleet.takeMessages<flow_table_request>(entryAddress).size() == 1);
+    CHECK(fleet.askFor(caller) == unknown);
+    fleet.report(1, 3);
+    CHECK(fleet.askFor(caller) == unknown);
+    // The entry that keeps the table may have been slow.
+    fleet.restarted->onPeerBytes(fleet.now, entryAddress, fleet.pages.front());
+    CHECK(fleet.askFor(caller) == held);
+    CHECK(fleet.askFor(otherCaller) == notHeld);
+}
+
+TEST_CASE(
+    "target process: an opening on its way during the restart is open once it is acknowledged")
+{
+    restart_fixture fleet(false);
+    fleet.start();
+    // The caller acknowledges another target's answer, then this one's.
+    CHECK(fleet.askFor(caller, target_fixture::sequence + 9) == notHeld);
+    CHECK(fleet.askFor(caller) == held);
+}
+
+TEST_CASE("target process: flows of a target replaced during the restart are reset once it reports")
+{
+    restart_fixture fleet;
+    SECTION("after the table was returned")
+    {
+        fleet.start();
+        fleet.report(2, 1);
+    }
+    SECTION("before the table was returned")
+    {
+        fleet.start(false);
+        fleet.report(2, 1);
+        CHECK(fleet.port.toCallers.empty());
+    }
+    for (auto &page : fleet.pages)
+        fleet.restarted->onPeerBytes(fleet.now, entryAddress, page);
+    CHECK(fleet.port.toCallers.size() == 1);
+    CHECK(fleet.askFor(caller) == notHeld);
+}
+
+TEST_CASE("target process: a late report of an earlier lifetime ends no flow after a restart")
+{
+    restart_fixture fleet;
+    fleet.start();
+    fleet.report(0, 99);
+    CHECK(fleet.askFor(caller) == held);
+    CHECK(fleet.port.toCallers.empty());
+}
+
+TEST_CASE(
+    "target process: a process that leaves sends its flows more than once and accepts no more")
+{
+    restart_fixture fleet;
+    REQUIRE(fleet.pages.size() == 1);
+    fleet.now += 50ms;
+    fleet.engine.onTick(fleet.now);
+    CHECK(fleet.takeMessages<flow_table_page>(entryAddress) == fleet.pages);
+    auto late = opening;
+    late.source = otherCaller;
+    auto bytes = fleet.packet(
+        {.kind = relay_kind::opening, .entry = entryAddress, .serviceTag = serviceTagOf("main")},
+        late);
+    fleet.engine.onPeerBytes(fleet.now, entryAddress, bytes);
+    CHECK(fleet.port.toTarget.empty());
+}
--- a/src/libtoucanrelay/relay_target_test.cpp
+++ b/src/libtoucanrelay/relay_target_test.cpp
@@ -360,8 +360,13 @@
     {
         port = {};
         advance(300ms);
-        const auto message = decodeRelayMessage(port.toPeers.at(0).second);
-        return std::get<target_report>(*valueOf(message)).flows;
+        for (auto &[to, bytes] : port.toPeers) {
+            const auto message = decodeRelayMessage(bytes);
+            if (const auto *report = std::get_if<target_report>(valueOf(message)))
+                return report->flows;
+        }
+        FAIL("nothing was reported");
+        return 0;
     }
 };
 
