Deny flows of a silent target only after several segments went unanswered

Callers met: a restarted target process denied an open flow when its target left one data segment unanswered for 20 ms and had not reported within 1.25 report intervals of the start. After 4 s without a report the process denied flows on an unanswered acknowledgement, which targets may delay, and reported that it holds no flows although nothing had been sent to the target that it would have answered: an entry then ends a search without an answer of this process. An entry resets a flow that all members deny.

Cause: times of the process stood for observations of the target. A target on a slow VM reports late and answers late together; a process that is not scheduled observes nothing while its clock runs on.

Change: silence counts from the first data segment that went unanswered, in time in which the process ran (at most one tick interval for each tick), and any sign of the target ends it. Before the target's first sign it takes three such segments over 0.5 s, as callers retransmit after 200 ms and targets acknowledge every second segment of a flow at once. After 4 s without a sign it takes one such segment, unanswered for 0.5 s. A closed port is proof, as before. A standing of "gone" for want of a first report now only keeps openings away.

"several segments unanswered over half a second ..." passed before and after; it keeps the search going past a target that does not run.

Not excluded: a target that does not run for more than half a second while the process beside it does, and has not reported in 1.5 s; a search that goes on past dead targets within 0.9 s (relay_fleet_test) leaves no longer time.

--- a/src/include/toucan/relay_target.h
+++ b/src/include/toucan/relay_target.h
@@ -114,6 +114,13 @@
     };
     using flow_map = std::unordered_map<flow_key, flow>;
 
+    /// Probes with data, none of which the target has answered.
+    struct unanswered_data
+    {
+        std::size_t segments = 0;
+        instant since{}; ///< m_attendedTime when the first answer was overdue.
+    };
+
     struct entry_state
     {
         std::string domain; ///< Empty while it is not known.
@@ -166,6 +173,8 @@
     void resetFlow(instant now, flow_map::iterator it, std::string_view reason);
     bool isFlowTableComplete(instant now) const;
     bool isTargetAbsent(instant now) const;
+    void recordUnanswered(const flow &item);
+    bool isDataUnanswered(std::size_t segments) const;
     bool isSilenceConclusive(instant now, const flow &item) const;
     std::size_t reportedFlowCount(instant now) const;
     bool shouldRefuseAsSilent(instant now);
@@ -230,6 +239,9 @@
     std::optional<instant> m_silentSince; ///< Since when the target has answered no opening.
     instant m_lastTrial{};
     instant m_targetLastSeen{}; ///< Newest report or segment of the target.
+    unanswered_data m_unansweredData; ///< Since the target was last seen.
+    instant m_attendedTime{}; ///< Time in which this process ran and read its sockets.
+    instant m_lastTick;
     bool m_targetRefused = false; ///< Its port was closed and no sign of it came since.
     bool m_flowTableComplete = false;
     instant m_observedSince; ///< Every opening since then was seen here or by earlier starts.
--- a/src/libtoucanrelay/relay_target.cpp
+++ b/src/libtoucanrelay/relay_target.cpp
@@ -12,6 +12,9 @@
 constexpr std::size_t maxProbes = 500;
 // Targets return a segment within a millisecond, and a search has many other members to ask.
 constexpr auto probeAnswerTimeout = 20ms;
+// Callers retransmit after 200 ms, and targets acknowledge every second segment of a flow at once.
+constexpr std::size_t minUnansweredSegments = 3;
+constexpr auto minUnansweredTime = 500ms;
 // Entries receive a new configuration within 1 s; the platform's shortest limit is 3 s.
 constexpr auto staleRouteTolerance = 1500ms;
 // Covers retransmissions of a closed flow's last segments.
@@ -38,6 +41,7 @@
     , m_firstAnswer(metrics.distributionOf("toucan_first_answer_ms"))
     , m_unansweredRequests(metrics.numberOf("toucan_requests_unanswered_total"))
     , m_load(loadMemory)
+    , m_lastTick(now)
     , m_flowTableComplete(m_options.firstStart)
     , m_observedSince(now)
     , m_started(now)
@@ -214,6 +218,7 @@
         if (found == m_flows.end() || found->second.state != flow_state::probing
             || found->second.pendingSegment.empty())
             continue;
+        recordUnanswered(found->second);
         if (!isSilenceConclusive(now, found->second))
             found->second.inconclusive = true;
         passOnProbe(found);
@@ -222,12 +227,30 @@
 }
 
 // Targets may delay the acknowledgement of a segment without data, so that its missing answer shows
-// nothing. A target that has not reported since this process started and does not answer data is
-// not running.
+// nothing.
+void relay_target::recordUnanswered(const flow &item)
+{
+    const auto head = m_codec.decode(item.pendingSegment);
+    if (!head || head->length == 0)
+        return;
+    if (m_unansweredData.segments++ == 0)
+        m_unansweredData.since = m_attendedTime;
+}
+
+// A target that starves, or answers late for another reason, leaves a few segments unanswered.
+bool relay_target::isDataUnanswered(std::size_t segments) const
+{
+    return m_unansweredData.segments >= segments
+        && m_attendedTime - m_unansweredData.since >= minUnansweredTime;
+}
+
+// A target that has not reported since this process started and does not answer data is not
+// running.
 bool relay_target::isSilenceConclusive(instant now, const flow &item) const
 {
     const auto head = m_codec.decode(item.pendingSegment);
-    const bool isUnseen = standing(now) == target_standing::gone && m_targetLastSeen == instant{};
+    const bool isUnseen = standing(now) == target_standing::gone && m_targetLastSeen == instant{}
+        && isDataUnanswered(minUnansweredSegments);
     return isTargetAbsent(now) || (isUnseen && head && head->length > 0);
 }
 
@@ -318,6 +341,9 @@
 
 void relay_target::onTick(instant now)
 {
+    // A process that was not scheduled observed nothing.
+    m_attendedTime += std::min<instant>(now - m_lastTick, tickInterval);
+    m_lastTick = now;
     checkUnanswered(now);
     expireExpectedRequests(now);
     passOnProbes(now);
--- a/src/libtoucanrelay/relay_target_lifetime.cpp
+++ b/src/libtoucanrelay/relay_target_lifetime.cpp
@@ -71,6 +71,7 @@
 {
     m_targetLastSeen = now;
     m_targetRefused = false;
+    m_unansweredData = {};
 }
 
 void relay_target::onTargetRefused(instant now)
@@ -135,7 +136,8 @@
 
 target_standing relay_target::standing(instant now) const
 {
-    // A running target has reported by then.
+    // Most running targets have reported by then. Until one reports it gets no openings; no flow is
+    // denied for it.
     if (!m_liveness.latest() && now - m_started >= m_options.reportInterval * 5 / 4)
         return target_standing::gone;
     const auto known = m_liveness.standing(now, targetSilenceLimit);
@@ -164,11 +166,12 @@
 }
 
 // A target may serve its flows for a while after its last report, and its first report may be late.
+// So its silence shows something only if it was sent a segment that it would have answered.
 bool relay_target::isTargetAbsent(instant now) const
 {
     if (m_targetRefused)
         return true;
-    return standing(now) == target_standing::gone
+    return standing(now) == target_standing::gone && isDataUnanswered(1)
         && now - std::max(m_started, m_targetLastSeen) >= targetSilenceLimit;
 }
 
--- a/src/libtoucanrelay/relay_target_test.cpp
+++ b/src/libtoucanrelay/relay_target_test.cpp
@@ -405,6 +405,63 @@
     CHECK(fleet.isSilenceConclusive(acknowledgement()));
 }
 
+// The VM may be slow, so that the first report and the answers are late together.
+TEST_CASE("target process: short silence of a target that reports late denies no flow of it")
+{
+    restarted_fixture fleet;
+    fleet.advance(1600ms);
+    REQUIRE(fleet.engine.standing(fleet.now) == target_standing::gone);
+    // Two segments of one flow and one of each of three others, all within a quarter of a second.
+    for (int segments = 0; segments < 5; ++segments)
+        CHECK_FALSE(fleet.isSilenceConclusive(request(1)));
+    // An answer to any of them shows that the target runs.
+    auto returned = request(1);
+    returned.returned = true;
+    auto answer = fleet.codec.encode(returned, byte_buffer(100, 'q'));
+    fleet.engine.onTargetBytes(fleet.now, answer);
+    fleet.advance(1s);
+    CHECK_FALSE(fleet.isSilenceConclusive(request(1)));
+}
+
+TEST_CASE("target process: time in which the process itself did not run denies no flow")
+{
+    restarted_fixture fleet;
+    fleet.advance(1600ms);
+    for (int segments = 0; segments < 3; ++segments) {
+        CHECK_FALSE(fleet.isSilenceConclusive(request(1)));
+        fleet.now += 300ms;
+        fleet.engine.onTick(fleet.now);
+    }
+    CHECK_FALSE(fleet.isSilenceConclusive(request(1)));
+}
+
+TEST_CASE("target process: several segments unanswered over half a second show that no target runs")
+{
+    restarted_fixture fleet;
+    fleet.advance(1s);
+    CHECK_FALSE(fleet.isSilenceConclusive(request(1)));
+    fleet.advance(150ms);
+    CHECK_FALSE(fleet.isSilenceConclusive(request(1)));
+    fleet.advance(350ms);
+    CHECK_FALSE(fleet.isSilenceConclusive(acknowledgement()));
+    CHECK(fleet.isSilenceConclusive(request(1)));
+}
+
+// Nothing was sent to the target that it would have answered.
+TEST_CASE("target process: late reports alone do not show that no target runs")
+{
+    restarted_fixture fleet;
+    fleet.advance(5s);
+    CHECK(fleet.reportedFlows() > 0);
+    CHECK(fleet.askForFlow() == static_cast<std::uint64_t>(flow_lookup_result::unknown));
+    // A target delays the acknowledgement of a segment without data.
+    CHECK_FALSE(fleet.isSilenceConclusive(acknowledgement()));
+    CHECK_FALSE(fleet.isSilenceConclusive(request(1)));
+    fleet.advance(600ms);
+    CHECK(fleet.isSilenceConclusive(acknowledgement()));
+    CHECK(fleet.reportedFlows() == 0);
+}
+
 // Settings that say "first start" may be used again at a later one.
 TEST_CASE(
     "target process: a process denies no flow of a target that has reported to an earlier one")
