Send the notice of a planned stop three times

An entry does not search elsewhere for flows of a process that it knows to restart; without the notice it does.

Cause: the notice was one datagram to each entry, and the interval of the next reports is longer than the 150 ms that the process runs on.

Change: the notice is sent with the next two ticks as well. Entries ignore none of them, as each has a higher number, and equal states change nothing.

--- a/src/include/toucan/relay_target.h
+++ b/src/include/toucan/relay_target.h
@@ -203,6 +203,7 @@
     void restoreFlow(instant now, const tracked_flow &record);
     std::vector<endpoint> reportRecipients(instant now) const;
     void sendReports(instant now, bool atOnce);
+    void sendStopNotice(instant now);
     void logOpening(instant now, const segment &head, std::string_view outcome);
 
     relay_target_options m_options;
@@ -251,6 +252,7 @@
     std::vector<byte_buffer> m_flowTable; ///< Pages of the own table while this process leaves.
     std::vector<endpoint> m_flowTableKeepers; ///< Entries that get these pages.
     std::size_t m_flowTableSends = 0;
+    std::size_t m_stopNotices = 0; ///< Times that all entries were notified of the stop.
     bool m_leaving = false;
     instant m_started;
     instant m_lastSweep{};
--- a/src/libtoucanrelay/relay_target.cpp
+++ b/src/libtoucanrelay/relay_target.cpp
@@ -349,10 +349,12 @@
     passOnProbes(now);
     serveQueue(now);
     sendReports(now, standing(now) != m_reportedStanding);
-    if (m_leaving)
+    if (m_leaving) {
+        sendStopNotice(now);
         sendFlowTable(now);
-    else
+    } else {
         requestFlowTable(now);
+    }
     if (now - m_lastSweep >= sweepInterval) {
         m_lastSweep = now;
         sweepFlows(now);
--- a/src/libtoucanrelay/relay_target_entries.cpp
+++ b/src/libtoucanrelay/relay_target_entries.cpp
@@ -21,6 +21,8 @@
 // Silence of all entries of the own failure domain after which entries of other domains are
 // reported to as well. At a start it is this time; with many entries, the time of a missed notice.
 constexpr auto homeSilenceLimit = 1s;
+// A notice of a stop may be lost, and the process runs on for a few ticks only.
+constexpr std::size_t maxStopNotices = 3;
 constexpr std::size_t maxSubstituteEntries = 4;
 
 std::chrono::milliseconds intervalFor(std::size_t entries)
@@ -199,8 +201,17 @@
 void relay_target::startLeaving(instant now)
 {
     m_leaving = true;
-    sendReports(now, true);
+    sendStopNotice(now);
     sendFlowTable(now);
 }
 
+// An entry that hears no notice takes the process for gone after a few seconds of silence.
+void relay_target::sendStopNotice(instant now)
+{
+    if (m_stopNotices >= maxStopNotices)
+        return;
+    ++m_stopNotices;
+    sendReports(now, true);
+}
+
 } // namespace toucan
--- a/src/libtoucanrelay/relay_target_test.cpp
+++ b/src/libtoucanrelay/relay_target_test.cpp
@@ -228,6 +228,30 @@
     }
 }
 
+// Without the notice, entries take a process that is away for 4 s for gone, with its flows.
+TEST_CASE("target process: an entry that missed the first notice of a planned stop gets it again")
+{
+    target_fixture fleet;
+    fleet.sendRequest(target_fixture::sequence + 1);
+    auto notice = encodeRelayMessage(entry_notice{.name = "e1", .domain = "a", .boot = 7});
+    fleet.engine.onPeerBytes(fleet.now, entryAddress, notice);
+    fleet.engine.startLeaving(fleet.now);
+    // The first notice is lost.
+    fleet.port = {};
+    // The process runs on for 150 ms.
+    for (int tick = 0; tick < 2; ++tick) {
+        fleet.now += relay_target::tickInterval;
+        fleet.engine.onTick(fleet.now);
+    }
+    const auto isNotice = [](const auto &sent) {
+        const auto message = decodeRelayMessage(sent.second);
+        const auto *report
+            = valueOf(message) ? std::get_if<target_report>(valueOf(message)) : nullptr;
+        return sent.first == entryAddress && report && report->leaving && report->flows == 1;
+    };
+    CHECK(std::ranges::count_if(fleet.port.toPeers, isNotice) == 2);
+}
+
 // Another program on the VM may send reports with a later start than the target's.
 TEST_CASE("target process: a report of another service or address ends no flow of the target")
 {
