--- a/src/libtoucanrelay/relay_entry_search_test.cpp
+++ b/src/libtoucanrelay/relay_entry_search_test.cpp
@@ -52,6 +52,37 @@
     }
 }
 
+TEST_CASE("entry: a flow of a process that restarts as planned is not searched at other targets")
+{
+    entry_fixture fleet;
+    fleet.report(reportOf("t1", target_standing::ready, 1));
+    fleet.report(reportOf("t2", target_standing::ready, 1), otherProcess);
+    auto leaving = reportOf("t1", target_standing::unknown, 1);
+    leaving.order = 2;
+    leaving.leaving = true;
+    fleet.report(leaving);
+    auto page = encodeRelayMessage(flow_table_page{.member = "t1",
+        .boot = 1,
+        .complete = true,
+        .flows = {{.caller = caller, .service = service, .open = true}}});
+    fleet.engine.onPeerBytes(fleet.now, processAddress, page);
+    fleet.advance(500ms);
+    fleet.sendRequest();
+    CHECK(fleet.port.takePackets()
+        == std::vector{std::pair(relay_kind::established, processAddress)});
+    // The next start knows its flows and answers for itself.
+    auto request = encodeRelayMessage(flow_table_request{.member = "t1", .boot = 2});
+    fleet.engine.onPeerBytes(fleet.now, processAddress, request);
+    REQUIRE(fleet.port.toPeers.size() == 1);
+    CHECK(fleet.port.toPeers.front().first == processAddress);
+    CHECK(valueOf(decodeRelayMessage(fleet.port.toPeers.front().second)));
+    // The one after that may lack flows of the start between.
+    fleet.port = {};
+    request = encodeRelayMessage(flow_table_request{.member = "t1", .boot = 3});
+    fleet.engine.onPeerBytes(fleet.now, processAddress, request);
+    CHECK(fleet.port.toPeers.empty());
+}
+
 TEST_CASE("entry: a search asks all members although their order changes during it")
 {
     constexpr std::uint32_t members = 14;
