Test, listed red: silence of a member of the own domain is taken for its end unasked

Callers would meet: an entry resets flows of a member of its own failure domain that it alone does not hear for 4 s.

Cause: entries of one domain send each other digests only while one of them starts, so no other entry can contradict. What another entry can contribute is the member's last report to it (`silentMs` of its digest).

--- a/src/libtoucanrelay/relay_entry_search_test.cpp
+++ b/src/libtoucanrelay/relay_entry_search_test.cpp
@@ -310,3 +310,60 @@
     fleet.answerAllNotHeld();
     CHECK(fleet.port.toCallers.empty());
 }
+
+// The link between the member and this entry only may be cut.
+TEST_CASE("entry: a member that another entry of its domain hears is not taken for gone")
+{
+    constexpr endpoint otherEntry{.ip = 0x0a010002, .port = 7000};
+    entry_fixture fleet;
+    std::uint64_t order = 0;
+    const auto report = [&](const std::string &name, const endpoint &from) {
+        auto message = reportOf(name, target_standing::ready, 3);
+        message.order = ++order;
+        fleet.report(message, from);
+    };
+    report("t1", processAddress);
+    report("t2", otherProcess);
+    fleet.advance(600ms);
+    auto t1 = member_state{.name = "t1",
+        .service = "main",
+        .address = processAddress,
+        .boot = 1,
+        .lifetime = 1,
+        .order = 100,
+        .standing = static_cast<std::uint64_t>(target_standing::ready),
+        .slots = 4,
+        .flows = 3,
+        .silentMs = 100};
+    std::uint64_t number = 0;
+    // The other entry answers requests for its view of the domain.
+    const auto answerRequests = [&] {
+        for (auto &[to, bytes] : std::exchange(fleet.port.toPeers, {})) {
+            const auto message = decodeRelayMessage(bytes);
+            if (to != otherEntry || !valueOf(message)
+                || !std::holds_alternative<digest_request>(*valueOf(message)))
+                continue;
+            auto digest = encodeRelayMessage(member_digest{.origin = otherEntry,
+                .originDomain = "a",
+                .boot = 2,
+                .number = ++number,
+                .domain = "a",
+                .complete = true,
+                .count = 2,
+                .members = {t1}});
+            fleet.engine.onPeerBytes(fleet.now, otherEntry, digest);
+        }
+    };
+    for (int step = 0; step < 18; ++step) {
+        report("t2", otherProcess);
+        auto notice = encodeRelayMessage(
+            entry_notice{.name = "e2", .domain = "a", .boot = 2, .revision = 1});
+        fleet.engine.onPeerBytes(fleet.now, otherEntry, notice);
+        fleet.now += 250ms;
+        fleet.engine.onTick(fleet.now);
+        answerRequests();
+    }
+    fleet.sendRequest();
+    fleet.answerAllNotHeld();
+    CHECK(fleet.port.toCallers.empty());
+}
