Entries count starts of target processes that only digests report

A process stops as planned and leaves its table with an entry of another failure domain, among others. Its next start gets the table from an entry of its own domain at once and does not ask the other one. It opens flows and is killed. The start after that asks again; by then the other entry has the boot number of that start from a digest, and returns the table of the first start as complete. The process denies the flows of the start between.

Cause: only reports and requests that reach the keeper itself counted as starts. Processes report to the entries of their own domain; the boot number of the last digest hid the one before.

Evidence: the new test of relay_entry_search_test got one page for start 3 on.

Each start that a digest states counts now, if it was last seen after the table was kept: older news is of the start that left the table or of earlier ones. Not closed by it: a keeper that gets neither a message nor a digest of the start between.

--- a/src/include/toucan/flow_table_keeper.h
+++ b/src/include/toucan/flow_table_keeper.h
@@ -35,9 +35,11 @@
 
     /// Stores a page; returns the table when this was its last missing page.
     std::optional<summary> keep(instant now, const endpoint &from, const flow_table_page &page);
-    /// Records that the process at `from` runs as start `boot`. A table is of no use once a start
-    /// that may have opened flows has followed the next one; it is dropped and returned.
-    std::optional<summary> recordStart(instant now, const endpoint &from, std::uint64_t boot);
+    /// Records that the process at `from` ran as start `boot` at `seenAt`. A table is of no use
+    /// once a start that may have opened flows has followed the next one; it is dropped and
+    /// returned.
+    std::optional<summary> recordStart(
+        instant now, const endpoint &from, std::uint64_t boot, instant seenAt);
     /// The pages of the start before `request.boot`; empty unless all are there. `knownBoot`:
     /// newest start of the process that this entry knows of, 0 when none.
     std::vector<flow_table_page> pagesFor(instant now, const endpoint &from,
--- a/src/include/toucan/relay_entry.h
+++ b/src/include/toucan/relay_entry.h
@@ -220,6 +220,7 @@
     void handle(instant now, const endpoint &from, const flow_answer &message);
     void handle(instant now, const endpoint &from, const flow_table_page &message);
     void handle(instant now, const endpoint &from, const flow_table_request &message);
+    void recordStart(instant now, const endpoint &process, std::uint64_t boot, instant seenAt);
     void logFlowTable(
         instant now, const flow_table_keeper::summary &table, std::string_view outcome);
     void handlePacket(instant now, const endpoint &from, const relay_packet &packet);
--- a/src/libtoucanrelay/flow_table_keeper.cpp
+++ b/src/libtoucanrelay/flow_table_keeper.cpp
@@ -40,10 +40,11 @@
 }
 
 std::optional<flow_table_keeper::summary> flow_table_keeper::recordStart(
-    instant now, const endpoint &from, std::uint64_t boot)
+    instant now, const endpoint &from, std::uint64_t boot, instant seenAt)
 {
     const auto found = m_tables.find(from);
-    if (found == m_tables.end() || found->second.boot == boot || found->second.nextBoot == boot)
+    if (found == m_tables.end() || found->second.boot == boot || found->second.nextBoot == boot
+        || seenAt < found->second.keptAt)
         return std::nullopt;
     if (found->second.nextBoot == 0) {
         found->second.nextBoot = boot;
--- a/src/libtoucanrelay/flow_table_keeper_test.cpp
+++ b/src/libtoucanrelay/flow_table_keeper_test.cpp
@@ -52,13 +52,19 @@
     keeper.keep(now, process, pageOf(1));
     SECTION("reported here")
     {
-        CHECK_FALSE(keeper.recordStart(now, process, 1));
-        CHECK_FALSE(keeper.recordStart(now, process, 2));
+        CHECK_FALSE(keeper.recordStart(now, process, 1, now));
+        CHECK_FALSE(keeper.recordStart(now, process, 2, now));
         CHECK(isReturned(keeper, now, 2));
         CHECK_FALSE(isReturned(keeper, now, 3));
-        CHECK(keeper.recordStart(now, process, 3));
+        CHECK(keeper.recordStart(now, process, 3, now));
         CHECK(keeper.size() == 0);
     }
+    SECTION("news of the start before the table")
+    {
+        CHECK_FALSE(keeper.recordStart(now, process, 9, now - 1ms));
+        CHECK_FALSE(keeper.recordStart(now, process, 2, now));
+        CHECK(isReturned(keeper, now, 2));
+    }
     SECTION("known from another entry")
     {
         CHECK(isReturned(keeper, now, 3, 1));
@@ -71,7 +77,7 @@
     const instant now = 1000s;
     flow_table_keeper keeper;
     keeper.keep(now, process, pageOf(1));
-    keeper.recordStart(now, process, 2);
+    keeper.recordStart(now, process, 2, now);
     CHECK(keeper.keep(now, process, pageOf(2)));
     CHECK_FALSE(keeper.keep(now, process, pageOf(1)));
     REQUIRE(isReturned(keeper, now, 3));
@@ -86,7 +92,7 @@
     keeper.keep(now, process, pageOf(1));
     CHECK(keeper.ownerOf(now, flow) == process);
     CHECK_FALSE(keeper.ownerOf(now, {.caller = flow.service, .service = flow.service}));
-    keeper.recordStart(now, process, 2);
+    keeper.recordStart(now, process, 2, now);
     CHECK_FALSE(keeper.ownerOf(now, flow));
 }
 
--- a/src/libtoucanrelay/relay_entry_digests.cpp
+++ b/src/libtoucanrelay/relay_entry_digests.cpp
@@ -162,6 +162,10 @@
     const auto outcome = m_digests.apply(now, m_members, message);
     if (!outcome.isNew)
         return;
+    // Processes of other domains do not report their starts here.
+    for (const auto &state : message.members)
+        recordStart(
+            now, state.address, state.boot, now - std::chrono::milliseconds(state.silentMs));
     applyReceivedState(now, from, message, "entry");
     // Digests of other domains reach the delegates, which pass them on in their own domain, also to
     // entries that stop: those forward packets until the fabric has left them.
--- a/src/libtoucanrelay/relay_entry_peers.cpp
+++ b/src/libtoucanrelay/relay_entry_peers.cpp
@@ -60,8 +60,7 @@
 void relay_entry::handle(instant now, const endpoint &from, const target_report &message)
 {
     const auto before = m_members.count();
-    if (const auto dropped = m_flowTables.recordStart(now, from, message.boot))
-        logFlowTable(now, *dropped, "discarded: the process has started twice since");
+    recordStart(now, from, message.boot, now);
     const auto change = m_members.apply(now, from, message);
     if (m_members.count() > before)
         m_memberAddedAt = now;
@@ -85,8 +84,7 @@
     const auto pages = m_flowTables.pagesFor(now, from, message, known ? known->boot : 0);
     for (const auto &page : pages)
         send(from, page);
-    if (const auto dropped = m_flowTables.recordStart(now, from, message.boot))
-        logFlowTable(now, *dropped, "discarded: the process has started twice since");
+    recordStart(now, from, message.boot, now);
     if (!pages.empty())
         m_log.write(now,
             flow_table_passed{.member = message.member,
@@ -95,6 +93,13 @@
                 .complete = pages.front().complete});
 }
 
+void relay_entry::recordStart(
+    instant now, const endpoint &process, std::uint64_t boot, instant seenAt)
+{
+    if (const auto dropped = m_flowTables.recordStart(now, process, boot, seenAt))
+        logFlowTable(now, *dropped, "discarded: the process has started twice since");
+}
+
 void relay_entry::logFlowTable(
     instant now, const flow_table_keeper::summary &table, std::string_view outcome)
 {
--- a/src/libtoucanrelay/relay_entry_search_test.cpp
+++ b/src/libtoucanrelay/relay_entry_search_test.cpp
@@ -279,3 +279,48 @@
     fleet.answerAllNotHeld();
     CHECK(fleet.port.toCallers.empty());
 }
+
+// Processes report to the entries of their own failure domain; others hear of their starts from
+// digests.
+TEST_CASE("entry: a flow table is not returned past a start that only digests reported")
+{
+    entry_fixture fleet;
+    std::uint64_t number = 0;
+    const auto digest = [&](std::uint64_t boot) {
+        fleet.now += 500ms;
+        auto bytes = encodeRelayMessage(member_digest{.origin = otherProcess,
+            .originDomain = "b",
+            .boot = 5,
+            .number = ++number,
+            .domain = "b",
+            .members = {{.name = "t1",
+                .service = "main",
+                .address = processAddress,
+                .boot = boot,
+                .order = 1,
+                .standing = static_cast<std::uint64_t>(target_standing::ready)}}});
+        fleet.engine.onPeerBytes(fleet.now, otherProcess, bytes);
+    };
+    const auto returnedPages = [&](std::uint64_t boot) {
+        fleet.port = {};
+        auto bytes = encodeRelayMessage(flow_table_request{.member = "t1", .boot = boot});
+        fleet.engine.onPeerBytes(fleet.now, processAddress, bytes);
+        return fleet.port.toPeers.size();
+    };
+    digest(1);
+    fleet.now += 500ms;
+    auto page = encodeRelayMessage(flow_table_page{.member = "t1", .boot = 1, .complete = true});
+    fleet.engine.onPeerBytes(fleet.now, processAddress, page);
+    SECTION("the next start")
+    {
+        digest(1);
+        digest(2);
+        CHECK(returnedPages(2) == 1);
+    }
+    SECTION("the one after it")
+    {
+        digest(2);
+        digest(3);
+        CHECK(returnedPages(3) == 0);
+    }
+}
