Flows that open while their process leaves are not denied by its next start

Callers could meet: a reset of a sound flow (FLOW a) after a planned restart of a target process. The process sends its table when the stop begins and passes segments on for 150 ms more. A flow whose opening was on its way then opens at the target. Its next start restores the flow as "offered" and denies it: its answer was not in the table, or the caller acknowledges data that the target sent since, or 4 s without a segment have passed. The entry resets it.

Cause: the table was taken for right until the process ends, as no opening is accepted after it. Openings accepted before still become flows.

A flow that was not open in the table stays unknown until its target has answered or returned a segment, for the lifetime of flows. Only the target of such a flow is asked with a segment; all other flows are denied as before.

--- a/src/include/toucan/relay_target.h
+++ b/src/include/toucan/relay_target.h
@@ -111,6 +111,9 @@
         bool beganWithFreeSlot = false; ///< The target had a free slot when the request began.
         bool callerFinished = false;
         bool targetFinished = false;
+        /// It was not open when an earlier start sent its table, but may have opened before that
+        /// start ended.
+        bool mayHaveOpened = false;
     };
     using flow_map = std::unordered_map<flow_key, flow>;
 
--- a/src/libtoucanrelay/engine_fixtures.h
+++ b/src/libtoucanrelay/engine_fixtures.h
@@ -82,13 +82,14 @@
         .length = 100};
 }
 
-/// A target process whose target is ready and has taken an opening with sequence number 5000.
+/// A target process whose target is ready and has taken an opening with sequence number 5000,
+/// unless its answer is still on its way.
 struct target_fixture : engine_fixture
 {
     static constexpr std::uint32_t sequence = 5000;
     relay_target engine;
 
-    target_fixture()
+    explicit target_fixture(bool isAnswered = true)
         : engine({.name = "t1",
                      .domain = "a",
                      .service = "main",
@@ -110,7 +111,8 @@
                                        .sequence = sequence,
                                        .acknowledged = 1},
             {});
-        engine.onTargetBytes(now, answer);
+        if (isAnswered)
+            engine.onTargetBytes(now, answer);
         port = {};
     }
 
--- a/src/libtoucanrelay/relay_target.cpp
+++ b/src/libtoucanrelay/relay_target.cpp
@@ -161,7 +161,8 @@
     const auto key = head.flowFromCaller();
     const auto &header = packet.header;
     auto found = m_flows.find(key);
-    if (lookUpFlow(now, key, head.acknowledged) == flow_lookup_result::not_held) {
+    const auto result = lookUpFlow(now, key, head.acknowledged);
+    if (result == flow_lookup_result::not_held) {
         passOn(header, relay_kind::not_found, packet.bytes);
         return;
     }
@@ -173,6 +174,8 @@
     }
     auto &item = found->second;
     item.entry = header.entry;
+    if (result == flow_lookup_result::unknown)
+        item.state = flow_state::probing;
     if (item.state == flow_state::probing) {
         item.candidates = header.candidates;
         item.serviceTag = header.serviceTag;
@@ -263,10 +266,12 @@
     instant now, const flow_key &key, std::uint32_t acknowledged) const
 {
     const auto found = m_flows.find(key);
-    if (found != m_flows.end() && found->second.state != flow_state::probing)
-        return acknowledgesThisTarget(found->second, acknowledged) ? flow_lookup_result::held
-                                                                   : flow_lookup_result::not_held;
-    const bool isCertain = isFlowTableComplete(now) || m_targetRefused;
+    const bool isTracked = found != m_flows.end() && found->second.state != flow_state::probing;
+    if (isTracked && acknowledgesThisTarget(found->second, acknowledged))
+        return flow_lookup_result::held;
+    if (found != m_flows.end() && found->second.mayHaveOpened)
+        return m_targetRefused ? flow_lookup_result::not_held : flow_lookup_result::unknown;
+    const bool isCertain = isTracked || isFlowTableComplete(now) || m_targetRefused;
     return isCertain ? flow_lookup_result::not_held : flow_lookup_result::unknown;
 }
 
@@ -312,8 +317,9 @@
 
 std::size_t relay_target::heldFlowCount() const
 {
-    return static_cast<std::size_t>(std::ranges::count_if(
-        m_flows, [](const auto &item) { return item.second.state != flow_state::probing; }));
+    return static_cast<std::size_t>(std::ranges::count_if(m_flows, [](const auto &item) {
+        return item.second.state != flow_state::probing || item.second.mayHaveOpened;
+    }));
 }
 
 void relay_target::onTick(instant now)
@@ -354,6 +360,9 @@
         const bool closed = item.callerFinished && item.targetFinished;
         if (closed && idle > closedFlowRetention)
             erase(now, current, "closed");
+        else if (item.state != flow_state::open && item.mayHaveOpened
+            && idle <= m_options.flowLifetime)
+            continue;
         else if (item.state == flow_state::offered && idle > closedFlowRetention)
             erase(now, current, "never opened");
         else if (item.state == flow_state::probing && idle > probeRetention)
--- a/src/libtoucanrelay/relay_target_answers.cpp
+++ b/src/libtoucanrelay/relay_target_answers.cpp
@@ -90,7 +90,9 @@
     }
     // Targets also acknowledge the end of flows that they no longer hold.
     const bool isFinalAcknowledgement = item.callerFinished && head.length == 0 && !head.finish;
-    if (item.state == flow_state::probing && !isFinalAcknowledgement) {
+    const bool isUndecided = item.state == flow_state::probing
+        || (item.state == flow_state::offered && item.mayHaveOpened);
+    if (isUndecided && !isFinalAcknowledgement) {
         // The target answered, so it holds the flow.
         item.state = flow_state::open;
         item.pendingSegment.clear();
@@ -128,6 +130,8 @@
     found->second.pendingSegment.clear();
     if (found->second.state != flow_state::probing)
         erase(now, found, "not held by the target");
+    else
+        found->second.mayHaveOpened = false;
     if (header.entry)
         passOn(header, relay_kind::not_found, bytes);
 }
--- a/src/libtoucanrelay/relay_target_recovery.cpp
+++ b/src/libtoucanrelay/relay_target_recovery.cpp
@@ -59,7 +59,8 @@
         .draining = latest && latest->draining};
     std::vector<flow_table_page> pages(1, page);
     for (const auto &[key, item] : m_flows) {
-        if (item.state == flow_state::probing || (item.callerFinished && item.targetFinished))
+        const bool isProbe = item.state == flow_state::probing && !item.mayHaveOpened;
+        if (isProbe || (item.callerFinished && item.targetFinished))
             continue;
         if (pages.back().flows.size() == maxFlowsPerPage)
             pages.push_back(page);
@@ -80,7 +81,8 @@
     return pages;
 }
 
-// A process that leaves accepts no more openings, so that the table needs no update until it ends.
+// A process that leaves accepts no more openings, so that no flow is missing in the table. Those on
+// their way may still open until it ends.
 void relay_target::sendFlowTable(instant now)
 {
     // The flows of a target that has ended are reset by its next lifetime or its closed port.
@@ -210,6 +212,7 @@
     if (record.answered)
         item.targetSequence = static_cast<std::uint32_t>(record.sequence);
     item.state = record.open ? flow_state::open : flow_state::offered;
+    item.mayHaveOpened = !record.open;
     if (record.open && item.entry)
         notifyEntry(key, item);
 }
