A report that comes before the flow table does not keep a restarted process from taking it

Cause: a first report with number 1 ended the recovery, and a report older than the one in the table stayed the newest.

A process that may have run before takes the table in any case. The newer one of the two reports counts, and the table says whether it is complete when it holds the newer one. Until the table is there (about 0.1 s) a late report with number 1 still counts.

--- a/src/include/toucan/relay_target.h
+++ b/src/include/toucan/relay_target.h
@@ -190,7 +190,6 @@
     std::vector<endpoint> entriesByRank(instant now, std::string_view domain, bool alive) const;
     std::vector<flow_table_page> makeFlowTable(instant now) const;
     void sendFlowTable(instant now);
-    bool isRecovering(instant now) const;
     void requestFlowTable(instant now);
     void requestFlowTableAtOnce(instant now);
     void restoreFlowTable(instant now);
@@ -237,7 +236,7 @@
     bool m_flowTableComplete = false;
     instant m_observedSince; ///< Every opening since then was seen here or by earlier starts.
     std::map<std::uint64_t, flow_table_page> m_returnedPages; ///< Of the start before, by number.
-    bool m_recoveryEnded = false;
+    bool m_recoveryEnded; ///< The table of the start before was returned, or there is none.
     instant m_nextTableRequest{};
     std::vector<byte_buffer> m_flowTable; ///< Pages of the own table while this process leaves.
     std::vector<endpoint> m_flowTableKeepers; ///< Entries that get these pages.
--- a/src/libtoucanrelay/relay_target.cpp
+++ b/src/libtoucanrelay/relay_target.cpp
@@ -40,6 +40,7 @@
     , m_load(loadMemory)
     , m_flowTableComplete(m_options.firstStart)
     , m_observedSince(now)
+    , m_recoveryEnded(m_options.firstStart)
     , m_started(now)
 {
     for (std::size_t i = 0; i < m_verdicts.size(); ++i)
--- a/src/libtoucanrelay/relay_target_recovery.cpp
+++ b/src/libtoucanrelay/relay_target_recovery.cpp
@@ -110,14 +110,9 @@
     }
 }
 
-bool relay_target::isRecovering(instant now) const
-{
-    return !m_recoveryEnded && !isFlowTableComplete(now);
-}
-
 void relay_target::requestFlowTable(instant now)
 {
-    if (!isRecovering(now) || m_leaving || now < m_nextTableRequest)
+    if (m_recoveryEnded || m_leaving || now < m_nextTableRequest)
         return;
     m_nextTableRequest = now + std::max<instant>(firstRequestInterval, now - m_started);
     auto asked = entriesByRank(now, m_options.domain, false);
@@ -152,7 +147,7 @@
 
 void relay_target::handle(instant now, const endpoint &, const flow_table_page &message)
 {
-    if (!isRecovering(now) || message.member != m_options.name || message.boot == m_options.boot)
+    if (m_recoveryEnded || message.member != m_options.name || message.boot == m_options.boot)
         return;
     if (!m_returnedPages.empty() && m_returnedPages.begin()->second.boot != message.boot)
         m_returnedPages.clear();
@@ -174,7 +169,9 @@
         .draining = first.draining};
     const auto &latest = m_liveness.latest();
     const bool isSucceeded = latest && latest->startedMs > before.startedMs;
-    if (!latest && !before.id.empty())
+    // The only report so far may be a late one of an earlier lifetime.
+    const bool isNewest = !latest || latest->startedMs < before.startedMs;
+    if (isNewest && !before.id.empty())
         m_liveness.restore(m_started, before);
     for (const auto &[number, page] : pages) {
         for (const auto &record : page.flows)
@@ -182,7 +179,7 @@
     }
     m_observedSince = std::min<instant>(
         m_observedSince, m_started - std::chrono::milliseconds(first.observedMs));
-    m_flowTableComplete = m_flowTableComplete || first.complete;
+    m_flowTableComplete = first.complete || (m_flowTableComplete && !isNewest);
     if (isSucceeded)
         endLifetime(now, m_started, "the target started anew");
     m_log.write(now,
--- a/src/libtoucanrelay/relay_target_recovery_test.cpp
+++ b/src/libtoucanrelay/relay_target_recovery_test.cpp
@@ -222,8 +222,20 @@
 TEST_CASE("target process: a late report of an earlier lifetime ends no flow after a restart")
 {
     restart_fixture fleet;
-    fleet.start();
-    fleet.report(0, 99);
+    SECTION("after the table was returned")
+    {
+        fleet.start();
+        fleet.report(0, 99);
+    }
+    SECTION("before the table was returned")
+    {
+        fleet.start(false);
+        fleet.report(0, GENERATE(1, 99));
+        for (auto &page : fleet.pages)
+            fleet.restarted->onPeerBytes(fleet.now, entryAddress, page);
+        fleet.now += 100ms;
+        fleet.report(1, 3);
+    }
     CHECK(fleet.askFor(caller) == held);
     CHECK(fleet.port.toCallers.empty());
 }
