--- a/src/libtoucanrelay/relay_target_recovery.cpp
+++ b/src/libtoucanrelay/relay_target_recovery.cpp
@@ -59,7 +59,8 @@
         .draining = latest && latest->draining};
     std::vector<flow_table_page> pages(1, page);
     for (const auto &[key, item] : m_flows) {
-        if (item.state == flow_state::probing || (item.callerFinished && item.targetFinished))
+        const bool isProbe = item.state == flow_state::probing && !item.mayHaveOpened;
+        if (isProbe || (item.callerFinished && item.targetFinished))
             continue;
         if (pages.back().flows.size() == maxFlowsPerPage)
             pages.push_back(page);
@@ -80,7 +81,8 @@
     return pages;
 }
 
-// A process that leaves accepts no more openings, so that the table needs no update until it ends.
+// A process that leaves accepts no more openings, so that no flow is missing in the table. Those on
+// their way may still open until it ends.
 void relay_target::sendFlowTable(instant now)
 {
     // The flows of a target that has ended are reset by its next lifetime or its closed port.
@@ -108,14 +110,9 @@
     }
 }
 
-bool relay_target::isRecovering(instant now) const
-{
-    return !m_recoveryEnded && !isFlowTableComplete(now);
-}
-
 void relay_target::requestFlowTable(instant now)
 {
-    if (!isRecovering(now) || m_leaving || now < m_nextTableRequest)
+    if (m_recoveryEnded || m_leaving || now < m_nextTableRequest)
         return;
     m_nextTableRequest = now + std::max<instant>(firstRequestInterval, now - m_started);
     auto asked = entriesByRank(now, m_options.domain, false);
@@ -150,7 +147,7 @@
 
 void relay_target::handle(instant now, const endpoint &, const flow_table_page &message)
 {
-    if (!isRecovering(now) || message.member != m_options.name || message.boot == m_options.boot)
+    if (m_recoveryEnded || message.member != m_options.name || message.boot == m_options.boot)
         return;
     if (!m_returnedPages.empty() && m_returnedPages.begin()->second.boot != message.boot)
         m_returnedPages.clear();
@@ -172,7 +169,9 @@
         .draining = first.draining};
     const auto &latest = m_liveness.latest();
     const bool isSucceeded = latest && latest->startedMs > before.startedMs;
-    if (!latest && !before.id.empty())
+    // The only report so far may be a late one of an earlier lifetime.
+    const bool isNewest = !latest || latest->startedMs < before.startedMs;
+    if (isNewest && !before.id.empty())
         m_liveness.restore(m_started, before);
     for (const auto &[number, page] : pages) {
         for (const auto &record : page.flows)
@@ -180,7 +179,7 @@
     }
     m_observedSince = std::min<instant>(
         m_observedSince, m_started - std::chrono::milliseconds(first.observedMs));
-    m_flowTableComplete = m_flowTableComplete || first.complete;
+    m_flowTableComplete = first.complete || (m_flowTableComplete && !isNewest);
     if (isSucceeded)
         endLifetime(now, m_started, "the target started anew");
     m_log.write(now,
@@ -210,6 +209,7 @@
     if (record.answered)
         item.targetSequence = static_cast<std::uint32_t>(record.sequence);
     item.state = record.open ? flow_state::open : flow_state::offered;
+    item.mayHaveOpened = !record.open;
     if (record.open && item.entry)
         notifyEntry(key, item);
 }
