--- a/src/libtoucanrelay/relay_entry_peers.cpp
+++ b/src/libtoucanrelay/relay_entry_peers.cpp
@@ -82,14 +82,18 @@
 {
     const auto *known = m_members.at(from);
     const auto pages = m_flowTables.pagesFor(now, from, message, known ? known->boot : 0);
-    for (const auto &page : pages)
+    std::uint64_t flows = 0;
+    for (const auto &page : pages) {
         send(from, page);
+        flows += page.flows.size();
+    }
     recordStart(now, from, message.boot, now);
     if (!pages.empty())
         m_log.write(now,
             flow_table_passed{.member = message.member,
                 .outcome = "returned",
                 .boot = pages.front().boot,
+                .flows = flows,
                 .complete = pages.front().complete});
 }
 
--- a/src/libtoucanrelay/relay_target_recovery.cpp
+++ b/src/libtoucanrelay/relay_target_recovery.cpp
@@ -2,6 +2,7 @@
 // meanwhile, as VMs have no persistent storage.
 
 #include <algorithm>
+#include <toucan/flow_table_keeper.h>
 #include <toucan/ranking.h>
 #include <toucan/relay_target.h>
 
@@ -86,7 +87,8 @@
 void relay_target::sendFlowTable(instant now)
 {
     // The flows of a target that has ended are reset by its next lifetime or its closed port.
-    if (m_flowTableSends >= maxTableSends || standing(now) == target_standing::gone)
+    const bool hasEnded = m_targetRefused || (m_liveness.latest() && m_liveness.latest()->leaving);
+    if (m_flowTableSends >= maxTableSends || hasEnded)
         return;
     if (m_flowTableSends++ == 0) {
         const auto pages = makeFlowTable(now);
