Soak: state what stood still and which datagrams were dropped

The logs of the processes do not tell whether they, the soak's switch or the machine stood still.

Each result states the longest pass of the switch and of the soak's loop, the longest delay of a sleeping thread, and datagrams that the kernel dropped at the soak's sockets (their addresses tell the switch from the processes); stalls.log in the folder of the logs has each stall of 100 ms or more, with the time as in the logs of the programs.

Tried and taken out: the kernel's waiting time of threads (schedstat).

--- a/src/include/toucan/lab/network_stand_ins.h
+++ b/src/include/toucan/lab/network_stand_ins.h
@@ -62,7 +62,10 @@
         endpoint publicAddress; ///< What peers send to.
         endpoint realAddress; ///< Where the process listens.
     };
-    packet_switch(std::vector<port> ports, std::uint64_t seed);
+    /// `onPass` gets the end and the length of each pass over the sockets, the time spent waiting
+    /// for datagrams included.
+    packet_switch(std::vector<port> ports, std::uint64_t seed,
+        std::function<void(instant, std::chrono::nanoseconds)> onPass = {});
 
     /// Sets the faults of links whose ends match; "*" matches any name. Later rules go first. Any
     /// thread.
@@ -86,6 +89,7 @@
     std::vector<port> m_ports;
     std::vector<udp_socket> m_sockets; ///< One for each port, on its public address.
     delay_line m_line;
+    std::function<void(instant, std::chrono::nanoseconds)> m_onPass;
     std::array<std::uint8_t, 65535> m_buffer{};
 };
 
--- a/src/include/toucan/lab/relay_soak.h
+++ b/src/include/toucan/lab/relay_soak.h
@@ -12,6 +12,7 @@
 #include <toucan/lab/platform_stand_in.h>
 #include <toucan/lab/segment_callers.h>
 #include <toucan/lab/soak_target.h>
+#include <toucan/lab/stall_watch.h>
 
 namespace toucan::lab {
 
@@ -37,6 +38,8 @@
     std::vector<std::string> faults; ///< What was done, in order.
     caller_outcome outcome;
     double recovered = 0; ///< Share of the last flows that were answered.
+    /// What stood still longest, and datagrams that were dropped; more in stalls.log of the logs.
+    std::vector<std::string> stalls;
     std::filesystem::path logs; ///< Folder with the programs' logs; kept when a rule was broken.
 };
 
@@ -156,6 +159,8 @@
     instant m_now;
     instant m_started;
     event_queue m_events;
+    std::optional<stall_record> m_stalls;
+    std::optional<stall_watch> m_stallWatch;
     std::unique_ptr<platform_stand_in> m_store;
     std::unique_ptr<packet_switch> m_switch;
     std::jthread m_switchThread;
--- a/src/libtoucanlab/network_stand_ins.cpp
+++ b/src/libtoucanlab/network_stand_ins.cpp
@@ -100,9 +100,11 @@
     }
 }
 
-packet_switch::packet_switch(std::vector<port> ports, std::uint64_t seed)
+packet_switch::packet_switch(std::vector<port> ports, std::uint64_t seed,
+    std::function<void(instant, std::chrono::nanoseconds)> onPass)
     : m_ports(std::move(ports))
     , m_line(seed)
+    , m_onPass(std::move(onPass))
 {
     std::ranges::transform(m_ports, std::back_inserter(m_sockets),
         [](const port &item) { return bindOrThrow(item.publicAddress); });
@@ -143,6 +145,7 @@
         bySocket[m_sockets[i].handle()] = i;
         poll.add(m_sockets[i].handle(), Poco::Net::PollSet::POLL_READ);
     }
+    auto passed = monotonicNow();
     while (!stop()) {
         for (const auto &[socket, mode] : poll.poll(Poco::Timespan(pollMicroseconds))) {
             const auto to = bySocket.at(socket);
@@ -161,7 +164,11 @@
                     });
             }
         }
-        m_line.run(monotonicNow());
+        const auto now = monotonicNow();
+        m_line.run(now);
+        if (m_onPass)
+            m_onPass(now, now - passed);
+        passed = now;
     }
 }
 
--- a/src/libtoucanlab/relay_soak.cpp
+++ b/src/libtoucanlab/relay_soak.cpp
@@ -51,6 +51,8 @@
 constexpr std::size_t strayLimit = 3;
 constexpr auto strayTime = 2000ms;
 constexpr auto readTime = 50ms;
+// Shorter stalls are not reported.
+constexpr auto shortStall = 100ms;
 
 bool isReady(const endpoint &address)
 {
@@ -96,6 +98,8 @@
 {
     std::filesystem::remove_all(m_directory);
     std::filesystem::create_directories(m_directory);
+    m_stalls.emplace((m_directory / "stalls.log").string());
+    m_stallWatch.emplace(*m_stalls, m_network);
     build();
 }
 
@@ -130,7 +134,8 @@
         ports.push_back({.name = item->name,
             .publicAddress = {.ip = item->ip, .port = peerPort},
             .realAddress = {.ip = item->ip, .port = listenPort}});
-    m_switch = std::make_unique<packet_switch>(std::move(ports), m_options.seed);
+    m_switch = std::make_unique<packet_switch>(std::move(ports), m_options.seed,
+        [this](auto end, auto length) { m_stalls->add("the switch", end, length); });
     m_switchThread = std::jthread([this](const std::stop_token &stop) {
         m_switch->run([&] { return stop.stop_requested(); });
     });
@@ -263,6 +268,7 @@
     checkRuns();
     checkRecovery(firstJudged, firstUnjudged);
     m_result.outcome = m_callers.outcome();
+    m_result.stalls = m_stalls->lines(m_started, shortStall);
     m_result.logs = m_directory;
     return m_result;
 }
@@ -281,7 +287,10 @@
     Poco::Net::PollSet poll;
     watchSockets(poll);
     constexpr long pollMicroseconds = 2000;
+    auto passed = monotonicNow();
     while (monotonicNow() < until) {
+        const auto begin = monotonicNow();
+        m_stalls->add("the soak's loop", begin, begin - std::exchange(passed, begin));
         if (!poll.poll(Poco::Timespan(pollMicroseconds)).empty()) {
             m_now = monotonicNow();
             std::ranges::for_each(m_callerSockets, [&](auto &socket) { onCallerSocket(socket); });
--- a/src/toucanlab/soak_command.cpp
+++ b/src/toucanlab/soak_command.cpp
@@ -19,6 +19,8 @@
                   << seen.resetOpen << " open flows reset, " << result.recovered
                   << " of the last answered, " << result.violations.size() << " rules broken"
                   << std::endl;
+        for (const auto &line : result.stalls)
+            std::cout << "  stall " << line << std::endl;
         if (result.violations.empty())
             continue;
         ++broken;
