Log what a reset after a search rests on, and print it in `toucanbridge explain`

`flow_reset` now counts the members by observation: `returned` (a segment came back as not held), `denied` (a question was answered from a complete flow table), `silent` with `shortestSilenceMs`, and `withoutTarget`. The condition for a reset is unchanged: the counts come from the same branches. An entry cannot tell a segment that a target returned from one that its process passed on after silence; the log of the target process does (`flow_ended`, `dependency_changed`).

The counts that the entry writes have no test of their own, as the engine tests do not read the log.

--- a/src/include/toucan/relay_entry.h
+++ b/src/include/toucan/relay_entry.h
@@ -38,6 +38,18 @@
     std::uint64_t boot = 0; ///< Random number of this start.
 };
 
+/// What shows that no member holds a flow: members by observation.
+struct search_evidence
+{
+    std::size_t asked = 0;
+    std::size_t returned = 0; ///< A segment came back.
+    std::size_t denied = 0; ///< A question was answered.
+    std::size_t silent = 0; ///< No answer, silent beyond the limit.
+    instant shortestSilence = instant::max();
+    std::size_t withoutTarget = 0; ///< No answer; last reported that no target runs there.
+    std::string missing; ///< Name of a member without any of these.
+};
+
 /// The engine of one relaying entry.
 class relay_entry
 {
@@ -99,6 +111,7 @@
         bool notHeld = false; ///< Its target does not hold the flow.
         bool inconclusive = false; ///< A target of the chain gave no reply.
         bool segmentSent = false; ///< The segment was sent to it, to ask its target.
+        bool segmentReturned = false; ///< `notHeld` is the answer to a segment, not to a question.
     };
 
     /// Stage of a search.
@@ -173,7 +186,7 @@
     void adoptOwner(instant now, const flow_key &flow, cached_flow &cached, const endpoint &owner,
         bool hasSegment);
     void concludeSearch(instant now, cached_flow &cached);
-    void resetLostFlow(instant now, const segment &head, std::size_t asked);
+    void resetLostFlow(instant now, const segment &head, const search_evidence &evidence);
     void advanceSearches(instant now);
     void forwardBuffered(const search_progress &progress, const endpoint &owner, bool hasSegment);
     void retryInconclusiveSearches(instant now);
@@ -181,6 +194,9 @@
         instant now, const route_rule &route, const flow_key &flow) const;
     bool isSilenceConclusive(const relay_member &item, instant now) const;
     std::string inconclusiveReason(instant now, const search_progress &progress) const;
+    search_evidence evidenceOf(instant now, const search_progress &progress) const;
+    void addEvidence(instant now, const relay_member &item, const searched_member *asked,
+        search_evidence &evidence) const;
     void onRefused(instant now, const segment &head, byte_view bytes);
     void onNotFound(instant now, const endpoint &from, const relay_header &header,
         const segment &head, byte_view bytes);
@@ -201,8 +217,8 @@
     bool isDomainComplete(std::string_view domain, instant now) const;
     std::vector<std::string> otherDomains() const;
     bool mayBecomeReady(std::span<relay_member *const> members) const;
-    void resetFlow(
-        instant now, const segment &head, std::string_view reason, std::size_t asked = 0);
+    void resetFlow(instant now, const segment &head, std::string_view reason,
+        const search_evidence &evidence = {});
     void logOpening(instant now, const segment &head, std::string_view outcome,
         const relay_member *target, std::size_t eligible);
     void logSearch(instant now, const cached_flow &cached, std::string_view outcome,
--- a/src/libtoucanrelay/flow_trail.cpp
+++ b/src/libtoucanrelay/flow_trail.cpp
@@ -100,6 +100,20 @@
     return text.empty() ? "no verdict of a target is in the logs" : text;
 }
 
+// What a reset after a search rests on; empty for lines without it.
+std::string describeEvidence(const trail_line &line)
+{
+    if (number(line, "asked") == 0 || !line.fields.contains("returned"))
+        return {};
+    auto text = fmt::format(". Of {} members {} returned the segment, {} denied the flow, {} last "
+                            "reported to have no target and {} were silent",
+        number(line, "known"), number(line, "returned"), number(line, "denied"),
+        number(line, "withoutTarget"), number(line, "silent"));
+    if (number(line, "silent") > 0)
+        text += fmt::format(" for at least {} ms", number(line, "shortestSilenceMs"));
+    return text;
+}
+
 // Conclusion from one line about the flow's end; empty when there is none.
 std::string findingOf(const trail_line &line, const std::vector<trail_line> &path)
 {
@@ -109,7 +123,7 @@
             "{} reset the flow: {} (configuration {})", line.vm, reason, number(line, "revision"));
         if (reason.starts_with("refused"))
             text += ". " + describeRefusals(path);
-        return text;
+        return text + describeEvidence(line);
     }
     if (line.event == "flow_searched" && field(line, "outcome") == "not found")
         return fmt::format("{} asked {} members and none held the flow{}", line.vm,
--- a/src/libtoucanrelay/relay_entry.cpp
+++ b/src/libtoucanrelay/relay_entry.cpp
@@ -298,8 +298,11 @@
 }
 
 void relay_entry::resetFlow(
-    instant now, const segment &head, std::string_view reason, std::size_t asked)
+    instant now, const segment &head, std::string_view reason, const search_evidence &evidence)
 {
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    const auto shortest = evidence.silent > 0 ? evidence.shortestSilence : instant{};
     const auto flow = head.flowFromCaller();
     m_parked.erase(flow);
     m_metrics.numberOf("toucan_resets_total", "reason", reason).add();
@@ -309,8 +312,14 @@
             .reason = std::string(reason),
             .revision = stampOf(m_config).point.revision,
             .open = !head.isOpening(),
-            .asked = asked,
-            .known = m_members.count()});
+            .asked = evidence.asked,
+            .known = m_members.count(),
+            .returned = evidence.returned,
+            .denied = evidence.denied,
+            .silent = evidence.silent,
+            .shortestSilenceMs
+            = static_cast<std::uint64_t>(duration_cast<milliseconds>(shortest).count()),
+            .withoutTarget = evidence.withoutTarget});
     m_port.sendCaller(flow.caller, makeReset(m_codec, flow, head.acknowledged));
 }
 
--- a/src/libtoucanrelay/relay_entry_search.cpp
+++ b/src/libtoucanrelay/relay_entry_search.cpp
@@ -165,7 +165,7 @@
     if (header.search == 0) {
         // The owner's answer is conclusive: a flow is open at one target only.
         if (cached.confirmed && from == cached.owner && !header.inconclusive)
-            resetLostFlow(now, head, 1);
+            resetLostFlow(now, head, {.asked = 1, .returned = 1});
         else
             search(now, head, *route, cached, bytes);
         return;
@@ -182,6 +182,10 @@
         || cached.progress->number % searchNumberCount != header.search >> positionBits
         || position >= cached.progress->members.size())
         return; // A late answer.
+    const auto end = cached.progress->stage == search_stage::chain ? cached.progress->chainLength
+                                                                   : position + 1;
+    for (auto &member : std::span(cached.progress->members).subspan(position, end - position))
+        member.segmentReturned = true;
     recordNotHeld(now, cached, position, header.inconclusive);
 }
 
@@ -317,17 +321,17 @@
     logSearch(now, cached, progress.members.empty() ? "nobody to ask" : "not found", {},
         progress.members.size(), reason);
     if (reason.empty())
-        resetLostFlow(now, progress.head, progress.members.size());
+        resetLostFlow(now, progress.head, evidenceOf(now, progress));
     else if (!domainsWithoutNews(progress.flowSeenAt, now).empty()
         && m_inconclusiveSearches.size() < maxWatchedSearches)
         m_inconclusiveSearches.insert(progress.head.flowFromCaller());
 }
 
-void relay_entry::resetLostFlow(instant now, const segment &head, std::size_t asked)
+void relay_entry::resetLostFlow(instant now, const segment &head, const search_evidence &evidence)
 {
     // `head` may be part of the flow that is erased.
     const auto flow = head.flowFromCaller();
-    resetFlow(now, head, "no target holds the flow", asked);
+    resetFlow(now, head, "no target holds the flow", evidence);
     m_flows.erase(flow);
 }
 
@@ -353,7 +357,7 @@
         const auto last = std::move(found->second.progress);
         const auto *route = m_config->routeAt(flow.service);
         if (inconclusiveReason(now, *last).empty())
-            resetLostFlow(now, last->head, last->members.size());
+            resetLostFlow(now, last->head, evidenceOf(now, *last));
         else if (route)
             startSearch(now, last->head, *route, found->second, last->bytes, flowSeenAt);
     }
@@ -377,18 +381,37 @@
     const auto silent = std::ranges::find(order, true, &searched_member::inconclusive);
     if (silent != order.end())
         return "a target near " + toString(silent->address) + " did not answer";
-    std::string reason;
+    return evidenceOf(now, progress).missing;
+}
+
+search_evidence relay_entry::evidenceOf(instant now, const search_progress &progress) const
+{
+    const auto &order = progress.members;
+    search_evidence evidence{.asked = order.size()};
     m_members.forEach([&](const relay_member &item) {
         const auto it = std::ranges::find(order, item.address, &searched_member::address);
-        const instant limit = item.leaving && item.flows > 0 ? member_table::plannedStopTime
-                                                             : member_table::goneAfter;
-        const bool isGone = now - item.lastSeen > limit && isSilenceConclusive(item, now);
-        const bool wasAsked = it != order.end();
-        if (!(wasAsked && it->notHeld) && !isGone
-            && !(item.holdsNoFlows() && (wasAsked || item.lost)))
-            reason = item.name + (wasAsked ? " did not answer" : " was not asked");
+        addEvidence(now, item, it == order.end() ? nullptr : &*it, evidence);
     });
-    return reason;
+    return evidence;
+}
+
+// `asked`: the member's state in the search, or nullptr when it was not asked.
+void relay_entry::addEvidence(instant now, const relay_member &item, const searched_member *asked,
+    search_evidence &evidence) const
+{
+    const instant limit
+        = item.leaving && item.flows > 0 ? member_table::plannedStopTime : member_table::goneAfter;
+    const auto silence = now - item.lastSeen;
+    if (asked && asked->notHeld) {
+        ++(asked->segmentReturned ? evidence.returned : evidence.denied);
+    } else if (silence > limit && isSilenceConclusive(item, now)) {
+        ++evidence.silent;
+        evidence.shortestSilence = std::min<instant>(evidence.shortestSilence, silence);
+    } else if (item.holdsNoFlows() && (asked || item.lost)) {
+        ++evidence.withoutTarget;
+    } else {
+        evidence.missing = item.name + (asked ? " did not answer" : " was not asked");
+    }
 }
 
 void relay_entry::handle(instant now, const endpoint &from, const flow_owner &message)
