State in flow_reset and members_learned how many members are known of those that others keep

Digests carry the number of members that their origin keeps, lost and stopped ones included, and a hash over their identities; requests for digests carry the requester's time, which the reply returns. flow_reset lists for each failure domain the members known of those kept, and the age of the statement; members_learned has both numbers; explain prints them. No decision uses them yet.

--- a/src/include/toucan/digest_book.h
+++ b/src/include/toucan/digest_book.h
@@ -58,6 +58,10 @@
     /// Number of its members in the newest digest of an entry that has all; nullopt before the
     /// first.
     std::optional<std::uint64_t> countOf(std::string_view domain) const;
+    /// Number of its members that such an entry keeps, lost and stopped ones included.
+    std::optional<std::uint64_t> keptCountOf(std::string_view domain) const;
+    /// Time of the newest digest of such an entry.
+    std::optional<instant> statedAt(std::string_view domain) const;
     /// Time of the last digest of the domain from one of its own entries; nullopt before the first.
     std::optional<instant> lastSeen(std::string_view domain) const;
     /// True when a digest that matches the own view is so recent that the view includes each member
@@ -75,6 +79,8 @@
         std::optional<instant> matchedAt; ///< Last match with a digest of one of its own entries.
         std::optional<instant> matchedOthersAt; ///< Last match with a digest of another entry.
         std::optional<std::uint64_t> count; ///< Of its members, from an entry that has all.
+        std::optional<std::uint64_t> keptCount; ///< Lost and stopped ones included.
+        std::optional<instant> statedAt; ///< Last digest of an entry that has all members.
         instant requestedAt{}; ///< Last request for a whole digest.
     };
     /// The pages of a whole digest that have arrived so far.
--- a/src/include/toucan/relay_entry.h
+++ b/src/include/toucan/relay_entry.h
@@ -216,6 +216,7 @@
     bool isOwnDomainComplete(instant now) const;
     bool isDomainComplete(std::string_view domain, instant now) const;
     std::vector<std::string> otherDomains() const;
+    std::vector<std::string> describeKnowledge(instant now) const;
     bool mayBecomeReady(std::span<relay_member *const> members) const;
     void resetFlow(instant now, const segment &head, std::string_view reason,
         const search_evidence &evidence = {});
@@ -253,7 +254,7 @@
     void updatePeers(instant now);
     void sendDigests(instant now);
     void sendWholeDigest(instant now, const endpoint &to, std::string_view domain);
-    void sendNews(instant now, const endpoint &to, std::string_view domain);
+    void replyTo(instant now, const endpoint &to, const digest_request &request);
     void requestNews(instant now, const std::string &domain);
     void sendCompleteDomains(instant now, const endpoint &to);
     void updateCompleteness(instant now);
--- a/src/include/toucan/relay_members.h
+++ b/src/include/toucan/relay_members.h
@@ -125,6 +125,9 @@
         bool operator==(const summary &) const = default;
     };
     summary summaryOf(std::string_view domain) const;
+    /// Number of members of a domain in the table, lost and stopped ones included, and a hash over
+    /// their names, addresses and planned stops. Any of them may hold flows.
+    summary keptOf(std::string_view domain) const;
     /// Marks silent members as lost and removes long silent ones; returns the changes.
     std::vector<member_change> onTick(instant now);
     /// Members of a service, in no order; empty when there are none.
--- a/src/libtoucanrelay/digest_book.cpp
+++ b/src/libtoucanrelay/digest_book.cpp
@@ -39,6 +39,11 @@
         .silentMs = static_cast<std::uint64_t>(silenceMs)};
 }
 
+instant timeOfRequest(const member_digest &page)
+{
+    return std::chrono::milliseconds(page.requestedAtMs);
+}
+
 std::pair<endpoint, std::string> keyOf(const member_digest &page)
 {
     return {page.origin, page.domain};
@@ -50,6 +55,7 @@
     std::string_view domain, const digest_origin &origin, bool complete, bool whole)
 {
     const auto summary = members.summaryOf(domain);
+    const auto kept = members.keptOf(domain);
     member_digest head{.origin = origin.address,
         .originDomain = origin.domain,
         .boot = origin.boot,
@@ -58,7 +64,9 @@
         .complete = complete,
         .whole = whole,
         .count = summary.count,
-        .hash = summary.hash};
+        .hash = summary.hash,
+        .keptCount = kept.count,
+        .keptHash = kept.hash};
     writeState(head, origin.config, origin.domains, origin.settledEra);
     std::vector<member_digest> pages{head};
     members.forEach([&](const relay_member &item) {
@@ -101,6 +109,8 @@
     if (!page.complete)
         return outcome;
     view.count = page.count;
+    view.keptCount = page.keptCount;
+    view.statedAt = page.requestedAtMs > 0 ? timeOfRequest(page) : now;
     if (page.whole)
         collect(now, members, page, outcome);
     compare(now, members, page, view, outcome);
@@ -164,6 +174,18 @@
     return found == m_views.end() ? std::nullopt : found->second.count;
 }
 
+std::optional<std::uint64_t> digest_book::keptCountOf(std::string_view domain) const
+{
+    const auto found = m_views.find(domain);
+    return found == m_views.end() ? std::nullopt : found->second.keptCount;
+}
+
+std::optional<instant> digest_book::statedAt(std::string_view domain) const
+{
+    const auto found = m_views.find(domain);
+    return found == m_views.end() ? std::nullopt : found->second.statedAt;
+}
+
 std::optional<instant> digest_book::lastSeen(std::string_view domain) const
 {
     const auto found = m_views.find(domain);
--- a/src/libtoucanrelay/flow_trail.cpp
+++ b/src/libtoucanrelay/flow_trail.cpp
@@ -111,6 +111,8 @@
         number(line, "withoutTarget"), number(line, "silent"));
     if (number(line, "silent") > 0)
         text += fmt::format(" for at least {} ms", number(line, "shortestSilenceMs"));
+    if (line.fields.contains("knowledge"))
+        text += ". Members known by failure domain: " + field(line, "knowledge");
     return text;
 }
 
--- a/src/libtoucanrelay/flow_trail_test.cpp
+++ b/src/libtoucanrelay/flow_trail_test.cpp
@@ -63,13 +63,14 @@
 TEST_CASE("trail: a reset after a search states what each member contributed to it")
 {
     std::istringstream lines(
-        R"(5.0 e1 entry {"event":"flow_reset","timeMs":5000,"caller":"1.2.3.4:5","reason":"no target holds the flow","asked":7,"known":9,"returned":3,"denied":2,"silent":3,"shortestSilenceMs":4012,"withoutTarget":1}
+        R"(5.0 e1 entry {"event":"flow_reset","timeMs":5000,"caller":"1.2.3.4:5","reason":"no target holds the flow","asked":7,"known":9,"returned":3,"denied":2,"silent":3,"shortestSilenceMs":4012,"withoutTarget":1,"knowledge":["a 9 of 10, 240 ms old"]}
 )");
     trail_reader reader("1.2.3.4:5");
     reader.read(lines, "?");
     CHECK(finds(reader.trail(),
         "Of 9 members 3 returned the segment, 2 denied the flow, 1 last reported to have no target "
         "and 3 were silent for at least 4012 ms"));
+    CHECK(finds(reader.trail(), "a 9 of 10, 240 ms old"));
 }
 
 TEST_CASE("trail: a restart of the holder explains a flow that no target holds")
--- a/src/libtoucanrelay/relay_entry.cpp
+++ b/src/libtoucanrelay/relay_entry.cpp
@@ -319,7 +319,8 @@
             .silent = evidence.silent,
             .shortestSilenceMs
             = static_cast<std::uint64_t>(duration_cast<milliseconds>(shortest).count()),
-            .withoutTarget = evidence.withoutTarget});
+            .withoutTarget = evidence.withoutTarget,
+            .knowledge = head.isOpening() ? std::vector<std::string>() : describeKnowledge(now)});
     m_port.sendCaller(flow.caller, makeReset(m_codec, flow, head.acknowledged));
 }
 
--- a/src/libtoucanrelay/relay_entry_digests.cpp
+++ b/src/libtoucanrelay/relay_entry_digests.cpp
@@ -30,6 +30,13 @@
 // Without any report, a domain counts as empty after the time in which target processes find its
 // entries.
 constexpr instant learningTimeWithoutReports = 3s;
+
+std::uint64_t millisecondsOf(instant time)
+{
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
 } // namespace
 
 // The view of the members may be outdated, so the entry requests it as after a start.
@@ -97,16 +104,16 @@
 
 void relay_entry::sendWholeDigest(instant now, const endpoint &to, std::string_view domain)
 {
-    for (const auto &page :
-        m_digests.make(now, m_members, domain, originOf(), isDomainComplete(domain, now), true))
-        send(to, page);
+    replyTo(now, to, {.domain = std::string(domain)});
 }
 
-void relay_entry::sendNews(instant now, const endpoint &to, std::string_view domain)
+void relay_entry::replyTo(instant now, const endpoint &to, const digest_request &request)
 {
-    for (auto &page :
-        m_digests.make(now, m_members, domain, originOf(), isDomainComplete(domain, now), false)) {
-        page.direct = true;
+    auto pages = m_digests.make(now, m_members, request.domain, originOf(),
+        isDomainComplete(request.domain, now), !request.news);
+    for (auto &page : pages) {
+        page.direct = request.news;
+        page.requestedAtMs = request.requestedAtMs;
         send(to, page);
     }
 }
@@ -120,7 +127,8 @@
         return;
     requestedAt = now;
     const auto turn = static_cast<std::size_t>(now / newsRequestInterval);
-    send(delegates[turn % delegates.size()], digest_request{.domain = domain, .news = true});
+    send(delegates[turn % delegates.size()],
+        digest_request{.domain = domain, .news = true, .requestedAtMs = millisecondsOf(now)});
 }
 
 // Sends whole digests of all complete domains to an entry that starts.
@@ -146,10 +154,7 @@
 
 void relay_entry::handle(instant now, const endpoint &from, const digest_request &message)
 {
-    if (message.news)
-        sendNews(now, from, message.domain);
-    else
-        sendWholeDigest(now, from, message.domain);
+    replyTo(now, from, message);
 }
 
 void relay_entry::handle(instant now, const endpoint &from, const member_digest &message)
@@ -180,7 +185,7 @@
     if (!outcome.changes.empty())
         retryParked(now);
     if (outcome.needsWhole)
-        send(from, digest_request{.domain = message.domain});
+        send(from, digest_request{.domain = message.domain, .requestedAtMs = millisecondsOf(now)});
 }
 
 // After a start the members are requested from entries of the own domain, and from those of other
@@ -211,29 +216,46 @@
 
 void relay_entry::logLearning(instant now)
 {
-    using std::chrono::duration_cast;
-    using std::chrono::milliseconds;
     const bool isComplete = areMembersKnown(now);
     const bool isDue = now - m_learningLoggedAt >= learningLogInterval;
     if (m_membersWereKnown || (!isComplete && !isDue))
         return;
     m_membersWereKnown = isComplete;
     m_learningLoggedAt = now;
-    members_learned line{.complete = isComplete,
-        .sinceStartMs
-        = static_cast<std::uint64_t>(duration_cast<milliseconds>(now - m_started).count())};
+    members_learned line{.complete = isComplete, .sinceStartMs = millisecondsOf(now - m_started)};
     auto domains = otherDomains();
     domains.push_back(m_options.domain);
     for (const auto &domain : domains) {
         const auto known = m_members.summaryOf(domain).count;
         line.known += known;
         line.expected += m_digests.countOf(domain).value_or(known);
+        const auto kept = m_members.keptOf(domain).count;
+        line.kept += kept;
+        line.expectedKept += m_digests.keptCountOf(domain).value_or(kept);
         if (!isDomainComplete(domain, now))
             line.incomplete.push_back(domain);
     }
     m_log.write(now, line);
 }
 
+// For each failure domain: members known of those that another entry keeps, and the age of that
+// entry's statement.
+std::vector<std::string> relay_entry::describeKnowledge(instant now) const
+{
+    auto domains = otherDomains();
+    domains.push_back(m_options.domain);
+    std::ranges::transform(domains, domains.begin(), [&](const std::string &domain) {
+        const auto known = std::to_string(m_members.keptOf(domain).count);
+        const auto kept = m_digests.keptCountOf(domain);
+        const auto statedAt = m_digests.statedAt(domain);
+        if (!kept || !statedAt)
+            return domain + ' ' + known + ", no statement";
+        return domain + ' ' + known + " of " + std::to_string(*kept) + ", "
+            + std::to_string(millisecondsOf(now - *statedAt)) + " ms old";
+    });
+    return domains;
+}
+
 std::vector<std::string> relay_entry::otherDomains() const
 {
     auto domains = m_options.domains.empty() ? m_roster.otherDomains() : m_options.domains;
--- a/src/libtoucanrelay/relay_members.cpp
+++ b/src/libtoucanrelay/relay_members.cpp
@@ -40,6 +40,15 @@
         + std::to_string(static_cast<int>(item.standing)));
 }
 
+// A search has to know each member by this, whether it is in use or not.
+std::uint64_t keptHashOf(const relay_member &item)
+{
+    constexpr unsigned portBits = 16;
+    const auto address
+        = static_cast<std::uint64_t>(item.address.ip) << portBits | item.address.port;
+    return rankWeight(item.nameHash, address << 1U | static_cast<std::uint64_t>(item.leaving));
+}
+
 void recordChange(instant now, relay_member &item, const notable_state &previous)
 {
     const auto difference
@@ -270,6 +279,18 @@
     return result;
 }
 
+member_table::summary member_table::keptOf(std::string_view domain) const
+{
+    summary result;
+    forEach([&](const relay_member &item) {
+        if (item.domain != domain)
+            return;
+        ++result.count;
+        result.hash += keptHashOf(item);
+    });
+    return result;
+}
+
 std::vector<member_change> member_table::onTick(instant now)
 {
     std::vector<member_change> changes;
