Reset a flow only on statements of all members that may hold it, made after the flow was seen

The proof that nobody holds a flow had three gaps of one class: knowledge that is partial, one-sided or of unknown age was taken for knowledge of all members.

- The count and hash that make the known members all members covered members in use only.
A search needs each member that may hold flows: stopped as planned, silent, or reported lost too.
Digests now carry a count and hash over all members that are kept, and a whole digest that has arrived in full shows the same.
One lost page leaves the statement open.
- The own failure domain was complete for good once it was complete, and silence towards this entry was the end of its members.
It is treated like other domains now: another of its entries has to state its members after the flow was first seen here.
Without such entries, those of other domains state which members there were before this entry started.
- A digest counted as of its arrival.
Only digests that were requested count now, as of the request, whose time the reply returns.
- A failure domain that this entry did not hear for 4 s was gone.
Entries of all other domains are asked about it now.
An entry that received nothing at all for 1.5 s takes no silence for an end, and learns the members anew, as after a pause.

Digests of earlier versions of the programs do not state the kept members; they keep members in use, and no flow is reset on them.

One check is replaced: a match counted as of its arrival in "digest: a match proves ..."; it has to be a reply now, of the request's time, and a digest without a request proves nothing, which the test also checks.

--- a/src/include/toucan/digest_book.h
+++ b/src/include/toucan/digest_book.h
@@ -3,9 +3,14 @@
 /// Digests of a failure domain's target processes: creation of an entry's own digests, and use of
 /// those of other entries. Pure decisions; the caller sends and receives.
 ///
-/// A digest carries the members that changed in the last three intervals and a hash over all of
-/// them. An entry whose own hash differs after applying the changes requests a whole digest. So the
-/// traffic between domains depends on the number of changes, and lost datagrams are made up for.
+/// A digest carries the members that changed in the last three intervals, a hash over all that are
+/// in use and one over all that are kept. An entry whose own hashes differ after applying the
+/// changes requests a whole digest. So the traffic between domains depends on the number of
+/// changes, and lost datagrams are made up for.
+///
+/// Only a digest that was requested shows how old it is. One that matches, or a whole one that has
+/// arrived in full, is a statement that all members of the domain at the time of the request are
+/// known here.
 
 #include <map>
 #include <set>
@@ -51,9 +56,10 @@
     /// Applies a page of a digest to the members.
     digest_outcome apply(instant now, member_table &members, const member_digest &page);
 
-    /// Marks all domains as incomplete until the next matching digest.
+    /// Marks all domains as incomplete until the next matching digest, and discards statements.
     void forgetCompleteness();
     /// True once the own view has matched a digest of an entry that has all of its members.
+    /// Requested or not: this is enough for openings, not for the end of a flow.
     bool isComplete(std::string_view domain) const;
     /// Number of its members in the newest digest of an entry that has all; nullopt before the
     /// first.
@@ -64,9 +70,9 @@
     std::optional<instant> statedAt(std::string_view domain) const;
     /// Time of the last digest of the domain from one of its own entries; nullopt before the first.
     std::optional<instant> lastSeen(std::string_view domain) const;
-    /// True when a digest that matches the own view is so recent that the view includes each member
-    /// of the domain that was in use at `since`.
-    bool hasMatchedSince(std::string_view domain, instant since) const;
+    /// True when a statement is so recent that the own view includes each member of the domain that
+    /// may have held flows at `since`.
+    bool hasStatementSince(std::string_view domain, instant since) const;
     /// Time of the last digest of the domain from any entry; nullopt before the first.
     std::optional<instant> lastReported(std::string_view domain) const;
 
@@ -76,8 +82,9 @@
         bool complete = false;
         std::optional<instant> lastSeen;
         std::optional<instant> lastReported; ///< Last digest, whichever entry sent it.
-        std::optional<instant> matchedAt; ///< Last match with a digest of one of its own entries.
-        std::optional<instant> matchedOthersAt; ///< Last match with a digest of another entry.
+        std::optional<instant> ownStatementAt; ///< Newest request answered by its own entries.
+        std::optional<instant> otherStatementAt; ///< The same for entries of other domains.
+        std::optional<std::uint64_t> includedHash; ///< All members kept under this hash are known.
         std::optional<std::uint64_t> count; ///< Of its members, from an entry that has all.
         std::optional<std::uint64_t> keptCount; ///< Lost and stopped ones included.
         std::optional<instant> statedAt; ///< Last digest of an entry that has all members.
@@ -88,7 +95,8 @@
     {
         std::uint64_t boot = 0;
         std::uint64_t number = 0;
-        std::set<std::string> names;
+        std::set<std::string> inUse; ///< Names of members.
+        std::set<std::string> kept; ///< These, and lost and stopped ones.
         bool pruned = false;
     };
     /// Digests received from one origin about one domain.
@@ -100,8 +108,9 @@
     };
 
     bool isNew(const member_digest &page);
-    void collect(
-        instant now, member_table &members, const member_digest &page, digest_outcome &outcome);
+    static void recordStatement(const member_digest &page, domain_view &view);
+    void collect(instant now, member_table &members, const member_digest &page, domain_view &view,
+        digest_outcome &outcome);
     void compare(instant now, member_table &members, const member_digest &page, domain_view &view,
         digest_outcome &outcome);
 
--- a/src/include/toucan/relay_entry.h
+++ b/src/include/toucan/relay_entry.h
@@ -213,6 +213,9 @@
     bool isLearning(instant now) const;
     bool areMembersKnown(instant now) const;
     std::vector<std::string> domainsWithoutNews(instant since, instant now) const;
+    bool isDomainGone(std::string_view domain, instant now) const;
+    bool isOwnDomainKnown(instant since, instant now) const;
+    bool isHearing(instant now) const;
     bool isOwnDomainComplete(instant now) const;
     bool isDomainComplete(std::string_view domain, instant now) const;
     std::vector<std::string> otherDomains() const;
@@ -255,6 +258,7 @@
     void sendDigests(instant now);
     void sendWholeDigest(instant now, const endpoint &to, std::string_view domain);
     void replyTo(instant now, const endpoint &to, const digest_request &request);
+    std::vector<endpoint> newsSources(const std::string &domain, instant now) const;
     void requestNews(instant now, const std::string &domain);
     void sendCompleteDomains(instant now, const endpoint &to);
     void updateCompleteness(instant now);
@@ -316,6 +320,7 @@
     instant m_configAt{};
     instant m_memberAddedAt{}; ///< When the newest member was added.
     instant m_lastCaller{};
+    std::optional<instant> m_lastHeard; ///< Last datagram of another process.
     instant m_lastNotices{};
     instant m_lastSweep{};
     instant m_lastFetch{};
--- a/src/include/toucan/relay_members.h
+++ b/src/include/toucan/relay_members.h
@@ -105,9 +105,10 @@
     std::optional<member_change> apply(
         instant now, const endpoint &from, const target_report &report);
     /// Applies another entry's state of a member of `domain`. A newer state and a current report
-    /// of the member itself are kept.
+    /// of the member itself are kept. `isReachable`: the member is likely to be reachable from
+    /// here.
     std::optional<member_change> apply(
-        instant now, std::string_view domain, const member_state &state);
+        instant now, std::string_view domain, const member_state &state, bool isReachable = true);
     /// Records that a digest of the domain was received.
     void recordDomainSeen(instant now, std::string_view domain);
     /// Records that another entry's digest confirms the states of a domain's members.
--- a/src/libtoucanrelay/digest_book.cpp
+++ b/src/libtoucanrelay/digest_book.cpp
@@ -39,6 +39,12 @@
         .silentMs = static_cast<std::uint64_t>(silenceMs)};
 }
 
+// The members that an entry keeps are missing in digests of earlier versions.
+bool statesKept(const member_digest &page)
+{
+    return page.keptCount >= page.count;
+}
+
 instant timeOfRequest(const member_digest &page)
 {
     return std::chrono::milliseconds(page.requestedAtMs);
@@ -99,10 +105,12 @@
     if (page.originDomain == page.domain)
         view.lastSeen = now;
     view.lastReported = now;
-    if (!page.whole)
+    // An entry of a third domain may reach members that this one does not.
+    const bool isSecondHand = page.requestedAtMs > 0 && page.originDomain != page.domain;
+    if (!page.whole && !isSecondHand)
         members.recordDomainSeen(now, page.domain);
     for (const auto &state : page.members) {
-        if (auto change = members.apply(now, page.domain, state))
+        if (auto change = members.apply(now, page.domain, state, !isSecondHand))
             outcome.changes.push_back(std::move(*change));
     }
     // Only a digest of an entry that has all members of the domain shows which members are gone.
@@ -112,38 +120,60 @@
     view.keptCount = page.keptCount;
     view.statedAt = page.requestedAtMs > 0 ? timeOfRequest(page) : now;
     if (page.whole)
-        collect(now, members, page, outcome);
+        collect(now, members, page, view, outcome);
     compare(now, members, page, view, outcome);
     return outcome;
 }
 
 // Once all pages of a whole digest have arrived, members that are on none of them are lost.
-void digest_book::collect(
-    instant now, member_table &members, const member_digest &page, digest_outcome &outcome)
+void digest_book::collect(instant now, member_table &members, const member_digest &page,
+    domain_view &view, digest_outcome &outcome)
 {
     auto &pages = m_pages[keyOf(page)];
     if (pages.boot != page.boot || pages.number != page.number)
         pages = {.boot = page.boot, .number = page.number};
     for (const auto &state : page.members) {
+        pages.kept.insert(state.name);
         if (!state.lost && !state.leaving)
-            pages.names.insert(state.name);
+            pages.inUse.insert(state.name);
+    }
+    if (statesKept(page) && pages.kept.size() >= page.keptCount) {
+        view.includedHash = page.keptHash;
+        recordStatement(page, view);
     }
-    if (pages.names.size() < page.count || std::exchange(pages.pruned, true))
+    if (pages.inUse.size() < page.count || std::exchange(pages.pruned, true))
         return;
-    for (auto &change : members.markOthersLost(now, page.domain, pages.names))
+    for (auto &change : members.markOthersLost(now, page.domain, pages.inUse))
         outcome.changes.push_back(std::move(change));
 }
 
+// Other domains hear of a member one interval later than its own; of none in use there is nothing
+// to hear.
+void digest_book::recordStatement(const member_digest &page, domain_view &view)
+{
+    if (page.requestedAtMs == 0)
+        return;
+    const bool isOwn = page.originDomain == page.domain || page.count == 0;
+    auto &statementAt = isOwn ? view.ownStatementAt : view.otherStatementAt;
+    statementAt = std::max(statementAt.value_or(instant{}), timeOfRequest(page));
+}
+
 void digest_book::compare(instant now, member_table &members, const member_digest &page,
     domain_view &view, digest_outcome &outcome)
 {
     const member_table::summary theirs{.count = page.count, .hash = page.hash};
     auto &differsSince = m_seen[keyOf(page)].differsSince;
-    if (members.summaryOf(page.domain) == theirs) {
+    const bool isSameInUse = members.summaryOf(page.domain) == theirs;
+    const bool keepsAll = !statesKept(page) || view.includedHash == page.keptHash
+        || members.keptOf(page.domain)
+            == member_table::summary{.count = page.keptCount, .hash = page.keptHash};
+    if (isSameInUse)
+        members.confirm(now, page.domain);
+    if (isSameInUse && keepsAll) {
         differsSince.reset();
         view.complete = true;
-        (page.originDomain == page.domain ? view.matchedAt : view.matchedOthersAt) = now;
-        members.confirm(now, page.domain);
+        if (statesKept(page))
+            recordStatement(page, view);
         return;
     }
     if (!differsSince)
@@ -158,8 +188,11 @@
 
 void digest_book::forgetCompleteness()
 {
-    for (auto &[domain, view] : m_views)
+    for (auto &[domain, view] : m_views) {
         view.complete = false;
+        view.ownStatementAt.reset();
+        view.otherStatementAt.reset();
+    }
 }
 
 bool digest_book::isComplete(std::string_view domain) const
@@ -193,14 +226,14 @@
 }
 
 // Each substitute receives reports of some members only, so all of them have to have sent a digest.
-bool digest_book::hasMatchedSince(std::string_view domain, instant since) const
+bool digest_book::hasStatementSince(std::string_view domain, instant since) const
 {
     const auto found = m_views.find(domain);
     if (found == m_views.end())
         return false;
     const auto &view = found->second;
-    return view.matchedAt >= since + digestTransitTime
-        || view.matchedOthersAt >= since + digestInterval + digestTransitTime;
+    return view.ownStatementAt >= since + digestTransitTime
+        || view.otherStatementAt >= since + digestInterval + digestTransitTime;
 }
 
 std::optional<instant> digest_book::lastReported(std::string_view domain) const
--- a/src/libtoucanrelay/digest_book_test.cpp
+++ b/src/libtoucanrelay/digest_book_test.cpp
@@ -259,13 +259,20 @@
             pages.front().originDomain = "c";
         const auto sentAt = domain.now;
         domain.deliver(pages);
+        // Its age is not known.
+        CHECK_FALSE(domain.farBook.hasStatementSince("b", sentAt - 1h));
+        pages.front().requestedAtMs
+            = static_cast<std::uint64_t>(std::chrono::milliseconds(100s).count());
+        REQUIRE(sentAt == 100s);
+        domain.advance(700ms);
+        domain.deliver(pages);
         REQUIRE(domain.farBook.isComplete("b"));
         const auto margin
             = digestTransitTime + (isSubstitute ? instant(digestInterval) : instant{});
         INFO("substitute " << isSubstitute);
-        CHECK(domain.farBook.hasMatchedSince("b", sentAt - margin));
-        CHECK_FALSE(domain.farBook.hasMatchedSince("b", sentAt - margin + 1ms));
-        CHECK(domain.farBook.lastReported("b") == sentAt);
-        CHECK_FALSE(domain.farBook.hasMatchedSince("a", sentAt - 1h));
+        CHECK(domain.farBook.hasStatementSince("b", sentAt - margin));
+        CHECK_FALSE(domain.farBook.hasStatementSince("b", sentAt - margin + 1ms));
+        CHECK(domain.farBook.lastReported("b") == domain.now);
+        CHECK_FALSE(domain.farBook.hasStatementSince("a", sentAt - 1h));
     }
 }
--- a/src/libtoucanrelay/relay_entry_digests.cpp
+++ b/src/libtoucanrelay/relay_entry_digests.cpp
@@ -118,16 +118,37 @@
     }
 }
 
-// Asks for newer knowledge of a domain than the periodic digests give. Either delegate has it.
+// Entries that can state which members a domain has: its delegates, and those of all other domains
+// while this entry hears nothing of it.
+std::vector<endpoint> relay_entry::newsSources(const std::string &domain, instant now) const
+{
+    auto sources = m_roster.delegatesOf(domain, now);
+    const bool isHeard = domain == m_options.domain
+        ? !m_roster.forwardingIn(domain, now).empty()
+        : now - m_digests.lastReported(domain).value_or(instant{}) <= ownDigestTimeout;
+    if (isHeard)
+        return sources;
+    auto others = m_roster.otherDomains();
+    others.push_back(m_options.domain);
+    std::erase(others, domain);
+    for (const auto &other : others) {
+        const auto delegates = m_roster.delegatesOf(other, now);
+        std::ranges::copy_if(delegates, std::back_inserter(sources),
+            [&](const endpoint &entry) { return m_roster.isAlive(entry, now); });
+    }
+    return sources;
+}
+
+// Asks for newer knowledge of a domain than the periodic digests give.
 void relay_entry::requestNews(instant now, const std::string &domain)
 {
     auto &requestedAt = m_newsRequestedAt[domain];
-    const auto delegates = m_roster.delegatesOf(domain, now);
-    if (delegates.empty() || now - requestedAt < newsRequestInterval)
+    const auto sources = newsSources(domain, now);
+    if (sources.empty() || now - requestedAt < newsRequestInterval)
         return;
     requestedAt = now;
     const auto turn = static_cast<std::size_t>(now / newsRequestInterval);
-    send(delegates[turn % delegates.size()],
+    send(sources[turn % sources.size()],
         digest_request{.domain = domain, .news = true, .requestedAtMs = millisecondsOf(now)});
 }
 
@@ -290,22 +311,51 @@
     });
 }
 
-// Failure domains of which members may be unknown that were in use at `since`. A member of a domain
-// without running entries reports to entries of other domains, which tell all others before
-// goneAfter has passed.
+// Failure domains of which members may be unknown here that may have held flows at `since`.
 std::vector<std::string> relay_entry::domainsWithoutNews(instant since, instant now) const
 {
     auto domains = otherDomains();
     std::erase_if(domains, [&](const std::string &domain) {
-        const auto heard = std::max(m_digests.lastReported(domain).value_or(m_started), m_started);
-        return (m_digests.isComplete(domain) && m_digests.hasMatchedSince(domain, since))
-            || now - heard > member_table::goneAfter;
+        return m_digests.hasStatementSince(domain, since) || isDomainGone(domain, now);
     });
-    if (!isOwnDomainComplete(now))
+    if (!isOwnDomainKnown(since, now))
         domains.push_back(m_options.domain);
     return domains;
 }
 
+// A domain that this entry does not hear may be cut off from it only; any other entry may hear it.
+// A member of a domain without running entries reports to entries of other domains, which tell all
+// others before goneAfter has passed.
+bool relay_entry::isDomainGone(std::string_view domain, instant now) const
+{
+    const auto heard = std::max(m_digests.lastReported(domain).value_or(m_started), m_started);
+    return now - heard > member_table::goneAfter && m_roster.alive(now).empty() && isHearing(now);
+}
+
+// True when the members of the own domain include each that may have held flows at `since`. Not all
+// of them report here: one may be stopped, and links or datagrams of another may be lost. Other
+// entries of the domain know of these. Without such entries, those of other domains know which
+// members there were before this entry started; it has heard the others itself since.
+bool relay_entry::isOwnDomainKnown(instant since, instant now) const
+{
+    const auto &domain = m_options.domain;
+    if (!m_roster.forwardingIn(domain, now).empty())
+        return m_digests.hasStatementSince(domain, since);
+    if (!isOwnDomainComplete(now))
+        return false;
+    if (!m_roster.alive(now).empty())
+        return m_digests.hasStatementSince(domain, m_started - digestInterval);
+    const bool mayHavePeers
+        = now - m_started < entry_roster::silenceLimit && !m_roster.knownIn(domain).empty();
+    return isHearing(now) && !mayHavePeers;
+}
+
+// An entry that receives nothing from other processes is itself cut off.
+bool relay_entry::isHearing(instant now) const
+{
+    return m_lastHeard && now - *m_lastHeard <= member_table::silenceLimit;
+}
+
 bool relay_entry::isOwnDomainComplete(instant now) const
 {
     if (m_ownDomainComplete || m_digests.isComplete(m_options.domain))
--- a/src/libtoucanrelay/relay_entry_knowledge_test.cpp
+++ b/src/libtoucanrelay/relay_entry_knowledge_test.cpp
@@ -88,16 +88,18 @@
     }
     void answer(const endpoint &to, byte_buffer &bytes)
     {
-        const auto other = std::ranges::find(others, to, &other_entry::address);
-        if (other == others.end()) {
-            if (!silent.contains(to))
-                answerNotHeld(to, bytes);
-            return;
-        }
         const auto message = decodeRelayMessage(bytes);
         const auto *request
             = valueOf(message) ? std::get_if<digest_request>(valueOf(message)) : nullptr;
-        if (!request || !answersRequests || request->domain != (*other)->domain)
+        if (!request) {
+            if (!asksSilent(to, bytes))
+                answerNotHeld(to, bytes);
+            return;
+        }
+        const auto other = std::ranges::find_if(others, [&](const auto *item) {
+            return item->address == to && item->domain == request->domain;
+        });
+        if (other == others.end() || !answersRequests)
             return;
         auto pages = (*other)->digest(now, !request->news);
         for (auto &page : pages) {
@@ -127,6 +129,15 @@
     std::size_t resets() const { return port.toCallers.size(); }
 
 private:
+    // A segment is passed along its candidates.
+    bool asksSilent(const endpoint &to, byte_buffer &bytes) const
+    {
+        const auto packet = decodeRelayPacket(bytes);
+        return silent.contains(to)
+            || (packet && std::ranges::any_of(packet->header.candidates, [&](const auto &next) {
+                   return silent.contains(next);
+               }));
+    }
     void fixtureReport(const target_report &message, const endpoint &from)
     {
         report(message, from);
@@ -283,9 +294,14 @@
         fleet.reporting = {100};
         if (domain == "a")
             fleet.reporting = {0, 1, 2};
+        // It knows the entry's own members by digests.
+        other_entry view{.address = otherEntry, .entryDomain = domain, .domain = "a"};
+        if (domain == "b")
+            fleet.others.push_back(&view);
         for (int round = 0; round < 8; ++round) {
             for (std::uint32_t i = 0; i < 3; ++i)
                 other.hear(fleet.now, i);
+            view.hear(fleet.now, 100);
             fleet.run(250ms);
             fleet.deliver(other, other.digest(fleet.now, round == 0));
         }
--- a/src/libtoucanrelay/relay_entry_peers.cpp
+++ b/src/libtoucanrelay/relay_entry_peers.cpp
@@ -31,6 +31,10 @@
 
 void relay_entry::onPeerBytes(instant now, const endpoint &from, std::span<std::uint8_t> bytes)
 {
+    // What happened while nothing arrived is unknown, as after a pause.
+    if (m_lastHeard && !isHearing(now))
+        onPause(now);
+    m_lastHeard = now;
     if (const auto packet = decodeRelayPacket(bytes)) {
         handlePacket(now, from, *packet);
         return;
--- a/src/libtoucanrelay/relay_entry_search.cpp
+++ b/src/libtoucanrelay/relay_entry_search.cpp
@@ -361,7 +361,6 @@
         else if (route)
             startSearch(now, last->head, *route, found->second, last->bytes, flowSeenAt);
     }
-    unclear.erase(m_options.domain);
     for (const auto &domain : unclear)
         requestNews(now, domain);
 }
@@ -404,7 +403,7 @@
     const auto silence = now - item.lastSeen;
     if (asked && asked->notHeld) {
         ++(asked->segmentReturned ? evidence.returned : evidence.denied);
-    } else if (silence > limit && isSilenceConclusive(item, now)) {
+    } else if (silence > limit && isHearing(now) && isSilenceConclusive(item, now)) {
         ++evidence.silent;
         evidence.shortestSilence = std::min<instant>(evidence.shortestSilence, silence);
     } else if (item.holdsNoFlows() && (asked || item.lost)) {
--- a/src/libtoucanrelay/relay_members.cpp
+++ b/src/libtoucanrelay/relay_members.cpp
@@ -188,7 +188,7 @@
 }
 
 std::optional<member_change> member_table::apply(
-    instant now, std::string_view domain, const member_state &state)
+    instant now, std::string_view domain, const member_state &state, bool isReachable)
 {
     auto *known = at(state.address);
     const auto lastSeen = now - std::chrono::milliseconds(state.silentMs);
@@ -215,7 +215,8 @@
         item->interval = digestInterval;
     item->lastSeen = std::max(item->lastSeen, lastSeen);
     item->confirmedAt = std::max(item->confirmedAt, lastSeen);
-    item->domainSeenAt = std::max(item->domainSeenAt, lastSeen);
+    if (isReachable)
+        item->domainSeenAt = std::max(item->domainSeenAt, lastSeen);
     item->lost = state.lost || state.leaving;
     item->reportedLost = state.lost;
     if (moved)
