Count silence only against a statement made after it, and a lost failure domain only on its witnesses

- A statement had to be newer than the flow only.
A member that another entry hears fell silent here; a statement counted for all later segments of the flow, and the flow was reset 4 s after it.
Silence counts now once a statement was requested after the silence reached its limit.
- A failure domain that one witness did not hear either was gone, as the witness stated it as complete although it was cut off as well.
Entries state other domains only while they hear them, and say for how long they have not; a domain is gone when an entry of each other domain with entries says so.
A domain that nobody ever heard is gone by the same rule; it would have blocked all resets.
- Replies by witnesses counted as signs of the domain, so the next flow waited 2 s before others were asked.
- Entries of a domain that all started together vouched for each other.
For 15 s after a start, entries of another domain have to state which members there were before.
- An entry without peers accepted one statement for all time; now it has to be as new as the flow.
- Own peers that are silent for 1 s no longer keep the entries of other domains from being asked.
- After 1.5 s without any datagram only the knowledge of members is distrusted; readiness stays.
- A reply with a request time in the future states nothing.

--- a/src/include/toucan/digest_book.h
+++ b/src/include/toucan/digest_book.h
@@ -73,7 +73,15 @@
     /// True when a statement is so recent that the own view includes each member of the domain that
     /// may have held flows at `since`.
     bool hasStatementSince(std::string_view domain, instant since) const;
-    /// Time of the last digest of the domain from any entry; nullopt before the first.
+    /// The same for a statement of an entry of another domain.
+    bool hasForeignStatementSince(std::string_view domain, instant since) const;
+    /// Time of the newest statement; nullopt when there is none.
+    std::optional<instant> statementAt(std::string_view domain) const;
+    /// True when an entry of `witness`, asked at `since` or later, had not heard the domain for
+    /// member_table::goneAfter.
+    bool isUnheardSince(std::string_view domain, const std::string &witness, instant since) const;
+    /// Time of the last digest of the domain that was not requested, from any entry; nullopt before
+    /// the first.
     std::optional<instant> lastReported(std::string_view domain) const;
 
 private:
@@ -81,7 +89,8 @@
     {
         bool complete = false;
         std::optional<instant> lastSeen;
-        std::optional<instant> lastReported; ///< Last digest, whichever entry sent it.
+        std::optional<instant> lastReported; ///< Last one not requested, whichever entry sent it.
+        std::map<std::string, instant> unheardAt; ///< Newest request, by domain of the entry asked.
         std::optional<instant> ownStatementAt; ///< Newest request answered by its own entries.
         std::optional<instant> otherStatementAt; ///< The same for entries of other domains.
         std::optional<std::uint64_t> includedHash; ///< All members kept under this hash are known.
@@ -108,7 +117,7 @@
     };
 
     bool isNew(const member_digest &page);
-    static void recordStatement(const member_digest &page, domain_view &view);
+    static void recordStatement(instant now, const member_digest &page, domain_view &view);
     void collect(instant now, member_table &members, const member_digest &page, domain_view &view,
         digest_outcome &outcome);
     void compare(instant now, member_table &members, const member_digest &page, domain_view &view,
--- a/src/include/toucan/entry_roster.h
+++ b/src/include/toucan/entry_roster.h
@@ -76,6 +76,8 @@
     /// Entries of a domain that may forward packets, without this one: alive ones, and stopping
     /// ones that have not ended. They need the state of all members.
     std::vector<endpoint> forwardingIn(std::string_view domain, instant now) const;
+    /// True when an entry of the domain was heard within `limit`.
+    bool isHeardIn(std::string_view domain, instant now, std::chrono::milliseconds limit) const;
     /// All alive entries, without this one.
     std::vector<endpoint> alive(instant now) const;
     /// Entries of a domain, alive or not, and those of unknown domains, without this one.
--- a/src/include/toucan/relay_entry.h
+++ b/src/include/toucan/relay_entry.h
@@ -48,6 +48,7 @@
     instant shortestSilence = instant::max();
     std::size_t withoutTarget = 0; ///< No answer; last reported that no target runs there.
     std::string missing; ///< Name of a member without any of these.
+    std::set<std::string> unheard; ///< Domains of silent members that others may have heard.
 };
 
 /// The engine of one relaying entry.
@@ -192,7 +193,7 @@
     void retryInconclusiveSearches(instant now);
     std::vector<relay_member *> fullSearchOrder(
         instant now, const route_rule &route, const flow_key &flow) const;
-    bool isSilenceConclusive(const relay_member &item, instant now) const;
+    bool isSilenceConclusive(const relay_member &item, instant limit, instant now) const;
     std::string inconclusiveReason(instant now, const search_progress &progress) const;
     search_evidence evidenceOf(instant now, const search_progress &progress) const;
     void addEvidence(instant now, const relay_member &item, const searched_member *asked,
@@ -258,7 +259,10 @@
     void sendDigests(instant now);
     void sendWholeDigest(instant now, const endpoint &to, std::string_view domain);
     void replyTo(instant now, const endpoint &to, const digest_request &request);
-    std::vector<endpoint> newsSources(const std::string &domain, instant now) const;
+    std::vector<std::string> witnessesFor(std::string_view domain, instant now) const;
+    bool isDomainHeard(std::string_view domain, instant now) const;
+    bool isYoung(instant now) const;
+    void distrustKnowledge(instant now);
     void requestNews(instant now, const std::string &domain);
     void sendCompleteDomains(instant now, const endpoint &to);
     void updateCompleteness(instant now);
@@ -317,6 +321,7 @@
     std::map<std::string, instant, std::less<>> m_newsRequestedAt; ///< By failure domain.
     instant m_lastSearchTick{};
     instant m_started;
+    instant m_knowledgeSince; ///< Start, or end of a time in which nothing was received.
     instant m_configAt{};
     instant m_memberAddedAt{}; ///< When the newest member was added.
     instant m_lastCaller{};
--- a/src/libtoucanrelay/digest_book.cpp
+++ b/src/libtoucanrelay/digest_book.cpp
@@ -104,9 +104,13 @@
     auto &view = m_views[page.domain];
     if (page.originDomain == page.domain)
         view.lastSeen = now;
-    view.lastReported = now;
     // An entry of a third domain may reach members that this one does not.
     const bool isSecondHand = page.requestedAtMs > 0 && page.originDomain != page.domain;
+    if (page.requestedAtMs == 0)
+        view.lastReported = now;
+    if (isSecondHand && !page.complete
+        && std::chrono::milliseconds(page.unheardMs) > member_table::goneAfter)
+        view.unheardAt[page.originDomain] = std::min(timeOfRequest(page), now);
     if (!page.whole && !isSecondHand)
         members.recordDomainSeen(now, page.domain);
     for (const auto &state : page.members) {
@@ -139,7 +143,7 @@
     }
     if (statesKept(page) && pages.kept.size() >= page.keptCount) {
         view.includedHash = page.keptHash;
-        recordStatement(page, view);
+        recordStatement(now, page, view);
     }
     if (pages.inUse.size() < page.count || std::exchange(pages.pruned, true))
         return;
@@ -147,13 +151,12 @@
         outcome.changes.push_back(std::move(change));
 }
 
-// Other domains hear of a member one interval later than its own; of none in use there is nothing
-// to hear.
-void digest_book::recordStatement(const member_digest &page, domain_view &view)
+// Replies to an earlier start of this process, or with a time that no request had, state nothing.
+void digest_book::recordStatement(instant now, const member_digest &page, domain_view &view)
 {
-    if (page.requestedAtMs == 0)
+    if (page.requestedAtMs == 0 || timeOfRequest(page) > now)
         return;
-    const bool isOwn = page.originDomain == page.domain || page.count == 0;
+    const bool isOwn = page.originDomain == page.domain;
     auto &statementAt = isOwn ? view.ownStatementAt : view.otherStatementAt;
     statementAt = std::max(statementAt.value_or(instant{}), timeOfRequest(page));
 }
@@ -173,7 +176,7 @@
         differsSince.reset();
         view.complete = true;
         if (statesKept(page))
-            recordStatement(page, view);
+            recordStatement(now, page, view);
         return;
     }
     if (!differsSince)
@@ -192,6 +195,7 @@
         view.complete = false;
         view.ownStatementAt.reset();
         view.otherStatementAt.reset();
+        view.unheardAt.clear();
     }
 }
 
@@ -236,6 +240,30 @@
         || view.otherStatementAt >= since + digestInterval + digestTransitTime;
 }
 
+bool digest_book::hasForeignStatementSince(std::string_view domain, instant since) const
+{
+    const auto found = m_views.find(domain);
+    return found != m_views.end() && found->second.otherStatementAt >= since;
+}
+
+std::optional<instant> digest_book::statementAt(std::string_view domain) const
+{
+    const auto found = m_views.find(domain);
+    return found == m_views.end()
+        ? std::nullopt
+        : std::max(found->second.ownStatementAt, found->second.otherStatementAt);
+}
+
+bool digest_book::isUnheardSince(
+    std::string_view domain, const std::string &witness, instant since) const
+{
+    const auto found = m_views.find(domain);
+    if (found == m_views.end())
+        return false;
+    const auto asked = found->second.unheardAt.find(witness);
+    return asked != found->second.unheardAt.end() && asked->second >= since;
+}
+
 std::optional<instant> digest_book::lastReported(std::string_view domain) const
 {
     const auto found = m_views.find(domain);
--- a/src/libtoucanrelay/entry_roster.cpp
+++ b/src/libtoucanrelay/entry_roster.cpp
@@ -110,6 +110,14 @@
         [&](const entry_peer &peer) { return peer.domain == domain && mayForward(peer, now); });
 }
 
+bool entry_roster::isHeardIn(
+    std::string_view domain, instant now, std::chrono::milliseconds limit) const
+{
+    return std::ranges::any_of(m_peers, [&](const auto &item) {
+        return item.second.domain == domain && now - item.second.lastSeen <= limit;
+    });
+}
+
 std::vector<endpoint> entry_roster::alive(instant now) const
 {
     return addressesWhere([&](const entry_peer &peer) { return isAlive(peer, now); });
--- a/src/libtoucanrelay/relay_entry.cpp
+++ b/src/libtoucanrelay/relay_entry.cpp
@@ -59,6 +59,7 @@
     , m_malformed(metrics.numberOf("toucan_malformed_datagrams_total"))
     , m_roster(m_options.peer, m_options.domain)
     , m_started(now)
+    , m_knowledgeSince(now)
 { }
 
 void relay_entry::onCallerBytes(instant now, std::span<std::uint8_t> bytes)
--- a/src/libtoucanrelay/relay_entry_digests.cpp
+++ b/src/libtoucanrelay/relay_entry_digests.cpp
@@ -12,11 +12,15 @@
 constexpr auto minDigestGap = 100ms;
 // Time between two requests for all members after a start, until they are known.
 constexpr auto memberRequestInterval = 100ms;
+// Time after a start for which they are requested.
+constexpr auto learningTime = 3s;
 // Entries asked with each request.
 constexpr std::size_t entriesPerRequest = 2;
 // Time without a digest from a domain's own entries after which other entries that its members
 // report to send digests of it.
 constexpr instant ownDigestTimeout = digestInterval * 2;
+// Entries exchange notices each 500 ms.
+constexpr auto missedNoticeTime = 1s;
 // Minimum time between two requests for news of the same domain.
 constexpr auto newsRequestInterval = 150ms;
 // All members are known within a few seconds of a start; until then a line is logged this often.
@@ -43,6 +47,12 @@
 void relay_entry::onPause(instant now)
 {
     m_started = now;
+    distrustKnowledge(now);
+}
+
+void relay_entry::distrustKnowledge(instant now)
+{
+    m_knowledgeSince = now;
     m_ownDomainComplete = false;
     m_membersWereKnown = false;
     m_digests.forgetCompleteness();
@@ -109,47 +119,64 @@
 
 void relay_entry::replyTo(instant now, const endpoint &to, const digest_request &request)
 {
+    const auto heard = std::max(
+        m_digests.lastReported(request.domain).value_or(m_knowledgeSince), m_knowledgeSince);
+    const bool isOwn = request.domain == m_options.domain;
+    // A domain that is not heard any more may have other members by now.
+    const bool isStated = request.requestedAtMs == 0 || isOwn || now - heard <= ownDigestTimeout;
     auto pages = m_digests.make(now, m_members, request.domain, originOf(),
-        isDomainComplete(request.domain, now), !request.news);
+        isStated && isDomainComplete(request.domain, now), !request.news);
     for (auto &page : pages) {
+        page.unheardMs = isOwn ? 0 : millisecondsOf(now - heard);
         page.direct = request.news;
         page.requestedAtMs = request.requestedAtMs;
         send(to, page);
     }
 }
 
-// Entries that can state which members a domain has: its delegates, and those of all other domains
-// while this entry hears nothing of it.
-std::vector<endpoint> relay_entry::newsSources(const std::string &domain, instant now) const
+// Failure domains other than `domain` with entries that are alive.
+std::vector<std::string> relay_entry::witnessesFor(std::string_view domain, instant now) const
 {
-    auto sources = m_roster.delegatesOf(domain, now);
-    const bool isHeard = domain == m_options.domain
-        ? !m_roster.forwardingIn(domain, now).empty()
-        : now - m_digests.lastReported(domain).value_or(instant{}) <= ownDigestTimeout;
-    if (isHeard)
-        return sources;
-    auto others = m_roster.otherDomains();
-    others.push_back(m_options.domain);
-    std::erase(others, domain);
-    for (const auto &other : others) {
-        const auto delegates = m_roster.delegatesOf(other, now);
-        std::ranges::copy_if(delegates, std::back_inserter(sources),
-            [&](const endpoint &entry) { return m_roster.isAlive(entry, now); });
-    }
-    return sources;
+    auto witnesses = m_roster.otherDomains();
+    witnesses.push_back(m_options.domain);
+    std::erase_if(witnesses, [&](const std::string &other) {
+        return other == domain || m_roster.aliveIn(other, now).empty();
+    });
+    return witnesses;
 }
 
-// Asks for newer knowledge of a domain than the periodic digests give.
+// True while other entries of the domain, or digests of it, are received here.
+bool relay_entry::isDomainHeard(std::string_view domain, instant now) const
+{
+    if (domain == m_options.domain)
+        return m_roster.isHeardIn(domain, now, missedNoticeTime)
+            && (!isYoung(now) || m_digests.hasForeignStatementSince(domain, m_knowledgeSince));
+    return now - m_digests.lastReported(domain).value_or(instant{}) <= ownDigestTimeout;
+}
+
+// Asks for newer knowledge of a domain than the periodic digests give. Either delegate of the
+// domain has it; an entry of each other domain is asked while this one does not hear it.
 void relay_entry::requestNews(instant now, const std::string &domain)
 {
     auto &requestedAt = m_newsRequestedAt[domain];
-    const auto sources = newsSources(domain, now);
-    if (sources.empty() || now - requestedAt < newsRequestInterval)
+    const bool isHeard = isDomainHeard(domain, now);
+    if (now - requestedAt < (isHeard ? newsRequestInterval : newsRequestInterval * 2))
         return;
     requestedAt = now;
     const auto turn = static_cast<std::size_t>(now / newsRequestInterval);
-    send(sources[turn % sources.size()],
-        digest_request{.domain = domain, .news = true, .requestedAtMs = millisecondsOf(now)});
+    std::vector<endpoint> sources;
+    const auto addOne = [&](std::span<const endpoint> entries) {
+        if (!entries.empty())
+            sources.push_back(entries[turn % entries.size()]);
+    };
+    addOne(m_roster.delegatesOf(domain, now));
+    if (!isHeard) {
+        for (const auto &other : witnessesFor(domain, now))
+            addOne(m_roster.aliveIn(other, now));
+    }
+    for (const auto &source : sources)
+        send(source,
+            digest_request{.domain = domain, .news = true, .requestedAtMs = millisecondsOf(now)});
 }
 
 // Sends whole digests of all complete domains to an entry that starts.
@@ -213,7 +240,7 @@
 // domains while no entry of the own domain is known.
 void relay_entry::askForMembers(instant now)
 {
-    if (!isLearning(now) || now - m_lastMembersAsked < memberRequestInterval
+    if (now - m_knowledgeSince > learningTime || now - m_lastMembersAsked < memberRequestInterval
         || areMembersKnown(now))
         return;
     auto candidates = m_roster.aliveIn(m_options.domain, now);
@@ -289,13 +316,14 @@
     return domain == m_options.domain ? isOwnDomainComplete(now) : m_digests.isComplete(domain);
 }
 
-// True when silence of the member shows that it is gone. For a member of another domain that takes
-// a report of that domain's entries, or silence of the whole domain.
-bool relay_entry::isSilenceConclusive(const relay_member &item, instant now) const
+// True when silence of the member for `limit` shows that it is gone: other entries have stated
+// after that time which members are in use, or there are none to ask.
+bool relay_entry::isSilenceConclusive(const relay_member &item, instant limit, instant now) const
 {
-    const auto lastSeen = m_digests.lastSeen(item.domain);
-    return item.domain == m_options.domain || item.reportedLost || !lastSeen
-        || now - *lastSeen > member_table::goneAfter;
+    return isHearing(now)
+        && (m_digests.statementAt(item.domain) >= item.lastSeen + limit
+            || isDomainGone(item.domain, now)
+            || (item.domain == m_options.domain && m_roster.alive(now).empty()));
 }
 
 // The own domain's members report here, and other entries of the domain list members that have not
@@ -307,7 +335,7 @@
     const auto others = otherDomains();
     return isOwnDomainComplete(now) && std::ranges::all_of(others, [&](const std::string &domain) {
         return m_digests.isComplete(domain)
-            || (!m_digests.lastSeen(domain) && now - m_started > member_table::goneAfter);
+            || (!m_digests.lastSeen(domain) && now - m_knowledgeSince > member_table::goneAfter);
     });
 }
 
@@ -323,33 +351,49 @@
     return domains;
 }
 
-// A domain that this entry does not hear may be cut off from it only; any other entry may hear it.
-// A member of a domain without running entries reports to entries of other domains, which tell all
-// others before goneAfter has passed.
+// A domain that this entry does not hear may be cut off from it only, so an entry of each other
+// domain has to confirm that. A member of a domain without running entries reports to entries of
+// other domains, which tell all others before goneAfter has passed.
 bool relay_entry::isDomainGone(std::string_view domain, instant now) const
 {
-    const auto heard = std::max(m_digests.lastReported(domain).value_or(m_started), m_started);
-    return now - heard > member_table::goneAfter && m_roster.alive(now).empty() && isHearing(now);
+    const auto heard
+        = std::max(m_digests.lastReported(domain).value_or(m_knowledgeSince), m_knowledgeSince);
+    const auto silentAt = heard + member_table::goneAfter;
+    const auto witnesses = witnessesFor(domain, now);
+    return domain != m_options.domain && now > silentAt && isHearing(now)
+        && std::ranges::all_of(witnesses, [&](const std::string &witness) {
+               return m_digests.isUnheardSince(domain, witness, silentAt);
+           });
 }
 
 // True when the members of the own domain include each that may have held flows at `since`. Not all
 // of them report here: one may be stopped, and links or datagrams of another may be lost. Other
-// entries of the domain know of these. Without such entries, those of other domains know which
-// members there were before this entry started; it has heard the others itself since.
+// entries of the domain know of these. While this entry is young, its peers may be as well, so
+// those of other domains have to state which members there were before.
 bool relay_entry::isOwnDomainKnown(instant since, instant now) const
 {
     const auto &domain = m_options.domain;
+    const bool hasWitness = !witnessesFor(domain, now).empty();
+    if (hasWitness && isYoung(now) && !m_digests.hasForeignStatementSince(domain, m_knowledgeSince))
+        return false;
     if (!m_roster.forwardingIn(domain, now).empty())
         return m_digests.hasStatementSince(domain, since);
     if (!isOwnDomainComplete(now))
         return false;
-    if (!m_roster.alive(now).empty())
-        return m_digests.hasStatementSince(domain, m_started - digestInterval);
+    if (hasWitness)
+        return m_digests.hasStatementSince(
+            domain, std::max(since, m_knowledgeSince) - digestInterval);
     const bool mayHavePeers
-        = now - m_started < entry_roster::silenceLimit && !m_roster.knownIn(domain).empty();
+        = now - m_knowledgeSince < entry_roster::silenceLimit && !m_roster.knownIn(domain).empty();
     return isHearing(now) && !mayHavePeers;
 }
 
+// True while members may be unknown that stopped as planned before this entry started.
+bool relay_entry::isYoung(instant now) const
+{
+    return now - m_knowledgeSince < member_table::plannedStopTime;
+}
+
 // An entry that receives nothing from other processes is itself cut off.
 bool relay_entry::isHearing(instant now) const
 {
@@ -371,8 +415,8 @@
     });
     if (requiredTime == instant{})
         requiredTime = learningTimeWithoutReports;
-    return now - m_started >= requiredTime
-        && now - std::max(m_started, m_memberAddedAt) >= requiredTime / 2;
+    return now - m_knowledgeSince >= requiredTime
+        && now - std::max(m_knowledgeSince, m_memberAddedAt) >= requiredTime / 2;
 }
 
 } // namespace toucan
--- a/src/libtoucanrelay/relay_entry_peers.cpp
+++ b/src/libtoucanrelay/relay_entry_peers.cpp
@@ -33,7 +33,7 @@
 {
     // What happened while nothing arrived is unknown, as after a pause.
     if (m_lastHeard && !isHearing(now))
-        onPause(now);
+        distrustKnowledge(now);
     m_lastHeard = now;
     if (const auto packet = decodeRelayPacket(bytes)) {
         handlePacket(now, from, *packet);
--- a/src/libtoucanrelay/relay_entry_search.cpp
+++ b/src/libtoucanrelay/relay_entry_search.cpp
@@ -320,10 +320,13 @@
     const auto reason = inconclusiveReason(now, progress);
     logSearch(now, cached, progress.members.empty() ? "nobody to ask" : "not found", {},
         progress.members.size(), reason);
-    if (reason.empty())
+    if (reason.empty()) {
         resetLostFlow(now, progress.head, evidenceOf(now, progress));
-    else if (!domainsWithoutNews(progress.flowSeenAt, now).empty()
-        && m_inconclusiveSearches.size() < maxWatchedSearches)
+        return;
+    }
+    const bool needsNews = !domainsWithoutNews(progress.flowSeenAt, now).empty()
+        || !evidenceOf(now, progress).unheard.empty();
+    if (needsNews && m_inconclusiveSearches.size() < maxWatchedSearches)
         m_inconclusiveSearches.insert(progress.head.flowFromCaller());
 }
 
@@ -354,10 +357,16 @@
                 unclear.insert(domains.begin(), domains.end());
             continue;
         }
+        const auto evidence = evidenceOf(now, *found->second.progress);
+        if (!evidence.unheard.empty()) {
+            m_inconclusiveSearches.insert(flow);
+            unclear.insert(evidence.unheard.begin(), evidence.unheard.end());
+            continue;
+        }
         const auto last = std::move(found->second.progress);
         const auto *route = m_config->routeAt(flow.service);
         if (inconclusiveReason(now, *last).empty())
-            resetLostFlow(now, last->head, evidenceOf(now, *last));
+            resetLostFlow(now, last->head, evidence);
         else if (route)
             startSearch(now, last->head, *route, found->second, last->bytes, flowSeenAt);
     }
@@ -403,13 +412,15 @@
     const auto silence = now - item.lastSeen;
     if (asked && asked->notHeld) {
         ++(asked->segmentReturned ? evidence.returned : evidence.denied);
-    } else if (silence > limit && isHearing(now) && isSilenceConclusive(item, now)) {
+    } else if (silence > limit && isSilenceConclusive(item, limit, now)) {
         ++evidence.silent;
         evidence.shortestSilence = std::min<instant>(evidence.shortestSilence, silence);
     } else if (item.holdsNoFlows() && (asked || item.lost)) {
         ++evidence.withoutTarget;
     } else {
         evidence.missing = item.name + (asked ? " did not answer" : " was not asked");
+        if (silence > limit)
+            evidence.unheard.insert(item.domain);
     }
 }
 
