Request a flow table for 15 s after a start, as documented

Callers could meet: flows of a restarted target process that is cut off for its first 3 s are searched at other targets, although entries keep its table for 15 s.

Evidence: before, the new test fails: CHECK_FALSE( fleet.takeMessages<flow_table_request>(entryAddress).empty() ) with expansion: !true CHECK( fleet.askFor(caller) == held ) with expansion: 2 == 1 The time is the one for which entries keep tables.

--- a/src/libtoucanrelay/relay_target_recovery.cpp
+++ b/src/libtoucanrelay/relay_target_recovery.cpp
@@ -16,9 +16,9 @@
 constexpr std::size_t maxTableSends = 3;
 // Entries asked for the table. Those known at the start may not include all that keep it.
 constexpr std::size_t maxKeepersAsked = 12;
-// Time in which entries answer after a start, and interval between the first requests, which
+// Entries return tables for this time after a start. Interval between the first requests, which
 // doubles.
-constexpr auto recoveryTime = 3s;
+constexpr auto recoveryTime = flow_table_keeper::retention;
 constexpr auto firstRequestInterval = 100ms;
 // A page fits a datagram.
 constexpr std::size_t maxFlowsPerPage = 32;
--- a/src/libtoucanrelay/relay_target_recovery_test.cpp
+++ b/src/libtoucanrelay/relay_target_recovery_test.cpp
@@ -256,3 +256,18 @@
     fleet.engine.onPeerBytes(fleet.now, entryAddress, bytes);
     CHECK(fleet.port.toTarget.empty());
 }
+
+TEST_CASE("target process: a table that entries return late is still requested and restored")
+{
+    restart_fixture fleet;
+    fleet.start(false);
+    for (int i = 0; i < 140; ++i) {
+        fleet.now += relay_target::tickInterval;
+        fleet.restarted->onTick(fleet.now);
+        if (i == 59)
+            fleet.port = {};
+    }
+    CHECK_FALSE(fleet.takeMessages<flow_table_request>(entryAddress).empty());
+    fleet.restarted->onPeerBytes(fleet.now, entryAddress, fleet.pages.front());
+    CHECK(fleet.askFor(caller) == held);
+}
