--- a/src/include/toucan/lab/relay_fleet.h
+++ b/src/include/toucan/lab/relay_fleet.h
@@ -27,6 +27,13 @@
     bool logs = false; ///< Structured log lines go to standard output.
 };
 
+/// Loses chosen datagrams between one entry and other processes.
+struct datagram_filter
+{
+    std::size_t entry = 0;
+    std::set<std::size_t> lost; ///< Numbers of its datagrams since the filter was set, from 0.
+};
+
 /// An emulated fleet.
 class relay_fleet
 {
@@ -55,6 +62,8 @@
     void killEntry(std::size_t entry);
     void startEntry(std::size_t entry);
     void leaveEntry(std::size_t entry);
+    /// Its VM stands still for some time; datagrams of that time are lost.
+    void pauseEntry(std::size_t entry, std::chrono::milliseconds time);
     bool entryIsReady(std::size_t entry) const;
     /// Process of the system beside a target.
     void killProcess(std::size_t target);
@@ -97,6 +106,10 @@
     void setCut(std::size_t entry, std::size_t target, bool cut);
     /// Cuts a failure domain's processes off all others, but for callers, or heals it.
     void setDomainCut(const std::string &domain, bool cut);
+    /// Replaces the filter and forgets the datagrams of the previous one.
+    void setFilter(datagram_filter filter);
+    /// Kinds of the datagrams to and from the filter's entry since then, lost ones included.
+    const std::vector<std::string> &filteredDatagrams() const { return m_filtered; }
 
     /// Segments of an open flow that reached targets that do not hold it.
     std::size_t strayedSegments(std::size_t flow) const;
@@ -133,6 +146,7 @@
     void after(std::chrono::microseconds delay, std::function<void()> act);
     std::chrono::microseconds delay();
     bool lost();
+    bool isFiltered(const endpoint &from, const endpoint &to, byte_view bytes);
     void deliver(const endpoint &from, const endpoint &to, byte_buffer bytes);
     void toCaller(byte_buffer bytes);
     void sendFromCaller(byte_buffer bytes);
@@ -167,6 +181,8 @@
     std::set<std::size_t> m_usedEntries;
     std::set<std::pair<std::size_t, std::size_t>> m_cuts;
     std::set<std::string> m_cutDomains;
+    std::optional<datagram_filter> m_filter;
+    std::vector<std::string> m_filtered;
     bool m_storeReachable = true;
     std::uint64_t m_storeEra = 1;
     std::vector<store_state> m_history{store_state{.revision = 1}}; ///< The last one is now.
--- a/src/libtoucanlab/relay_fleet.cpp
+++ b/src/libtoucanlab/relay_fleet.cpp
@@ -10,6 +10,17 @@
 constexpr std::uint32_t callerNet = 0x64400000;
 constexpr std::uint32_t callerAddresses = 1U << 16U;
 
+std::string kindOf(byte_view datagram)
+{
+    if (isRelayPacket(datagram))
+        return "segment";
+    const auto message = decodeRelayMessage(datagram);
+    const auto *value = valueOf(message);
+    return value
+        ? std::visit([]<class T>(const T &) { return std::string(fields_of<T>::name); }, *value)
+        : "malformed";
+}
+
 } // namespace
 
 void relay_fleet::entry_node::fetchConfig(const endpoint &from, const config_stamp &)
@@ -75,7 +86,11 @@
 {
     if (lost())
         return;
-    after(delay(), [this, from, to, data = std::move(bytes)]() mutable {
+    // A filtered datagram takes its delay from the generator too, so that the others keep theirs.
+    const auto time = delay();
+    if (isFiltered(from, to, bytes))
+        return;
+    after(time, [this, from, to, data = std::move(bytes)]() mutable {
         auto *fromEntry = entryAt(from);
         auto *toEntry = entryAt(to);
         auto *fromTarget = targetAt(from);
@@ -86,13 +101,33 @@
             return;
         if (isInCutDomain(from) != isInCutDomain(to))
             return;
-        if (toEntry && toEntry->engine)
+        if (toEntry && toEntry->engine && !toEntry->paused)
             toEntry->engine->onPeerBytes(m_now, from, data);
         if (toTarget && toTarget->engine)
             toTarget->engine->onPeerBytes(m_now, from, data);
     });
 }
 
+bool relay_fleet::isFiltered(const endpoint &from, const endpoint &to, byte_view bytes)
+{
+    if (!m_filter)
+        return false;
+    const auto isOfEntry = [&](const endpoint &peer) {
+        const auto *entry = entryAt(peer);
+        return entry && entry->number == m_filter->entry;
+    };
+    if (!isOfEntry(from) && !isOfEntry(to))
+        return false;
+    m_filtered.push_back(kindOf(bytes));
+    return m_filter->lost.contains(m_filtered.size() - 1);
+}
+
+void relay_fleet::setFilter(datagram_filter filter)
+{
+    m_filter = std::move(filter);
+    m_filtered.clear();
+}
+
 relay_fleet::entry_node *relay_fleet::entryAt(const endpoint &peer)
 {
     const auto found
@@ -136,7 +171,7 @@
         return;
     after(delay(), [this, number = entry->number, data = std::move(bytes)]() mutable {
         auto &node = *m_entries[number];
-        if (node.engine)
+        if (node.engine && !node.paused)
             node.engine->onCallerBytes(m_now, data);
     });
 }
@@ -206,6 +241,7 @@
     auto &node = *m_entries[entry];
     node.engine = std::make_unique<relay_entry>(
         entryOptions(node), m_codec, node, node.metrics, node.log, m_now);
+    node.paused = false;
     const auto start = ++node.starts;
     after(20ms, [this, entry, start] {
         if (m_entries[entry]->starts != start)
@@ -228,6 +264,20 @@
     m_entries[entry]->engine->startLeaving(m_now);
 }
 
+void relay_fleet::pauseEntry(std::size_t entry, std::chrono::milliseconds time)
+{
+    auto &node = *m_entries[entry];
+    node.paused = true;
+    after(time, [this, entry, start = node.starts] {
+        auto &resumed = *m_entries[entry];
+        if (!resumed.engine || resumed.starts != start)
+            return;
+        resumed.paused = false;
+        resumed.engine->onPause(m_now);
+        publish(resumed);
+    });
+}
+
 bool relay_fleet::entryIsReady(std::size_t entry) const
 {
     return m_entries[entry]->engine && m_entries[entry]->engine->isReady(m_now);
@@ -238,17 +288,19 @@
     auto &node = *m_entries[entry];
     if (!node.engine || node.starts != start)
         return;
+    after(fleet_layout::tick, [this, entry, start] { tickEntry(entry, start); });
+    if (node.paused)
+        return;
     node.engine->onTick(m_now);
     // An entry that has to follow the store from now on reads it.
     const auto follows = node.engine->shouldFollowStore(m_now).value_or(true);
     if (follows != std::exchange(node.follows, follows))
         publish(node);
-    after(fleet_layout::tick, [this, entry, start] { tickEntry(entry, start); });
 }
 
 void relay_fleet::publish(entry_node &entry)
 {
-    if (!entry.engine)
+    if (!entry.engine || entry.paused)
         return;
     const bool follows = entry.engine->shouldFollowStore(m_now).value_or(true);
     entry.engine->onStoreStanding(m_now,
--- a/src/libtoucanlab/relay_fleet_nodes.h
+++ b/src/libtoucanlab/relay_fleet_nodes.h
@@ -31,6 +31,7 @@
     metrics::registry metrics;
     event_log log{"entry", 100'000};
     std::uint64_t starts = 0;
+    bool paused = false; ///< Its VM stands still.
     bool follows = false; ///< It followed the store at its last tick.
 
     entry_node(relay_fleet &owner, std::size_t index)
