--- /dev/null
+++ b/src/libtoucanlab/relay_flow_table_test.cpp
@@ -0,0 +1,108 @@
+// Flow tables of emulated fleets whose processes start more than once within seconds.
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <numeric>
+#include <platform/adapter.h>
+#include <toucan/lab/relay_fleet.h>
+
+using namespace toucan;
+using namespace toucan::lab;
+using namespace std::chrono_literals;
+
+namespace {
+
+relay_fleet makeFleet(relay_fleet_options options)
+{
+    return {std::move(options), platform::segments()};
+}
+
+// Opens flows at the first target, as all others drain.
+std::vector<std::size_t> openFlowsAtFirst(relay_fleet &fleet, std::size_t count)
+{
+    for (std::size_t target = 1; target < fleet.targetCount(); ++target)
+        fleet.drainTarget(target);
+    fleet.run(1500ms);
+    std::vector<std::size_t> flows(count);
+    std::ranges::generate(flows, [&] {
+        fleet.run(10ms);
+        return fleet.openFlow();
+    });
+    fleet.run(200ms);
+    return flows;
+}
+
+void requestAll(relay_fleet &fleet, const std::vector<std::size_t> &flows)
+{
+    std::ranges::for_each(flows, [&](std::size_t flow) { fleet.request(flow); });
+}
+
+} // namespace
+
+TEST_CASE("relay: flows of a start that left no table are not reset on the word of an older table")
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        auto fleet = makeFleet({.entries = 3, .targets = 6, .domains = {"a", "b"}, .seed = seed});
+        fleet.run(4s);
+        // Only the first entry hears of the second start.
+        fleet.leaveProcess(0);
+        fleet.run(300ms);
+        fleet.setCut(2, 0, true);
+        fleet.setCut(1, 0, true);
+        fleet.startProcess(0);
+        fleet.run(1500ms);
+        fleet.useEntries({0});
+        const auto flows = openFlowsAtFirst(fleet, 10);
+        fleet.killProcess(0);
+        fleet.setCut(2, 0, false);
+        fleet.setCut(1, 0, false);
+        fleet.startProcess(0);
+        fleet.run(5s);
+        requestAll(fleet, flows);
+        fleet.run(2s);
+        INFO("seed " << seed);
+        CHECK(fleet.outcome().resetOpen == 0);
+        CHECK(fleet.violations().empty());
+    }
+}
+
+TEST_CASE("relay: flows are found after processes stopped as planned before they had their tables")
+{
+    constexpr std::size_t targets = 12;
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        auto fleet = makeFleet({.entries = 3, .targets = targets, .seed = seed});
+        fleet.run(4s);
+        std::vector<std::size_t> flows(60);
+        std::ranges::generate(flows, [&] {
+            fleet.run(10ms);
+            return fleet.openFlow();
+        });
+        fleet.run(300ms);
+        for (std::size_t target = 0; target < targets; ++target)
+            fleet.leaveProcess(target);
+        fleet.run(300ms);
+        for (std::size_t target = 0; target < targets; ++target)
+            fleet.startProcess(target);
+        // Before any entry has answered the first request.
+        fleet.run(20ms);
+        for (std::size_t target = 0; target < targets; ++target)
+            fleet.leaveProcess(target);
+        fleet.run(300ms);
+        for (std::size_t target = 0; target < targets; ++target)
+            fleet.startProcess(target);
+        fleet.run(2s);
+        // The new entry knows no owner.
+        const auto added = fleet.addEntry();
+        fleet.run(3s);
+        fleet.useEntries({added});
+        requestAll(fleet, flows);
+        fleet.run(3s);
+        const auto strayed = std::accumulate(flows.begin(), flows.end(), std::size_t{},
+            [&](std::size_t sum, std::size_t flow) { return sum + fleet.strayedSegments(flow); });
+        INFO("seed " << seed);
+        CHECK(strayed == 0);
+        CHECK(
+            std::ranges::all_of(flows, [&](std::size_t flow) { return fleet.wasAnswered(flow); }));
+        CHECK(fleet.violations().empty());
+    }
+}
