Flow tables prove by the statements of entries on later starts

Cause: a table was taken for proof of what it lacks because the entry that returned it had not heard of a start in between. That start may have been heard by other entries only (then its flows were denied), or may have opened nothing (then the complete table was replaced by its incomplete one, or kept back).

Change: a table names the entries that keep it. Each entry that is asked for it states the starts of the process that it has heard of in the last 15 s; the table is proof only once its keepers and the other entries in contact have stated, and none names a start that may stand in between. A start that stops before it has the table and accepted no opening states that, and the kept table stays in use.

It counts from the first stop now, and stops the starts in between after 0, 1, 2, 3, 5 and 20 ms instead of 20 ms only: entries return tables within 5 ms, so after 20 ms the process had its table.

Tests of entries that counted all replies to a request for a table count its pages, as a statement comes with them; the statement is checked too.

--- a/src/include/toucan/flow_table_keeper.h
+++ b/src/include/toucan/flow_table_keeper.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <toucan/relay_members.h>
 #include <toucan/segment.h>
 #include <unordered_map>
@@ -40,7 +41,11 @@
     /// returned.
     std::optional<summary> recordStart(
         instant now, const endpoint &from, std::uint64_t boot, instant seenAt);
-    /// The pages of the start before `request.boot`; empty unless all are there. `knownBoot`:
+    /// Records the statement of start `boot` that it has accepted no opening: it takes no table out
+    /// of use.
+    void recordUnused(const endpoint &from, std::uint64_t boot);
+    /// The pages of the last start before `request.boot` that may have accepted openings; empty
+    /// unless all are there. `knownBoot`:
     /// newest start of the process that this entry knows of, 0 when none.
     std::vector<flow_table_page> pagesFor(instant now, const endpoint &from,
         const flow_table_request &request, std::uint64_t knownBoot) const;
@@ -57,6 +62,7 @@
         std::uint64_t boot = 0;
         std::uint64_t previousBoot = 0; ///< The start whose table this one replaced.
         std::uint64_t nextBoot = 0; ///< The start after `boot`; 0 while the process is stopped.
+        std::set<std::uint64_t> unused; ///< Later starts that accepted no opening.
         instant keptAt{};
         std::size_t pageCount = 0;
         std::map<std::uint64_t, flow_table_page> pages;
--- /dev/null
+++ b/src/include/toucan/flow_table_proof.h
@@ -0,0 +1,43 @@
+#pragma once
+
+/// Evidence that the flow table which an earlier start of a target process left still has all flows
+/// of the target.
+
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <toucan/generated/relay.h>
+#include <vector>
+
+namespace toucan {
+
+/// Collects the statements of entries on the starts of one process. A table has all flows up to the
+/// end of the start that sent it; what later starts opened is missing in it. So it proves that a
+/// flow is not held only if each entry that keeps it, and each other one that could be asked, knows
+/// of no such start, or that start has stated that it accepted no opening. Not thread-safe.
+class flow_table_proof
+{
+public:
+    /// Sets the table by its first page.
+    void setTable(const flow_table_page &firstPage);
+    /// Takes an entry's statement, instead of an earlier one of it.
+    void add(const endpoint &entry, const flow_table_statement &statement);
+    /// Keepers of the table and other entries in `expected` that have made no statement.
+    std::vector<endpoint> missing(std::span<const endpoint> expected) const;
+    /// A start after the one that sent the table that may have opened flows.
+    std::optional<std::uint64_t> startBetween() const;
+    /// Number of entries that have made a statement.
+    std::size_t statements() const { return m_starts.size(); }
+
+private:
+    bool mayFollowTable(std::span<const heard_start> heard, const heard_start &item) const;
+
+    std::uint64_t m_table = 0; ///< Start that sent the table; 0 when there is none.
+    std::vector<endpoint> m_keepers;
+    std::set<std::uint64_t> m_included; ///< Starts whose flows are in the table.
+    std::map<endpoint, std::vector<heard_start>> m_starts; ///< By entry.
+    std::set<std::uint64_t> m_unused; ///< Starts that accepted no opening.
+};
+
+} // namespace toucan
--- a/src/include/toucan/relay_entry.h
+++ b/src/include/toucan/relay_entry.h
@@ -19,6 +19,7 @@
 #include <toucan/relay_placement.h>
 #include <toucan/relay_port.h>
 #include <toucan/segment.h>
+#include <toucan/start_history.h>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -241,6 +242,8 @@
     void handle(instant now, const endpoint &from, const flow_answer &message);
     void handle(instant now, const endpoint &from, const flow_table_page &message);
     void handle(instant now, const endpoint &from, const flow_table_request &message);
+    void handle(instant now, const endpoint &from, const flow_table_statement &message);
+    void handle(instant now, const endpoint &from, const unused_start &message);
     void recordStart(instant now, const endpoint &process, std::uint64_t boot, instant seenAt);
     void logFlowTable(
         instant now, const flow_table_keeper::summary &table, std::string_view outcome);
@@ -305,6 +308,7 @@
     entry_roster m_roster;
     digest_book m_digests;
     flow_table_keeper m_flowTables;
+    start_history m_starts;
     bool m_ownDomainComplete = false; ///< All members of the own domain were known.
     store_standing m_store = store_standing::not_asked;
     instant m_storeLostAt{};
--- a/src/include/toucan/relay_packet.h
+++ b/src/include/toucan/relay_packet.h
@@ -70,7 +70,8 @@
 
 /// Messages between entries and target processes.
 using relay_message = std::variant<target_report, entry_notice, flow_owner, opening_kept,
-    member_digest, digest_request, flow_question, flow_answer, flow_table_page, flow_table_request>;
+    member_digest, digest_request, flow_question, flow_answer, flow_table_page, flow_table_request,
+    flow_table_statement, unused_start>;
 
 /// Writes a message as one datagram.
 byte_buffer encodeRelayMessage(const relay_message &message);
--- a/src/include/toucan/relay_target.h
+++ b/src/include/toucan/relay_target.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <toucan/domain_outages.h>
 #include <toucan/event_log.h>
+#include <toucan/flow_table_proof.h>
 #include <toucan/metrics.h>
 #include <toucan/opening_gate.h>
 #include <toucan/opening_queue.h>
@@ -172,6 +173,7 @@
     void endRequest(instant now, flow &item, bool answered);
     void erase(instant now, flow_map::iterator it, std::string_view outcome);
     void recordTargetSeen(instant now);
+    instant observedSince() const;
     void endLifetime(instant now, instant lastSeen, std::string_view reason);
     void resetFlow(instant now, flow_map::iterator it, std::string_view reason);
     bool isFlowTableComplete(instant now) const;
@@ -196,9 +198,17 @@
     void handle(instant now, const endpoint &from, const flow_answer &message);
     void handle(instant now, const endpoint &from, const flow_table_page &message);
     void handle(instant now, const endpoint &from, const flow_table_request &message);
+    void handle(instant now, const endpoint &from, const flow_table_statement &message);
+    void handle(instant now, const endpoint &from, const unused_start &message);
     std::vector<endpoint> entriesByRank(instant now, std::string_view domain, bool alive) const;
     std::vector<flow_table_page> makeFlowTable(instant now) const;
     void sendFlowTable(instant now);
+    void prepareFlowTable(instant now);
+    bool isUnused(instant now) const;
+    std::vector<endpoint> entriesToAsk(instant now) const;
+    std::vector<endpoint> heardEntriesToAsk(instant now) const;
+    void judgeRestoredTable(instant now);
+    void endRecovery(instant now, std::string_view outcome);
     void requestFlowTable(instant now);
     void requestFlowTableAtOnce(instant now);
     void restoreFlowTable(instant now);
@@ -247,12 +257,18 @@
     instant m_lastTick;
     bool m_targetRefused = false; ///< Its port was closed and no sign of it came since.
     bool m_flowTableComplete = false;
-    instant m_observedSince; ///< Every opening since then was seen here or by earlier starts.
-    std::map<std::uint64_t, flow_table_page> m_returnedPages; ///< Of the start before, by number.
-    bool m_recoveryEnded; ///< The table of the start before was returned, or there is none.
+    instant m_observedSince; ///< Every opening since then was seen here.
+    std::map<std::uint64_t, flow_table_page> m_returnedPages; ///< Of an earlier start, by number.
+    std::optional<flow_table_page> m_restoredPage; ///< First page of the table that was restored.
+    instant m_restoredAt{};
+    flow_table_proof m_tableProof; ///< That no start came after the one that sent the table.
+    bool m_isTableConfirmed = false; ///< The statements so far show that.
+    std::size_t m_acceptedOpenings = 0;
+    bool m_recoveryEnded; ///< Nothing is expected from entries any more.
     instant m_nextTableRequest{};
     std::vector<byte_buffer> m_flowTable; ///< Pages of the own table while this process leaves.
     std::vector<endpoint> m_flowTableKeepers; ///< Entries that get these pages.
+    bool m_statesUnused = false; ///< It stops and has accepted no opening.
     std::size_t m_flowTableSends = 0;
     std::size_t m_stopNotices = 0; ///< Times that all entries were notified of the stop.
     bool m_leaving = false;
--- a/src/libtoucanlab/relay_flow_table_test.cpp
+++ b/src/libtoucanlab/relay_flow_table_test.cpp
@@ -1,6 +1,7 @@
 // Flow tables of emulated fleets whose processes start more than once within seconds.
 
 #include <algorithm>
+#include <array>
 #include <catch2/catch.hpp>
 #include <numeric>
 #include <platform/adapter.h>
@@ -37,6 +38,12 @@
     std::ranges::for_each(flows, [&](std::size_t flow) { fleet.request(flow); });
 }
 
+std::size_t strayedSegments(const relay_fleet &fleet, const std::vector<std::size_t> &flows)
+{
+    return std::accumulate(flows.begin(), flows.end(), std::size_t{},
+        [&](std::size_t sum, std::size_t flow) { return sum + fleet.strayedSegments(flow); });
+}
+
 } // namespace
 
 TEST_CASE("relay: flows of a start that left no table are not reset on the word of an older table")
@@ -69,40 +76,44 @@
 TEST_CASE("relay: flows are found after processes stopped as planned before they had their tables")
 {
     constexpr std::size_t targets = 12;
+    // Times for which the starts in between run: no entry has heard of them, none has returned a
+    // table yet, some have, all have.
+    constexpr std::array lifetimes{0ms, 1ms, 2ms, 3ms, 5ms, 20ms};
     for (std::uint64_t seed = 1; seed <= 3; ++seed) {
-        auto fleet = makeFleet({.entries = 3, .targets = targets, .seed = seed});
-        fleet.run(4s);
-        std::vector<std::size_t> flows(60);
-        std::ranges::generate(flows, [&] {
-            fleet.run(10ms);
-            return fleet.openFlow();
-        });
-        fleet.run(300ms);
-        for (std::size_t target = 0; target < targets; ++target)
-            fleet.leaveProcess(target);
-        fleet.run(300ms);
-        for (std::size_t target = 0; target < targets; ++target)
-            fleet.startProcess(target);
-        // Before any entry has answered the first request.
-        fleet.run(20ms);
-        for (std::size_t target = 0; target < targets; ++target)
-            fleet.leaveProcess(target);
-        fleet.run(300ms);
-        for (std::size_t target = 0; target < targets; ++target)
-            fleet.startProcess(target);
-        fleet.run(2s);
-        // The new entry knows no owner.
-        const auto added = fleet.addEntry();
-        fleet.run(3s);
-        fleet.useEntries({added});
-        requestAll(fleet, flows);
-        fleet.run(3s);
-        const auto strayed = std::accumulate(flows.begin(), flows.end(), std::size_t{},
-            [&](std::size_t sum, std::size_t flow) { return sum + fleet.strayedSegments(flow); });
-        INFO("seed " << seed);
-        CHECK(strayed == 0);
-        CHECK(
-            std::ranges::all_of(flows, [&](std::size_t flow) { return fleet.wasAnswered(flow); }));
-        CHECK(fleet.violations().empty());
+        for (const auto lifetime : lifetimes) {
+            auto fleet = makeFleet({.entries = 3, .targets = targets, .seed = seed});
+            fleet.run(4s);
+            std::vector<std::size_t> flows(60);
+            std::ranges::generate(flows, [&] {
+                fleet.run(10ms);
+                return fleet.openFlow();
+            });
+            fleet.run(300ms);
+            // The end of a handshake reaches a target that does not hold the flow yet.
+            fleet.forgetStrayed();
+            for (std::size_t target = 0; target < targets; ++target)
+                fleet.leaveProcess(target);
+            fleet.run(300ms);
+            for (std::size_t target = 0; target < targets; ++target)
+                fleet.startProcess(target);
+            fleet.run(lifetime);
+            for (std::size_t target = 0; target < targets; ++target)
+                fleet.leaveProcess(target);
+            fleet.run(300ms);
+            for (std::size_t target = 0; target < targets; ++target)
+                fleet.startProcess(target);
+            fleet.run(2s);
+            // The new entry knows no owner.
+            const auto added = fleet.addEntry();
+            fleet.run(3s);
+            fleet.useEntries({added});
+            requestAll(fleet, flows);
+            fleet.run(3s);
+            INFO("seed " << seed << ", " << lifetime.count() << " ms");
+            CHECK(strayedSegments(fleet, flows) == 0);
+            CHECK(std::ranges::all_of(
+                flows, [&](std::size_t flow) { return fleet.wasAnswered(flow); }));
+            CHECK(fleet.violations().empty());
+        }
     }
 }
--- a/src/libtoucanrelay/engine_fixtures.h
+++ b/src/libtoucanrelay/engine_fixtures.h
@@ -38,6 +38,20 @@
     void sendTarget(byte_view bytes) override { toTarget.emplace_back(bytes.begin(), bytes.end()); }
     void fetchConfig(const endpoint &, const config_stamp &) override { }
 
+    // Messages of one kind sent to `recipient` since the last reset.
+    template <class T>
+    std::vector<T> messagesTo(const endpoint &recipient) const
+    {
+        std::vector<T> found;
+        for (const auto &[to, bytes] : toPeers) {
+            const auto message = decodeRelayMessage(bytes);
+            const auto *value = valueOf(message) ? std::get_if<T>(valueOf(message)) : nullptr;
+            if (to == recipient && value)
+                found.push_back(*value);
+        }
+        return found;
+    }
+
     // Kinds and recipients of the forwarded segments since the last call; messages are left out.
     std::vector<std::pair<relay_kind, endpoint>> takePackets()
     {
--- a/src/libtoucanrelay/flow_table_keeper.cpp
+++ b/src/libtoucanrelay/flow_table_keeper.cpp
@@ -25,6 +25,12 @@
         && (page.boot == item.previousBoot || (item.nextBoot != 0 && item.nextBoot != page.boot));
     if (isLate)
         return std::nullopt;
+    const bool isCompleteKept
+        = isNewTable && item.boot != 0 && item.isWhole() && item.pages.begin()->second.complete;
+    if (isCompleteKept && page.unused) {
+        recordUnused(from, page.boot);
+        return std::nullopt;
+    }
     if (isNewTable)
         item = {.member = page.member,
             .boot = page.boot,
@@ -44,7 +50,7 @@
 {
     const auto found = m_tables.find(from);
     if (found == m_tables.end() || found->second.boot == boot || found->second.nextBoot == boot
-        || seenAt < found->second.keptAt)
+        || found->second.unused.contains(boot) || seenAt < found->second.keptAt)
         return std::nullopt;
     if (found->second.nextBoot == 0) {
         found->second.nextBoot = boot;
@@ -55,6 +61,16 @@
     return dropped;
 }
 
+void flow_table_keeper::recordUnused(const endpoint &from, std::uint64_t boot)
+{
+    const auto found = m_tables.find(from);
+    if (found == m_tables.end() || found->second.boot == boot)
+        return;
+    found->second.unused.insert(boot);
+    if (found->second.nextBoot == boot)
+        found->second.nextBoot = 0;
+}
+
 std::vector<flow_table_page> flow_table_keeper::pagesFor(instant now, const endpoint &from,
     const flow_table_request &request, std::uint64_t knownBoot) const
 {
@@ -63,7 +79,8 @@
         return {};
     const auto &item = found->second;
     const bool isNextStart = (item.nextBoot == 0 || item.nextBoot == request.boot)
-        && (knownBoot == 0 || knownBoot == item.boot || knownBoot == request.boot);
+        && (knownBoot == 0 || knownBoot == item.boot || knownBoot == request.boot
+            || item.unused.contains(knownBoot));
     if (item.member != request.member || item.boot == request.boot || !isNextStart
         || !item.isWhole() || now - item.keptAt > retention)
         return {};
--- a/src/libtoucanrelay/flow_table_keeper_test.cpp
+++ b/src/libtoucanrelay/flow_table_keeper_test.cpp
@@ -72,6 +72,32 @@
     }
 }
 
+TEST_CASE("flow tables: a start that accepted no opening does not take a table out of use")
+{
+    const instant now = 1000s;
+    flow_table_keeper keeper;
+    keeper.keep(now, process, pageOf(1));
+    SECTION("its request came first")
+    {
+        keeper.recordStart(now, process, 2, now);
+        keeper.recordUnused(process, 2);
+    }
+    SECTION("its statement came first")
+    {
+        keeper.recordUnused(process, 2);
+        keeper.recordStart(now, process, 2, now);
+    }
+    CHECK(keeper.ownerOf(now, flow) == process);
+    CHECK(isReturned(keeper, now, 3, 2));
+    auto found = pageOf(2);
+    found.complete = false;
+    found.unused = true;
+    CHECK_FALSE(keeper.keep(now, process, found));
+    CHECK_FALSE(keeper.recordStart(now, process, 3, now));
+    REQUIRE(isReturned(keeper, now, 3, 3));
+    CHECK(keeper.pagesFor(now, process, {.member = "t1", .boot = 3}, 0).front().boot == 1);
+}
+
 TEST_CASE("flow tables: late pages of an earlier start do not replace a newer table")
 {
     const instant now = 1000s;
--- a/src/libtoucanrelay/relay_entry.cpp
+++ b/src/libtoucanrelay/relay_entry.cpp
@@ -405,6 +405,7 @@
         m_lastSweep = now;
         sweepFlows(now);
         m_flowTables.sweep(now);
+        m_starts.sweep(now);
         publishGauges(now);
     }
 }
--- a/src/libtoucanrelay/relay_entry_peers.cpp
+++ b/src/libtoucanrelay/relay_entry_peers.cpp
@@ -92,6 +92,10 @@
         flows += page.flows.size();
     }
     recordStart(now, from, message.boot, now);
+    send(from,
+        flow_table_statement{.member = message.member,
+            .boot = message.boot,
+            .starts = m_starts.startsOf(now, from, message.boot)});
     if (!pages.empty())
         m_log.write(now,
             flow_table_passed{.member = message.member,
@@ -101,9 +105,21 @@
                 .complete = pages.front().complete});
 }
 
+void relay_entry::handle(instant, const endpoint &, const flow_table_statement &)
+{
+    m_malformed.add();
+}
+
+void relay_entry::handle(instant now, const endpoint &from, const unused_start &message)
+{
+    m_starts.recordUnused(now, from, message.boot);
+    m_flowTables.recordUnused(from, message.boot);
+}
+
 void relay_entry::recordStart(
     instant now, const endpoint &process, std::uint64_t boot, instant seenAt)
 {
+    m_starts.recordHeard(seenAt, process, boot);
     if (const auto dropped = m_flowTables.recordStart(now, process, boot, seenAt))
         logFlowTable(now, *dropped, "discarded: the process has started twice since");
 }
--- a/src/libtoucanrelay/relay_entry_search_test.cpp
+++ b/src/libtoucanrelay/relay_entry_search_test.cpp
@@ -73,14 +73,18 @@
     // The next start knows its flows and answers for itself.
     auto request = encodeRelayMessage(flow_table_request{.member = "t1", .boot = 2});
     fleet.engine.onPeerBytes(fleet.now, processAddress, request);
-    REQUIRE(fleet.port.toPeers.size() == 1);
-    CHECK(fleet.port.toPeers.front().first == processAddress);
-    CHECK(valueOf(decodeRelayMessage(fleet.port.toPeers.front().second)));
+    CHECK(fleet.port.messagesTo<flow_table_page>(processAddress).size() == 1);
     // The one after that may lack flows of the start between.
     fleet.port = {};
     request = encodeRelayMessage(flow_table_request{.member = "t1", .boot = 3});
     fleet.engine.onPeerBytes(fleet.now, processAddress, request);
-    CHECK(fleet.port.toPeers.empty());
+    CHECK(fleet.port.messagesTo<flow_table_page>(processAddress).empty());
+    CHECK(fleet.port.toPeers.size() == 1);
+    const auto statements = fleet.port.messagesTo<flow_table_statement>(processAddress);
+    REQUIRE(statements.size() == 1);
+    CHECK(statements.front().boot == 3);
+    CHECK(std::ranges::any_of(
+        statements.front().starts, [](const heard_start &item) { return item.boot == 2; }));
 }
 
 TEST_CASE("entry: a search asks all members although their order changes during it")
@@ -393,7 +397,7 @@
         fleet.port = {};
         auto bytes = encodeRelayMessage(flow_table_request{.member = "t1", .boot = boot});
         fleet.engine.onPeerBytes(fleet.now, processAddress, bytes);
-        return fleet.port.toPeers.size();
+        return fleet.port.messagesTo<flow_table_page>(processAddress).size();
     };
     digest(1);
     fleet.now += 500ms;
@@ -412,3 +416,30 @@
         CHECK(returnedPages(3) == 0);
     }
 }
+
+TEST_CASE("entry: a start that accepted no opening does not take the table before it out of use")
+{
+    entry_fixture fleet;
+    const auto receive = [&](const relay_message &message) {
+        fleet.port = {};
+        auto bytes = encodeRelayMessage(message);
+        fleet.engine.onPeerBytes(fleet.now, processAddress, bytes);
+    };
+    fleet.report(reportOf("t1", target_standing::ready, 1));
+    receive(flow_table_page{.member = "t1", .boot = 1, .complete = true});
+    fleet.now += 300ms;
+    receive(flow_table_request{.member = "t1", .boot = 2});
+    fleet.now += 20ms;
+    // Flows that it found without the table.
+    receive(flow_table_page{.member = "t1", .boot = 2, .unused = true});
+    receive(unused_start{.member = "t1", .boot = 2});
+    fleet.now += 300ms;
+    receive(flow_table_request{.member = "t1", .boot = 3});
+    const auto pages = fleet.port.messagesTo<flow_table_page>(processAddress);
+    REQUIRE(pages.size() == 1);
+    CHECK(pages.front().boot == 1);
+    const auto statements = fleet.port.messagesTo<flow_table_statement>(processAddress);
+    REQUIRE(statements.size() == 1);
+    CHECK(std::ranges::all_of(statements.front().starts,
+        [](const heard_start &item) { return item.boot == 1 || item.unused; }));
+}
--- a/src/libtoucanrelay/relay_target.cpp
+++ b/src/libtoucanrelay/relay_target.cpp
@@ -108,6 +108,7 @@
     instant now, const segment &head, const relay_header &header, byte_view bytes)
 {
     const auto key = head.flowFromCaller();
+    ++m_acceptedOpenings;
     m_recentOpenings.add(now);
     auto &item = m_flows[key];
     item = {.entry = header.entry,
--- a/src/libtoucanrelay/relay_target_lifetime.cpp
+++ b/src/libtoucanrelay/relay_target_lifetime.cpp
@@ -177,7 +177,18 @@
 
 bool relay_target::isFlowTableComplete(instant now) const
 {
-    return m_flowTableComplete || now - m_observedSince > m_options.flowLifetime;
+    const bool isRestoredComplete = m_isTableConfirmed && m_restoredPage->complete;
+    return m_flowTableComplete || isRestoredComplete
+        || now - observedSince() > m_options.flowLifetime;
+}
+
+// Every opening since then was seen here or by the starts whose flows are in the restored table.
+instant relay_target::observedSince() const
+{
+    if (!m_isTableConfirmed)
+        return m_observedSince;
+    return std::min<instant>(
+        m_observedSince, m_started - std::chrono::milliseconds(m_restoredPage->observedMs));
 }
 
 // True while the target is silent, except for one trial opening in each trialInterval.
--- a/src/libtoucanrelay/relay_target_recovery.cpp
+++ b/src/libtoucanrelay/relay_target_recovery.cpp
@@ -16,6 +16,10 @@
 constexpr std::size_t maxTableSends = 3;
 // Entries asked for the table. Those known at the start may not include all that keep it.
 constexpr std::size_t maxKeepersAsked = 12;
+// Time for which the statements of silent keepers are awaited: a request or reply may be lost.
+constexpr auto statementTimeout = 250ms;
+// Earlier starts named in a table.
+constexpr std::size_t maxEarlierStarts = 8;
 // Entries return tables for this time after a start. Interval between the first requests, which
 // doubles.
 constexpr auto recoveryTime = flow_table_keeper::retention;
@@ -51,7 +55,7 @@
         .boot = m_options.boot,
         .complete = isFlowTableComplete(now),
         .observedMs = static_cast<std::uint64_t>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(now - m_observedSince).count()),
+            std::chrono::duration_cast<std::chrono::milliseconds>(now - observedSince()).count()),
         .target = latest ? latest->id : std::string(),
         .service = service(),
         .startedMs = latest ? latest->startedMs : 0,
@@ -75,6 +79,14 @@
             .callerFinished = item.callerFinished,
             .targetFinished = item.targetFinished});
     }
+    if (m_isTableConfirmed) {
+        auto &earlier = pages.front().earlier;
+        earlier = m_restoredPage->earlier;
+        earlier.push_back(m_restoredPage->boot);
+        earlier.erase(earlier.begin(),
+            earlier.end()
+                - static_cast<std::ptrdiff_t>(std::min(earlier.size(), maxEarlierStarts)));
+    }
     for (std::size_t number = 0; number < pages.size(); ++number) {
         pages[number].page = number;
         pages[number].pages = pages.size();
@@ -86,55 +98,117 @@
 // their way may still open until it ends.
 void relay_target::sendFlowTable(instant now)
 {
-    // The flows of a target that has ended are reset by its next lifetime or its closed port.
-    const bool hasEnded = m_targetRefused || (m_liveness.latest() && m_liveness.latest()->leaving);
-    if (m_flowTableSends >= maxTableSends || hasEnded)
+    if (m_flowTableSends >= maxTableSends)
         return;
-    if (m_flowTableSends++ == 0) {
-        const auto pages = makeFlowTable(now);
-        std::ranges::transform(pages, std::back_inserter(m_flowTable),
-            [](const auto &page) { return encodeRelayMessage(page); });
-        m_flowTableKeepers = entriesByRank(now, m_options.domain, true);
-        const auto others = entriesByRank(now, {}, false);
-        m_flowTableKeepers.insert(m_flowTableKeepers.end(), others.begin(), others.end());
-        m_flowTableKeepers.resize(std::min(m_flowTableKeepers.size(), maxKeepers));
-        m_log.write(now,
-            flow_table_passed{.member = m_options.name,
-                .outcome = "sent",
-                .boot = m_options.boot,
-                .flows = heldFlowCount(),
-                .complete = pages.front().complete,
-                .copies = m_flowTableKeepers.size()});
+    if (m_flowTableSends++ == 0)
+        prepareFlowTable(now);
+    if (m_statesUnused) {
+        const auto statement
+            = encodeRelayMessage(unused_start{.member = m_options.name, .boot = m_options.boot});
+        for (const auto &entry : entriesToAsk(now))
+            m_port.sendPeer(entry, statement, {});
     }
+    // The flows of a target that has ended are reset by its next lifetime or its closed port.
+    if (m_targetRefused || (m_liveness.latest() && m_liveness.latest()->leaving))
+        return;
     for (const auto &keeper : m_flowTableKeepers) {
         for (const auto &page : m_flowTable)
             m_port.sendPeer(keeper, page, {});
     }
 }
 
+void relay_target::prepareFlowTable(instant now)
+{
+    m_statesUnused = isUnused(now);
+    // The entries keep the complete table that this start got.
+    const bool isKept = m_restoredPage && m_restoredPage->complete;
+    if (m_statesUnused && (isKept || heldFlowCount() == 0)) {
+        m_log.write(now,
+            flow_table_passed{.member = m_options.name,
+                .outcome = "none sent: no opening was accepted",
+                .boot = m_options.boot,
+                .copies = entriesToAsk(now).size()});
+        return;
+    }
+    m_flowTableKeepers = entriesByRank(now, m_options.domain, true);
+    const auto others = entriesByRank(now, {}, false);
+    m_flowTableKeepers.insert(m_flowTableKeepers.end(), others.begin(), others.end());
+    m_flowTableKeepers.resize(std::min(m_flowTableKeepers.size(), maxKeepers));
+    auto pages = makeFlowTable(now);
+    pages.front().keepers = m_flowTableKeepers;
+    std::ranges::for_each(pages, [&](auto &page) { page.unused = m_statesUnused; });
+    std::ranges::transform(pages, std::back_inserter(m_flowTable),
+        [](const auto &page) { return encodeRelayMessage(page); });
+    m_log.write(now,
+        flow_table_passed{.member = m_options.name,
+            .outcome = m_statesUnused ? "sent: no opening was accepted" : "sent",
+            .boot = m_options.boot,
+            .flows = heldFlowCount(),
+            .complete = pages.front().complete,
+            .copies = m_flowTableKeepers.size()});
+}
+
+// True while this start has added nothing to the table that an earlier one may have left and that
+// was not returned, or not confirmed, yet.
+bool relay_target::isUnused(instant now) const
+{
+    return m_acceptedOpenings == 0 && !m_recoveryEnded && !isFlowTableComplete(now);
+}
+
+// Those of the own failure domain first, and all that keep the table that was returned.
+std::vector<endpoint> relay_target::entriesToAsk(instant now) const
+{
+    auto entries = entriesByRank(now, m_options.domain, false);
+    const auto others = entriesByRank(now, {}, false);
+    entries.insert(entries.end(), others.begin(), others.end());
+    entries.resize(std::min(entries.size(), maxKeepersAsked));
+    if (m_restoredPage)
+        std::ranges::copy_if(
+            m_restoredPage->keepers, std::back_inserter(entries), [&](const endpoint &keeper) {
+                return std::ranges::find(entries, keeper) == entries.end();
+            });
+    return entries;
+}
+
+// Entries that run, as far as is known: their statements are worth waiting for.
+std::vector<endpoint> relay_target::heardEntriesToAsk(instant now) const
+{
+    auto entries = entriesToAsk(now);
+    std::erase_if(entries, [&](const endpoint &entry) {
+        const auto found = m_entries.find(entry);
+        return found == m_entries.end() || found->second.boot == 0;
+    });
+    return entries;
+}
+
 void relay_target::requestFlowTable(instant now)
 {
+    judgeRestoredTable(now);
     if (m_recoveryEnded || m_leaving || now < m_nextTableRequest)
         return;
     m_nextTableRequest = now + std::max<instant>(firstRequestInterval, now - m_started);
-    auto asked = entriesByRank(now, m_options.domain, false);
-    const auto others = entriesByRank(now, {}, false);
-    asked.insert(asked.end(), others.begin(), others.end());
-    asked.resize(std::min(asked.size(), maxKeepersAsked));
     if (now - m_started > recoveryTime) {
-        m_recoveryEnded = true;
-        m_returnedPages.clear();
-        m_log.write(now,
-            flow_table_passed{
-                .member = m_options.name, .outcome = "not restored", .copies = asked.size()});
+        endRecovery(now, m_restoredPage ? "statements are missing" : "not restored");
         return;
     }
     const auto request
         = encodeRelayMessage(flow_table_request{.member = m_options.name, .boot = m_options.boot});
-    for (const auto &entry : asked)
+    for (const auto &entry : entriesToAsk(now))
         m_port.sendPeer(entry, request, {});
 }
 
+void relay_target::endRecovery(instant now, std::string_view outcome)
+{
+    m_recoveryEnded = true;
+    m_returnedPages.clear();
+    m_log.write(now,
+        flow_table_passed{.member = m_options.name,
+            .outcome = std::string(outcome),
+            .boot = m_restoredPage ? m_restoredPage->boot : 0,
+            .complete = isFlowTableComplete(now),
+            .copies = m_tableProof.statements()});
+}
+
 // For entries that have just become known.
 void relay_target::requestFlowTableAtOnce(instant now)
 {
@@ -147,9 +221,24 @@
     m_malformed.add();
 }
 
+void relay_target::handle(instant, const endpoint &, const unused_start &)
+{
+    m_malformed.add();
+}
+
+void relay_target::handle(instant now, const endpoint &from, const flow_table_statement &message)
+{
+    if (m_recoveryEnded || message.member != m_options.name || message.boot != m_options.boot)
+        return;
+    m_tableProof.add(from, message);
+    judgeRestoredTable(now);
+}
+
 void relay_target::handle(instant now, const endpoint &, const flow_table_page &message)
 {
-    if (m_recoveryEnded || message.member != m_options.name || message.boot == m_options.boot)
+    const bool isRestored = m_restoredPage && (m_restoredPage->complete || !message.complete);
+    if (m_recoveryEnded || isRestored || message.member != m_options.name
+        || message.boot == m_options.boot)
         return;
     if (!m_returnedPages.empty() && m_returnedPages.begin()->second.boot != message.boot)
         m_returnedPages.clear();
@@ -160,7 +249,6 @@
 
 void relay_target::restoreFlowTable(instant now)
 {
-    m_recoveryEnded = true;
     const auto pages = std::exchange(m_returnedPages, {});
     const auto &first = pages.begin()->second;
     const target_liveness before{.id = first.target,
@@ -179,9 +267,7 @@
         for (const auto &record : page.flows)
             restoreFlow(now, record);
     }
-    m_observedSince = std::min<instant>(
-        m_observedSince, m_started - std::chrono::milliseconds(first.observedMs));
-    m_flowTableComplete = first.complete || (m_flowTableComplete && !isNewest);
+    m_flowTableComplete = m_flowTableComplete && !isNewest;
     if (isSucceeded)
         endLifetime(now, m_started, "the target started anew");
     m_log.write(now,
@@ -192,6 +278,29 @@
             .complete = first.complete,
             .ageMs = static_cast<std::uint64_t>(
                 std::chrono::duration_cast<std::chrono::milliseconds>(now - m_started).count())});
+    m_restoredPage = first;
+    m_restoredAt = now;
+    m_tableProof.setTable(first);
+    judgeRestoredTable(now);
+}
+
+// The table is proof only up to the end of the start that sent it; entries state what starts came
+// since. A silent one is waited for briefly only, as it may have stopped.
+void relay_target::judgeRestoredTable(instant now)
+{
+    if (!m_restoredPage || m_recoveryEnded)
+        return;
+    const bool isComplete = m_tableProof.missing(heardEntriesToAsk(now)).empty();
+    if (!isComplete && now - m_restoredAt < statementTimeout)
+        return;
+    const auto between = m_tableProof.startBetween();
+    m_isTableConfirmed = !between;
+    // A complete table may still be on its way.
+    const bool isAwaited = !m_restoredPage->complete && now - m_restoredAt < statementTimeout;
+    if (isComplete && !isAwaited)
+        endRecovery(now,
+            between ? "not used: start " + std::to_string(*between) + " came after it"
+                    : "confirmed");
 }
 
 void relay_target::restoreFlow(instant now, const tracked_flow &record)
--- a/src/libtoucanrelay/relay_target_recovery_test.cpp
+++ b/src/libtoucanrelay/relay_target_recovery_test.cpp
@@ -7,6 +7,7 @@
 
 namespace {
 
+constexpr endpoint otherEntry{.ip = 0x0a010002, .port = 7000};
 constexpr endpoint otherCaller{.ip = 0x64400001, .port = 40002};
 
 // A process whose target holds one flow is told to stop; `start` begins its next start.
@@ -48,9 +49,28 @@
         hearEntry(*restarted);
         if (!returnTable)
             return;
+        returnPages();
+        state();
+        port = {};
+    }
+    void returnPages()
+    {
         for (auto page : pages)
             restarted->onPeerBytes(now, entryAddress, page);
-        port = {};
+    }
+    // An entry replies to the request of the process.
+    void state(const std::vector<heard_start> &starts = {}, const endpoint &entry = entryAddress)
+    {
+        auto statement
+            = encodeRelayMessage(flow_table_statement{.member = "t1", .boot = 2, .starts = starts});
+        restarted->onPeerBytes(now, entry, statement);
+    }
+    void advance(std::chrono::milliseconds time)
+    {
+        for (auto left = time; left > 0ms; left -= relay_target::tickInterval) {
+            now += relay_target::tickInterval;
+            restarted->onTick(now);
+        }
     }
     void report(std::uint64_t startedMs, std::uint64_t number)
     {
@@ -115,7 +135,8 @@
     fleet.report(1, 3);
     CHECK(fleet.askFor(caller) == unknown);
     // The entry that keeps the table may have been slow.
-    fleet.restarted->onPeerBytes(fleet.now, entryAddress, fleet.pages.front());
+    fleet.returnPages();
+    fleet.state();
     CHECK(fleet.askFor(caller) == held);
     CHECK(fleet.askFor(otherCaller) == notHeld);
 }
@@ -213,8 +234,8 @@
         fleet.report(2, 1);
         CHECK(fleet.port.toCallers.empty());
     }
-    for (auto &page : fleet.pages)
-        fleet.restarted->onPeerBytes(fleet.now, entryAddress, page);
+    fleet.returnPages();
+    fleet.state();
     CHECK(fleet.port.toCallers.size() == 1);
     CHECK(fleet.askFor(caller) == notHeld);
 }
@@ -271,3 +292,88 @@
     fleet.restarted->onPeerBytes(fleet.now, entryAddress, fleet.pages.front());
     CHECK(fleet.askFor(caller) == held);
 }
+
+TEST_CASE("target process: a table is no proof after a start that may have opened flows")
+{
+    restart_fixture fleet;
+    fleet.start(false);
+    const heard_start between{.boot = 9, .firstHeardMs = 500, .lastHeardMs = 100};
+    const heard_start sender{.boot = 1, .firstHeardMs = 9000, .lastHeardMs = 700};
+    SECTION("the entry that returns the table has not heard of it")
+    {
+        fleet.returnPages();
+        fleet.state({between, sender});
+        CHECK(fleet.askFor(otherCaller) == unknown);
+    }
+    SECTION("a statement arrives after others were not waited for any longer")
+    {
+        fleet.returnPages();
+        fleet.advance(300ms);
+        CHECK(fleet.askFor(otherCaller) == notHeld);
+        fleet.state({between}, otherEntry);
+        CHECK(fleet.askFor(otherCaller) == unknown);
+    }
+    SECTION("it stated that it accepted no opening")
+    {
+        fleet.returnPages();
+        auto unused = between;
+        unused.unused = true;
+        fleet.state({unused});
+        CHECK(fleet.askFor(otherCaller) == notHeld);
+    }
+    CHECK(fleet.askFor(caller) == held);
+}
+
+TEST_CASE("target process: a table is no proof until its keepers have stated the later starts")
+{
+    restart_fixture fleet;
+    fleet.start(false);
+    fleet.returnPages();
+    CHECK(fleet.askFor(caller) == held);
+    CHECK(fleet.askFor(otherCaller) == unknown);
+    SECTION("all have")
+    {
+        fleet.state();
+        CHECK(fleet.askFor(otherCaller) == notHeld);
+    }
+    SECTION("a silent one may have stopped")
+    {
+        fleet.advance(300ms);
+        CHECK_FALSE(fleet.takeMessages<flow_table_request>(entryAddress).empty());
+        CHECK(fleet.askFor(otherCaller) == notHeld);
+    }
+}
+
+TEST_CASE("target process: a start that stops before it has the table leaves that in use")
+{
+    restart_fixture fleet;
+    fleet.start(false);
+    const auto messagesOfStop = [&] {
+        fleet.port = {};
+        fleet.restarted->startLeaving(fleet.now);
+        const auto all = fleet.port;
+        const auto unused = fleet.takeMessages<unused_start>(entryAddress).size();
+        fleet.port = all;
+        return std::pair(unused, fleet.takeMessages<flow_table_page>(entryAddress).size());
+    };
+    SECTION("without flows")
+    {
+        CHECK(messagesOfStop() == std::pair<std::size_t, std::size_t>(1, 0));
+    }
+    SECTION("an opening was accepted")
+    {
+        fleet.report(1, 3);
+        auto bytes = fleet.packet({.kind = relay_kind::opening,
+                                      .entry = entryAddress,
+                                      .serviceTag = serviceTagOf("main")},
+            opening);
+        fleet.restarted->onPeerBytes(fleet.now, entryAddress, bytes);
+        CHECK(messagesOfStop() == std::pair<std::size_t, std::size_t>(0, 1));
+    }
+    SECTION("the table was restored")
+    {
+        fleet.returnPages();
+        fleet.state();
+        CHECK(messagesOfStop() == std::pair<std::size_t, std::size_t>(0, 1));
+    }
+}
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -11,6 +11,7 @@
 OUTPUT = ROOT / "src" / "include" / "toucan" / "generated"
 TYPES = {
     "uint": "std::uint64_t",
+    "uints": "std::vector<std::uint64_t>",
     "bool": "bool",
     "string": "std::string",
     "bytes": "byte_buffer",
