A process knows a target's first report by its number, not by two clocks

What callers could have seen: a reset of an open flow by a process whose settings say that it is the first start of all when it is not, and whose clock is behind its target's.

Cause: the process took its flow table for complete if the target's start, by the target's clock, was at most 5 s before its own, by another one.

Change: at the first start of all, two reports of the target may have been lost before the process was up; a higher number of the first one that arrives shows that another process was there before.

The test compares starts of 1 and ms instead of ages by clock, and the numbers 1, 3, 4 and 25. The case that it replaces (number 9, started 0.3 s before the process) can only be told from a restart by the clocks, so it counts as a restart now.

--- a/src/include/toucan/relay_target.h
+++ b/src/include/toucan/relay_target.h
@@ -33,7 +33,6 @@
     double coldOvershoot = 1; ///< Factor on the cold rate that must never be exceeded.
     double coldSlack = 0; ///< Openings a second allowed on top of that factor.
     bool firstStart = false; ///< No flow was open before this start.
-    std::uint64_t startedMs = 0; ///< Start of this process, Unix milliseconds.
     std::uint64_t boot = 0; ///< Random number that identifies this start of the process.
 };
 
--- a/src/libtoucanrelay/relay_target_lifetime.cpp
+++ b/src/libtoucanrelay/relay_target_lifetime.cpp
@@ -12,8 +12,9 @@
 
 // Targets report about every 1.2 s; three reports in a row may be lost.
 constexpr auto targetSilenceLimit = 4s;
-// Milliseconds by which a target may have started before the process beside it when all VMs start.
-constexpr std::uint64_t startTolerance = 5000;
+// Reports of a target that may be lost before the process beside it is up when all VMs start: they
+// start within 0.3 s, and a report is repeated after 1 s without a reply.
+constexpr std::uint64_t maxReportsBeforeStart = 2;
 // Targets answer openings within a millisecond, also under load.
 constexpr auto openingAnswerTimeout = 80ms;
 // Interval at which an opening is tried on a target that answers none.
@@ -54,10 +55,10 @@
         recordTargetSeen(now);
     // No opening reaches a target before its first report, so no flow of it can be missing here
     // after that one. At the first start of all, reports may have been lost before this process was
-    // up; a target that is older shows that another process was there before.
+    // up; more of them show that another process was there before. Times of two clocks would not.
     if (first)
-        m_flowTableComplete = report.sequence <= 1
-            || (m_options.firstStart && report.startedMs + startTolerance >= m_options.startedMs);
+        m_flowTableComplete
+            = report.sequence <= (m_options.firstStart ? 1 + maxReportsBeforeStart : 1);
     if (outcome == liveness_outcome::new_lifetime) {
         endLifetime(now, lastSeen, "the target started anew");
         m_failures = {};
--- a/src/libtoucanrelay/relay_target_test.cpp
+++ b/src/libtoucanrelay/relay_target_test.cpp
@@ -337,14 +337,13 @@
 {
     relay_target engine;
 
-    explicit restarted_fixture(bool firstStart = false, std::uint64_t startedMs = 0)
+    explicit restarted_fixture(bool firstStart = false)
         : engine({.name = "t1",
                      .domain = "a",
                      .service = "main",
                      .peer = processAddress,
                      .seeds = {entryAddress},
-                     .firstStart = firstStart,
-                     .startedMs = startedMs},
+                     .firstStart = firstStart},
             codec, port, metrics, log, now)
     { }
 
@@ -490,19 +489,28 @@
 TEST_CASE(
     "target process: a process denies no flow of a target that has reported to an earlier one")
 {
-    constexpr std::uint64_t started = 1'000'000;
-    for (const std::uint64_t targetAge : {300, 30'000}) {
-        restarted_fixture fleet(true, started);
+    // The target's clock may be ahead or behind: its start shows nothing.
+    constexpr std::array<std::uint64_t, 2> starts{1, 4'000'000'000'000};
+    // Reports of a target that starts with the process may be lost until it is up.
+    constexpr std::array<std::uint64_t, 2> firstReports{1, 3};
+    constexpr std::array<std::uint64_t, 2> laterReports{4, 25};
+    const auto ask = [](std::uint64_t startedMs, std::uint64_t report) {
+        restarted_fixture fleet(true);
         fleet.engine.onLiveness(fleet.now,
             {.id = "i1",
                 .service = "main",
-                .startedMs = started - targetAge,
-                .sequence = 9,
+                .startedMs = startedMs,
+                .sequence = report,
                 .slots = 4});
-        // Reports of a target that starts together with the process may be lost until it is up.
-        const auto expected
-            = targetAge < 1000 ? flow_lookup_result::not_held : flow_lookup_result::unknown;
-        CHECK(fleet.askForFlow() == static_cast<std::uint64_t>(expected));
+        return fleet.askForFlow();
+    };
+    for (const auto startedMs : starts) {
+        for (const auto report : firstReports)
+            CHECK(
+                ask(startedMs, report) == static_cast<std::uint64_t>(flow_lookup_result::not_held));
+        for (const auto report : laterReports)
+            CHECK(
+                ask(startedMs, report) == static_cast<std::uint64_t>(flow_lookup_result::unknown));
     }
 }
 
--- a/src/toucantarget/target_relay_server.cpp
+++ b/src/toucantarget/target_relay_server.cpp
@@ -12,15 +12,7 @@
 constexpr auto lookupInterval = 10s;
 constexpr int badRequest = 400;
 
-std::uint64_t unixMilliseconds()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
-}
-
-relay_target_options engineOptions(
-    const target_relay_settings &settings, std::uint64_t boot, std::uint64_t startedMs)
+relay_target_options engineOptions(const target_relay_settings &settings, std::uint64_t boot)
 {
     return {.name = settings.name,
         .domain = settings.domain,
@@ -33,7 +25,6 @@
         .coldOvershoot = settings.coldOvershoot,
         .coldSlack = settings.coldSlack,
         .firstStart = settings.firstStart == "true",
-        .startedMs = startedMs,
         .boot = boot};
 }
 
@@ -42,9 +33,8 @@
 target_relay_server::target_relay_server(
     const target_relay_settings &settings, std::string fileName, const platform_adapter &adapter)
     : relay_program(settings, std::move(fileName), adapter, "target")
-    , m_startedMs(unixMilliseconds())
-    , m_engine(engineOptions(settings, m_boot, m_startedMs), adapter.segments, *this, m_metrics,
-          m_log, monotonicNow())
+    , m_engine(engineOptions(settings, m_boot), adapter.segments, *this, m_metrics, m_log,
+          monotonicNow())
     , m_service(settings.service)
     , m_target(settings.target)
 { }
@@ -120,7 +110,7 @@
             reportReadyOnce(now);
         lookUpEntries(now);
         if (reloadSettings(now))
-            m_engine.setOptions(engineOptions(m_settings, m_boot, m_startedMs));
+            m_engine.setOptions(engineOptions(m_settings, m_boot));
         if (node::stopRequested() && !leavingSince) {
             leavingSince = now;
             m_engine.startLeaving(now);
--- a/src/toucantarget/target_relay_server.h
+++ b/src/toucantarget/target_relay_server.h
@@ -32,7 +32,6 @@
     void handle(instant now, const status_request &event);
 
     std::optional<udp_socket> m_outboundSocket;
-    const std::uint64_t m_startedMs; ///< Unix milliseconds.
     relay_target m_engine;
     // Read by the thread that answers requests; the settings may change meanwhile.
     const std::string m_service;
