--- a/src/include/toucan/flow_table_proof.h
+++ b/src/include/toucan/flow_table_proof.h
@@ -21,22 +21,31 @@
 public:
     /// Sets the table by its first page.
     void setTable(const flow_table_page &firstPage);
-    /// Takes an entry's statement, instead of an earlier one of it.
-    void add(const endpoint &entry, const flow_table_statement &statement);
+    /// Takes an entry's statement. It adds to earlier ones: an entry forgets starts after a time,
+    /// or all of them when it is started again.
+    void add(instant now, const endpoint &entry, const flow_table_statement &statement);
     /// Keepers of the table and other entries in `expected` that have made no statement.
     std::vector<endpoint> missing(std::span<const endpoint> expected) const;
     /// A start after the one that sent the table that may have opened flows.
     std::optional<std::uint64_t> startBetween() const;
     /// Number of entries that have made a statement.
-    std::size_t statements() const { return m_starts.size(); }
+    std::size_t statements() const { return m_statements.size(); }
 
 private:
-    bool mayFollowTable(std::span<const heard_start> heard, const heard_start &item) const;
+    /// A start as one entry has heard it, by the clock of this process.
+    struct start
+    {
+        std::uint64_t boot = 0;
+        instant firstHeard{};
+        instant lastHeard{};
+    };
+
+    bool mayFollowTable(std::span<const start> heard, const start &item) const;
 
     std::uint64_t m_table = 0; ///< Start that sent the table; 0 when there is none.
     std::vector<endpoint> m_keepers;
     std::set<std::uint64_t> m_included; ///< Starts whose flows are in the table.
-    std::map<endpoint, std::vector<heard_start>> m_starts; ///< By entry.
+    std::map<endpoint, std::vector<start>> m_statements; ///< By entry.
     std::set<std::uint64_t> m_unused; ///< Starts that accepted no opening.
 };
 
--- a/src/include/toucan/relay_target.h
+++ b/src/include/toucan/relay_target.h
@@ -261,7 +261,7 @@
     std::optional<flow_table_page> m_restoredPage; ///< First page of the table that was restored.
     instant m_restoredAt{};
     flow_table_proof m_tableProof; ///< That no start came after the one that sent the table.
-    bool m_isTableConfirmed = false; ///< The statements so far show that.
+    bool m_isTableConfirmed = false; ///< The restored table counts as proof.
     std::size_t m_acceptedOpenings = 0;
     bool m_recoveryEnded; ///< Nothing is expected from entries any more.
     instant m_nextTableRequest{};
--- a/src/libtoucanrelay/flow_table_proof_test.cpp
+++ b/src/libtoucanrelay/flow_table_proof_test.cpp
@@ -2,9 +2,11 @@
 #include <toucan/flow_table_proof.h>
 
 using namespace toucan;
+using namespace std::chrono_literals;
 
 namespace {
 
+constexpr instant now = 1000s;
 constexpr endpoint first{.ip = 0x0a010001, .port = 7000};
 constexpr endpoint second{.ip = 0x0a010002, .port = 7000};
 constexpr endpoint third{.ip = 0x0a010003, .port = 7000};
@@ -28,10 +30,10 @@
 TEST_CASE("flow table proof: keepers and other entries that were asked have to state")
 {
     auto proof = proofOf();
-    proof.add(first, statementOf({}));
+    proof.add(now, first, statementOf({}));
     CHECK(proof.missing({}) == std::vector{second});
     CHECK(proof.missing(std::vector{first, third}) == std::vector{second, third});
-    proof.add(second, statementOf({sender}));
+    proof.add(now, second, statementOf({sender}));
     CHECK(proof.missing({}).empty());
     CHECK(proof.statements() == 2);
 }
@@ -40,8 +42,8 @@
 {
     const auto startBetween = [](const heard_start &item, bool hearsSender) {
         auto proof = proofOf();
-        proof.add(first, statementOf({}));
-        proof.add(second, hearsSender ? statementOf({sender, item}) : statementOf({item}));
+        proof.add(now, first, statementOf({}));
+        proof.add(now, second, hearsSender ? statementOf({sender, item}) : statementOf({item}));
         return proof.startBetween();
     };
     CHECK(startBetween({.boot = 2, .firstHeardMs = 900, .lastHeardMs = 100}, true) == 2);
@@ -56,10 +58,19 @@
 {
     const heard_start between{.boot = 2, .firstHeardMs = 900, .lastHeardMs = 100};
     auto proof = proofOf({7});
-    proof.add(first, statementOf({sender, between}));
+    proof.add(now, first, statementOf({sender, between}));
     CHECK(proof.startBetween() == 2);
     auto unused = between;
     unused.unused = true;
-    proof.add(second, statementOf({unused, {.boot = 7, .firstHeardMs = 9000}}));
+    proof.add(now, second, statementOf({unused, {.boot = 7, .firstHeardMs = 9000}}));
     CHECK_FALSE(proof.startBetween());
 }
+
+TEST_CASE("flow table proof: a start that an entry forgets has been heard nevertheless")
+{
+    const heard_start between{.boot = 2, .firstHeardMs = 900, .lastHeardMs = 100};
+    auto proof = proofOf();
+    proof.add(now, first, statementOf({sender, between}));
+    proof.add(now + 15s, first, statementOf({}));
+    CHECK(proof.startBetween() == 2);
+}
--- a/src/libtoucanrelay/relay_target_recovery.cpp
+++ b/src/libtoucanrelay/relay_target_recovery.cpp
@@ -27,6 +27,11 @@
 // A page fits a datagram.
 constexpr std::size_t maxFlowsPerPage = 32;
 
+std::string outcomeOf(const std::optional<std::uint64_t> &between)
+{
+    return between ? "not used: start " + std::to_string(*between) + " came after it" : "confirmed";
+}
+
 } // namespace
 
 // Entries of a failure domain, or of all others when `domain` is empty, in an order that is the
@@ -228,10 +233,13 @@
 
 void relay_target::handle(instant now, const endpoint &from, const flow_table_statement &message)
 {
-    if (m_recoveryEnded || message.member != m_options.name || message.boot != m_options.boot)
+    if (message.member != m_options.name || message.boot != m_options.boot)
         return;
-    m_tableProof.add(from, message);
+    m_tableProof.add(now, from, message);
     judgeRestoredTable(now);
+    const auto between = m_tableProof.startBetween();
+    if (m_recoveryEnded && between && std::exchange(m_isTableConfirmed, false))
+        endRecovery(now, outcomeOf(between));
 }
 
 void relay_target::handle(instant now, const endpoint &, const flow_table_page &message)
@@ -280,6 +288,7 @@
                 std::chrono::duration_cast<std::chrono::milliseconds>(now - m_started).count())});
     m_restoredPage = first;
     m_restoredAt = now;
+    m_isTableConfirmed = false;
     m_tableProof.setTable(first);
     judgeRestoredTable(now);
 }
@@ -298,9 +307,7 @@
     // A complete table may still be on its way.
     const bool isAwaited = !m_restoredPage->complete && now - m_restoredAt < statementTimeout;
     if (isComplete && !isAwaited)
-        endRecovery(now,
-            between ? "not used: start " + std::to_string(*between) + " came after it"
-                    : "confirmed");
+        endRecovery(now, outcomeOf(between));
 }
 
 void relay_target::restoreFlow(instant now, const tracked_flow &record)
