A flow table is a notice of the stop of its process

Cause, traced in the emulator's logs: the process counts as gone after 4 s of silence unless it is known to have stopped as planned, which is known from its reports alone. Entries of other domains had the table of the process, which only one that stops sends, and did not take it for a sign of the stop.

Change: the complete receipt of a table marks the member as stopped as planned; digests pass that on. A start that stops does not go on, so later news of those that missed it do not take the mark back.

"... while its entry was down" passes now.

--- a/src/include/toucan/relay_members.h
+++ b/src/include/toucan/relay_members.h
@@ -109,6 +109,10 @@
     /// here.
     std::optional<member_change> apply(
         instant now, std::string_view domain, const member_state &state, bool isReachable = true);
+    /// Records that the process at `from` stops as planned beside a target that may hold flows, as
+    /// the flow table of its start `boot` shows; returns the change.
+    std::optional<member_change> recordStopped(
+        instant now, const endpoint &from, const std::string &name, std::uint64_t boot);
     /// Records that a digest of the domain was received.
     void recordDomainSeen(instant now, std::string_view domain);
     /// Records that another entry's digest confirms the states of a domain's members.
--- a/src/libtoucanlab/relay_flow_table_test.cpp
+++ b/src/libtoucanlab/relay_flow_table_test.cpp
@@ -44,6 +44,47 @@
         [&](std::size_t sum, std::size_t flow) { return sum + fleet.strayedSegments(flow); });
 }
 
+// The only entry of the process's domain misses the notice; flows are asked for through it from
+// `quiet` after the stop.
+void checkMissedNotice(void (*miss)(relay_fleet &), void (*resume)(relay_fleet &),
+    std::chrono::milliseconds quiet, std::uint64_t seed)
+{
+    auto fleet = makeFleet({.entries = 3, .targets = 6, .seed = seed});
+    fleet.run(3s);
+    for (std::size_t target = 0; target < 6; ++target) {
+        if (target != 2)
+            fleet.drainTarget(target);
+    }
+    fleet.run(1500ms);
+    fleet.useEntries({0, 1});
+    std::vector<std::size_t> flows(10);
+    std::ranges::generate(flows, [&] {
+        fleet.run(5ms);
+        return fleet.openFlow();
+    });
+    fleet.run(500ms);
+    miss(fleet);
+    fleet.run(200ms);
+    fleet.leaveProcess(2);
+    fleet.run(300ms);
+    resume(fleet);
+    fleet.useEntries({2});
+    fleet.run(quiet - 300ms);
+    // The process is away for 12 s, less than plannedStopTime.
+    for (auto time = quiet; time < 12s; time += 500ms) {
+        std::ranges::for_each(flows, [&](std::size_t flow) { fleet.request(flow); });
+        fleet.run(500ms);
+    }
+    INFO("seed " << seed << ", quiet for " << quiet.count() << " ms");
+    CHECK(fleet.outcome().opened == flows.size());
+    CHECK(std::ranges::all_of(
+        flows, [&](std::size_t flow) { return fleet.holder(flow) == std::size_t{2}; }));
+    CHECK(fleet.outcome().resetOpen == 0);
+    fleet.startProcess(2);
+    fleet.run(2s);
+    CHECK(fleet.violations().empty());
+}
+
 } // namespace
 
 TEST_CASE("relay: flows of a start that left no table are not reset on the word of an older table")
@@ -117,3 +158,21 @@
         }
     }
 }
+
+TEST_CASE("relay: no flow is reset whose process stopped for 12 s while its entry was down")
+{
+    for (const auto quiet : {500ms, 4500ms}) {
+        for (std::uint64_t seed = 1; seed <= 3; ++seed)
+            checkMissedNotice([](relay_fleet &fleet) { fleet.killEntry(2); },
+                [](relay_fleet &fleet) { fleet.startEntry(2); }, quiet, seed);
+    }
+}
+
+TEST_CASE("relay: no flow is reset whose process stopped for 12 s while its entry was paused")
+{
+    for (const auto quiet : {500ms, 4500ms}) {
+        for (std::uint64_t seed = 1; seed <= 3; ++seed)
+            checkMissedNotice([](relay_fleet &fleet) { fleet.pauseEntry(2, 500ms); },
+                [](relay_fleet &) {}, quiet, seed);
+    }
+}
--- a/src/libtoucanrelay/relay_entry_peers.cpp
+++ b/src/libtoucanrelay/relay_entry_peers.cpp
@@ -78,8 +78,13 @@
 
 void relay_entry::handle(instant now, const endpoint &from, const flow_table_page &message)
 {
-    if (const auto table = m_flowTables.keep(now, from, message))
-        logFlowTable(now, *table, "kept");
+    const auto table = m_flowTables.keep(now, from, message);
+    if (!table)
+        return;
+    logFlowTable(now, *table, "kept");
+    // The notice of the stop may have been lost.
+    if (const auto change = m_members.recordStopped(now, from, table->member, table->boot))
+        handleMemberChanges(now, std::span(&*change, 1));
 }
 
 void relay_entry::handle(instant now, const endpoint &from, const flow_table_request &message)
--- a/src/libtoucanrelay/relay_members.cpp
+++ b/src/libtoucanrelay/relay_members.cpp
@@ -167,7 +167,8 @@
     instant now, const endpoint &from, const target_report &report)
 {
     auto *item = findOrAdd(from, report.member);
-    if (item->reportedAt != instant{} && item->boot == report.boot && report.order <= item->order)
+    const bool isSame = item->reportedAt != instant{} && item->boot == report.boot;
+    if (isSame && (report.order <= item->order || (item->leaving && !report.leaving)))
         return std::nullopt;
     auto before = std::string(stateNameOf(*item));
     const auto previous = notableState(*item);
@@ -199,6 +200,9 @@
         return std::nullopt;
     if (same && state.order == known->order && known->isReportingDirectly(now) && !known->lost)
         return std::nullopt;
+    // A start that stops does not go on; the sender has not heard of it.
+    if (same && known->leaving && !state.leaving)
+        return std::nullopt;
     // The state is older than the newest one of the VM at another address.
     const auto *elsewhere = known ? nullptr : find(state.name);
     if (elsewhere && elsewhere->lastSeen > lastSeen)
@@ -225,6 +229,23 @@
     return changeOf(*item, std::move(before), previous);
 }
 
+std::optional<member_change> member_table::recordStopped(
+    instant now, const endpoint &from, const std::string &name, std::uint64_t boot)
+{
+    auto *item = at(from);
+    if (!item || item->name != name || item->boot != boot || item->leaving)
+        return std::nullopt;
+    auto before = std::string(stateNameOf(*item));
+    const auto previous = notableState(*item);
+    item->leaving = true;
+    item->lost = true;
+    item->flows = std::max<std::uint64_t>(item->flows, 1);
+    item->lastSeen = now;
+    item->changedAt = now;
+    recordChange(now, *item, previous);
+    return changeOf(*item, std::move(before), previous);
+}
+
 void member_table::recordDomainSeen(instant now, std::string_view domain)
 {
     forEach([&](relay_member &item) {
