--- a/src/libtoucanrelay/flow_table_proof.cpp
+++ b/src/libtoucanrelay/flow_table_proof.cpp
@@ -51,7 +51,8 @@
 
 std::optional<std::uint64_t> flow_table_proof::startBetween() const
 {
-    for (const auto &[entry, heard] : m_statements) {
+    for (const auto &statement : m_statements) {
+        const auto &heard = statement.second;
         const auto found = std::ranges::find_if(
             heard, [&](const start &item) { return mayFollowTable(heard, item); });
         if (found != heard.end())
