News of a planned stop counts whatever the order of its report

Cause: "A flow table is a notice of the stop of its process" marks the member at the entries that have the table. The paused entry had heard a newer report of the process than they had, so it dropped their state as older, while their statement on the domain counted; the flows were reset sooner than before.

Change: a stop ends a start, so news of it is newer than any report of that start.

--- a/src/libtoucanrelay/relay_members.cpp
+++ b/src/libtoucanrelay/relay_members.cpp
@@ -196,7 +196,9 @@
     const bool same = known && known->name == state.name && known->boot == state.boot;
     if (same && !state.lost && !state.leaving)
         known->confirmedAt = std::max(known->confirmedAt, lastSeen);
-    if (same ? state.order < known->order : known && known->lastSeen > lastSeen)
+    // A stop ends a start, so news of it is newer than any report of that start.
+    const bool isStopNews = same && state.leaving && !known->leaving;
+    if (!isStopNews && (same ? state.order < known->order : known && known->lastSeen > lastSeen))
         return std::nullopt;
     if (same && state.order == known->order && known->isReportingDirectly(now) && !known->lost)
         return std::nullopt;
