--- a/src/libtoucanrelay/relay_entry_search_test.cpp
+++ b/src/libtoucanrelay/relay_entry_search_test.cpp
@@ -74,6 +74,8 @@
     auto request = encodeRelayMessage(flow_table_request{.member = "t1", .boot = 2});
     fleet.engine.onPeerBytes(fleet.now, processAddress, request);
     CHECK(fleet.port.messagesTo<flow_table_page>(processAddress).size() == 1);
+    CHECK(fleet.port.messagesTo<flow_table_statement>(processAddress).size() == 1);
+    CHECK(fleet.port.toPeers.size() == 2);
     // The one after that may lack flows of the start between.
     fleet.port = {};
     request = encodeRelayMessage(flow_table_request{.member = "t1", .boot = 3});
