Routes carry priority, time limit and kind; entries know the rate of their link

Openings carry priority and time limit to target processes. Setting link.rate (Mbit/s) of entries. Nothing decides by them yet.

--- a/src/include/toucan/relay_config.h
+++ b/src/include/toucan/relay_config.h
@@ -21,6 +21,15 @@
     std::uint64_t weight = 1;
 };
 
+/// What the requests of a route are, as far as it matters to how they are carried.
+enum class request_kind : std::uint8_t {
+    unknown, ///< Not stated.
+    idempotent, ///< Short requests that callers may repeat.
+    non_idempotent, ///< Short requests that may run once at most.
+    download, ///< Answers of many segments.
+    upload, ///< Requests of many segments, which all pass through the entries.
+};
+
 /// Rule that assigns the new flows of one service address to services.
 struct route_rule
 {
@@ -28,6 +37,9 @@
     endpoint address;
     std::vector<route_share> shares; ///< At least one.
     std::chrono::milliseconds objective{0}; ///< Time within which to answer callers; 0: not set.
+    std::chrono::milliseconds timeLimit{0}; ///< Time after which callers give up; 0: not set.
+    std::uint64_t priority = 0; ///< 0 is the most urgent.
+    request_kind kind = request_kind::unknown;
 
     /// The service that a flow with this hash belongs to.
     const std::string &serviceFor(std::uint64_t flowHash) const;
--- a/src/include/toucan/relay_entry.h
+++ b/src/include/toucan/relay_entry.h
@@ -35,6 +35,7 @@
     std::vector<std::string> domains; ///< All failure domains; empty: those of known entries.
     std::chrono::milliseconds flowLifetime{60000}; ///< Idle time after which a flow is removed.
     std::chrono::milliseconds grace{6000}; ///< Time between a stop signal and the kill.
+    double linkRate = 0; ///< Rate of the VM's network link, Mbit/s each way; 0: not limited.
     placement_policy place = placeByLoad; ///< How candidates for an opening are chosen.
     std::uint64_t boot = 0; ///< Random number of this start.
 };
--- a/src/include/toucan/relay_packet.h
+++ b/src/include/toucan/relay_packet.h
@@ -34,6 +34,8 @@
     bool inconclusive = false; ///< A target asked before did not answer whether it holds the flow.
     std::uint64_t ageMs = 0; ///< Age of the caller's attempt to open the flow.
     std::uint64_t objectiveMs = 0; ///< Time within which to answer callers; 0 when unknown.
+    std::uint64_t timeLimitMs = 0; ///< Time after which callers give up; 0 when unknown.
+    std::uint64_t priority = 0; ///< Of the flow's route; 0 is the most urgent.
     std::uint64_t shortestWaitMs = 0; ///< Shortest wait at the candidates that were busy.
     endpoint shortestWaitAt; ///< The candidate with that wait; empty before the first busy one.
     candidate_list candidates; ///< Target processes to pass the packet on to, in this order.
@@ -50,7 +52,7 @@
 std::uint64_t serviceTagOf(std::string_view service);
 
 /// Maximum length of an encoded relay header, bytes.
-inline constexpr std::size_t maxRelayHeaderBytes = 160;
+inline constexpr std::size_t maxRelayHeaderBytes = 184;
 
 /// True when a datagram starts like a forwarded segment rather than a message.
 bool isRelayPacket(byte_view datagram);
--- a/src/libtoucanrelay/relay_decisions_test.cpp
+++ b/src/libtoucanrelay/relay_decisions_test.cpp
@@ -250,6 +250,8 @@
         .search = 3,
         .ageMs = 210,
         .objectiveMs = 150,
+        .timeLimitMs = 2500,
+        .priority = 2,
         .shortestWaitMs = 70,
         .shortestWaitAt = {.ip = 0x0a020009, .port = 7000}};
     for (std::uint32_t i = 0; i < maxHeaderCandidates; ++i)
@@ -267,6 +269,8 @@
     CHECK(packet->header.search == header.search);
     CHECK(packet->header.ageMs == header.ageMs);
     CHECK(packet->header.objectiveMs == header.objectiveMs);
+    CHECK(packet->header.timeLimitMs == header.timeLimitMs);
+    CHECK(packet->header.priority == header.priority);
     CHECK(packet->header.shortestWaitMs == header.shortestWaitMs);
     CHECK(packet->header.shortestWaitAt == header.shortestWaitAt);
     CHECK(packet->header.candidates == header.candidates);
--- a/src/libtoucanrelay/relay_entry.cpp
+++ b/src/libtoucanrelay/relay_entry.cpp
@@ -196,6 +196,8 @@
     header.ageMs = static_cast<std::uint64_t>(
         duration_cast<milliseconds>(std::max(now - cached.startedAt, instant{})).count());
     header.objectiveMs = static_cast<std::uint64_t>(route.objective.count());
+    header.timeLimitMs = static_cast<std::uint64_t>(route.timeLimit.count());
+    header.priority = route.priority;
     return header;
 }
 
--- a/src/libtoucanrelay/relay_packet.cpp
+++ b/src/libtoucanrelay/relay_packet.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // A header is a flat CBOR array of numbers: the fixed fields, then the candidates.
-constexpr std::size_t fixedFields = 10;
+constexpr std::size_t fixedFields = 12;
 constexpr std::size_t maxFields = fixedFields + maxHeaderCandidates;
 constexpr std::uint8_t cborArrayBase = 0x80;
 constexpr std::uint64_t serviceTagMask = 0xffffffff;
@@ -71,6 +71,8 @@
     append(header.inconclusive ? 1 : 0);
     append(header.ageMs);
     append(header.objectiveMs);
+    append(header.timeLimitMs);
+    append(header.priority);
     append(header.shortestWaitMs);
     append(packEndpoint(header.shortestWaitAt));
     for (const auto &candidate : header.candidates)
@@ -105,8 +107,10 @@
                             .inconclusive = numbers[5] != 0,
                             .ageMs = numbers[6],
                             .objectiveMs = numbers[7],
-                            .shortestWaitMs = numbers[8],
-                            .shortestWaitAt = unpackEndpoint(numbers[9])},
+                            .timeLimitMs = numbers[8],
+                            .priority = numbers[9],
+                            .shortestWaitMs = numbers[10],
+                            .shortestWaitAt = unpackEndpoint(numbers[11])},
         .bytes = datagram.subspan(offset)};
     for (std::size_t i = fixedFields; i < numbers.size(); ++i)
         packet.header.candidates.push_back(unpackEndpoint(numbers[i]));
--- a/src/toucanbridge/entry_relay_server.cpp
+++ b/src/toucanbridge/entry_relay_server.cpp
@@ -23,6 +23,7 @@
         .domains = settings.domains,
         .flowLifetime = settings.flowLifetime,
         .grace = settings.grace,
+        .linkRate = settings.linkRate,
         .place = placementNamed(settings.placement),
         .boot = boot};
 }
