`record check`: a configuration of relayed services is checked before it is sent

Operators asked for it: errors, entries that never match, limits that contradict each other, and what differs from the version in force. Change: config_check (pure functions) compares routes, services and the idle time; `toucanbridge record check FILE [FILE_IN_FORCE]` prints a line a finding.

--- a/src/include/toucan/relay_config.h
+++ b/src/include/toucan/relay_config.h
@@ -61,6 +61,7 @@
     std::string text; ///< Original text, for transfer to peers.
     std::vector<route_rule> routes;
     std::vector<service_rule> services;
+    std::chrono::milliseconds idleTimeout{0}; ///< Idle flows may be dropped after it; 0: not set.
     std::vector<std::string> faults; ///< Parts that could not be read, and why.
     std::unordered_map<endpoint, std::size_t> routeIndex; ///< Position in routes by address.
 
--- a/src/toucanbridge/commands.h
+++ b/src/toucanbridge/commands.h
@@ -27,6 +27,11 @@
 /// Runs `record put|withdraw|show ...`. Returns the exit status.
 int runRecordCommand(std::span<const std::string> words, const command_options &options);
 
+/// Runs `record check FILE [FILE_IN_FORCE]`: checks a configuration of relayed services before it
+/// is sent, and lists what it changes. Without a second file the one in force is read from the
+/// platform. Returns the exit status: 0 without faults, that of invalid_record with some.
+int checkRecord(std::span<const std::string> words, const command_options &options);
+
 /// Runs `status`. Returns the exit status.
 int runStatusCommand(const command_options &options);
 
--- a/src/toucanbridge/main.cpp
+++ b/src/toucanbridge/main.cpp
@@ -90,6 +90,8 @@
                 + "\n"
                   "  record withdraw KIND NAME              withdraw a record\n"
                   "  record show [KIND [NAME]]              read records\n"
+                  "  record check FILE [FILE_IN_FORCE]      check a configuration of relay before "
+                  "it is sent\n"
                   "  status [--relay]                       version in force, lagging processes\n"
                   "  explain CALLER [FILE ...]              a flow's path and end, from the logs "
                   "of\n"
--- a/src/toucanbridge/record_command.cpp
+++ b/src/toucanbridge/record_command.cpp
@@ -106,6 +106,7 @@
     subcommand{"put", "record put KIND NAME [FIELD=VALUE ...]", put},
     subcommand{"withdraw", "record withdraw KIND NAME", withdraw},
     subcommand{"show", "record show [KIND [NAME]]", show},
+    subcommand{"check", "record check FILE [FILE_IN_FORCE]", checkRecord},
 };
 
 } // namespace
--- a/testsuite/relay_program_test.cpp
+++ b/testsuite/relay_program_test.cpp
@@ -68,6 +68,7 @@
 
     platform_stand_in &store() { return *m_store; }
     child_process &process(const std::string &name) { return *m_processes.at(name); }
+    const std::filesystem::path &directory() const { return m_directory; }
     std::filesystem::path settingsFile(const std::string &name) const
     {
         return m_directory / (name + ".ini");
@@ -240,6 +241,34 @@
     CHECK(deployment.run(command).status != 0);
 }
 
+TEST_CASE("relay: a configuration is checked before it is sent")
+{
+    relay_deployment deployment;
+    deployment.publishConfig(2);
+    const auto route = [](std::string_view port, std::string_view fields) {
+        return R"({"name":"r)" + std::string(port) + R"(","host":"198.18.0.1","pathPrefix":"/)"
+            + std::string(port) + R"(/","service":"first")" + std::string(fields) + '}';
+    };
+    const auto check = [&](int version, const std::string &routes) {
+        const auto name = deployment.directory() / "config.json";
+        std::ofstream(name) << R"({"version":)" << version << R"(,"routes":[)" << routes
+                            << R"(],"services":[{"name":"first","maxConns":20,"warmupPerS":1}]})";
+        return deployment.run({"record", "check", name.string()});
+    };
+    const auto good = check(3, route("443", "") + ',' + route("444", ""));
+    INFO(good.output);
+    CHECK(good.status == 0);
+    CHECK(good.output.find("changes: route r444: added") != std::string::npos);
+    const auto old = check(2, route("443", ""));
+    CHECK(old.status == errorInfo(error_kind::invalid_record).exitCode);
+    CHECK(old.output.find("is not higher than version 2") != std::string::npos);
+    const auto late = check(3, route("443", R"(,"sloMs":400,"timeoutMs":300)"));
+    CHECK(late.status == errorInfo(error_kind::invalid_record).exitCode);
+    deployment.store().setFaults({.down = true});
+    CHECK(
+        check(3, route("443", "")).status == errorInfo(error_kind::platform_unavailable).exitCode);
+}
+
 TEST_CASE("relay: both programs log when they are ready and how long it took")
 {
     relay_deployment deployment;
