--- a/src/include/toucan/digest_book.h
+++ b/src/include/toucan/digest_book.h
@@ -77,6 +77,8 @@
     bool hasForeignStatementSince(std::string_view domain, instant since) const;
     /// Time of the newest statement; nullopt when there is none.
     std::optional<instant> statementAt(std::string_view domain) const;
+    /// Time of the newest statement of one of the domain's own entries; nullopt when there is none.
+    std::optional<instant> ownStatementAt(std::string_view domain) const;
     /// True when an entry of `witness`, asked at `since` or later, had not heard the domain for
     /// member_table::goneAfter.
     bool isUnheardSince(std::string_view domain, const std::string &witness, instant since) const;
--- a/src/include/toucan/relay_entry.h
+++ b/src/include/toucan/relay_entry.h
@@ -51,6 +51,7 @@
     std::size_t withoutTarget = 0; ///< No answer; last reported that no target runs there.
     std::string missing; ///< Name of a member without any of these.
     std::set<std::string> unheard; ///< Domains of silent members that others may have heard.
+    bool isQuestionDue = false; ///< A silent member has to be asked itself, or once more.
 };
 
 /// The engine of one relaying entry.
@@ -115,6 +116,7 @@
         bool inconclusive = false; ///< A target of the chain gave no reply.
         bool segmentSent = false; ///< The segment was sent to it, to ask its target.
         bool segmentReturned = false; ///< `notHeld` is the answer to a segment, not to a question.
+        std::optional<instant> questionedAt; ///< First question that it left unanswered.
     };
 
     /// Stage of a search.
@@ -185,6 +187,8 @@
     void advanceSearch(instant now, cached_flow &cached);
     void advanceSearchOnTick(instant now, cached_flow &cached, question_batch &batch);
     void queueQuestions(instant now, cached_flow &cached, question_batch &batch);
+    void askAgain(instant now, cached_flow &cached);
+    void addSilentMembers(instant now, search_progress &progress) const;
     void sendQuestions(const question_batch &batch);
     void adoptOwner(instant now, const flow_key &flow, cached_flow &cached, const endpoint &owner,
         bool hasSegment);
@@ -195,7 +199,8 @@
     void retryInconclusiveSearches(instant now);
     std::vector<relay_member *> fullSearchOrder(
         instant now, const route_rule &route, const flow_key &flow) const;
-    bool isSilenceConclusive(const relay_member &item, instant limit, instant now) const;
+    bool isStatedGone(const relay_member &item, instant now) const;
+    bool isUnheardElsewhere(const relay_member &item, instant now) const;
     std::string inconclusiveReason(instant now, const search_progress &progress) const;
     search_evidence evidenceOf(instant now, const search_progress &progress) const;
     void addEvidence(instant now, const relay_member &item, const searched_member *asked,
--- a/src/include/toucan/relay_members.h
+++ b/src/include/toucan/relay_members.h
@@ -60,6 +60,8 @@
     /// True while its process is stopped as planned and may start again beside its target, which
     /// holds flows.
     bool isRestarting(instant now) const;
+    /// Time from which on its silence may show that it is gone.
+    instant goneAt() const;
     /// True when no target runs there, so that no flow can be open there.
     bool holdsNoFlows() const { return standing == target_standing::gone && flows == 0; }
     /// True when it is not lost and no opening to it is unanswered.
--- a/src/include/toucan/relay_target.h
+++ b/src/include/toucan/relay_target.h
@@ -213,6 +213,8 @@
     void restoreFlowTable(instant now);
     void restoreFlow(instant now, const tracked_flow &record);
     std::vector<endpoint> reportRecipients(instant now) const;
+    std::vector<endpoint> substitutesAmong(
+        instant now, std::vector<endpoint> entries, std::size_t homeEntries) const;
     void sendReports(instant now, bool atOnce);
     void sendStopNotice(instant now);
     void logOpening(instant now, const segment &head, std::string_view outcome);
--- a/src/libtoucanlab/relay_fleet_test.cpp
+++ b/src/libtoucanlab/relay_fleet_test.cpp
@@ -195,6 +195,33 @@
     }
 }
 
+// Target processes outlive the entries that they report to, and may report to others that are down.
+TEST_CASE("relay: flows of a domain whose entries and substitutes all lost power are not reset")
+{
+    const std::set<std::size_t> entriesOfC{2, 5, 8, 11, 14};
+    for (const auto pause : {2500ms, 4300ms}) {
+        for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+            auto fleet = makeFleet({.entries = 15, .targets = 30, .seed = seed});
+            fleet.run(6s);
+            fleet.useEntries(entriesOfC);
+            const auto flows = openFlows(fleet, 100);
+            fleet.run(1s);
+            // One entry of each other domain stays.
+            for (std::size_t entry = 2; entry < fleet.entryCount(); ++entry)
+                fleet.killEntry(entry);
+            fleet.useEntries({0});
+            fleet.run(pause);
+            for (const auto flow : flows)
+                fleet.request(flow);
+            fleet.run(5s);
+            INFO("seed " << seed << ", asked for after " << pause.count() << " ms");
+            CHECK(countAnswered(fleet, flows) == flows.size());
+            CHECK(countReset(fleet, flows) == 0);
+            CHECK(listOf(fleet.violations()).empty());
+        }
+    }
+}
+
 TEST_CASE("relay: an entry that joins a fleet of 150 targets resets no open flow")
 {
     for (std::uint64_t seed = 1; seed <= 3; ++seed) {
--- a/src/libtoucanrelay/digest_book.cpp
+++ b/src/libtoucanrelay/digest_book.cpp
@@ -254,6 +254,12 @@
         : std::max(found->second.ownStatementAt, found->second.otherStatementAt);
 }
 
+std::optional<instant> digest_book::ownStatementAt(std::string_view domain) const
+{
+    const auto found = m_views.find(domain);
+    return found == m_views.end() ? std::nullopt : found->second.ownStatementAt;
+}
+
 bool digest_book::isUnheardSince(
     std::string_view domain, const std::string &witness, instant since) const
 {
--- a/src/libtoucanrelay/relay_entry_digests.cpp
+++ b/src/libtoucanrelay/relay_entry_digests.cpp
@@ -316,13 +316,19 @@
     return domain == m_options.domain ? isOwnDomainComplete(now) : m_digests.isComplete(domain);
 }
 
-// True when silence of the member for `limit` shows that it is gone: other entries have stated
-// after that time which members are in use, or there are none to ask.
-bool relay_entry::isSilenceConclusive(const relay_member &item, instant limit, instant now) const
+// True when entries of the silent member's domain, to which it reports, have stated that they have
+// not heard it either.
+bool relay_entry::isStatedGone(const relay_member &item, instant now) const
+{
+    return isHearing(now) && m_digests.ownStatementAt(item.domain) >= item.goneAt();
+}
+
+// True when no other entry has heard the silent member, as far as those that can be asked know. It
+// may report to entries that are down.
+bool relay_entry::isUnheardElsewhere(const relay_member &item, instant now) const
 {
     return isHearing(now)
-        && (m_digests.statementAt(item.domain) >= item.lastSeen + limit
-            || isDomainGone(item.domain, now)
+        && (m_digests.statementAt(item.domain) >= item.goneAt() || isDomainGone(item.domain, now)
             || (item.domain == m_options.domain && m_roster.alive(now).empty()));
 }
 
--- a/src/libtoucanrelay/relay_entry_knowledge_test.cpp
+++ b/src/libtoucanrelay/relay_entry_knowledge_test.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <functional>
+#include <ranges>
 #include <toucan/digest_book.h>
 
 using namespace toucan;
@@ -68,6 +69,7 @@
     std::uint64_t order = 100;
     bool answersRequests = true;
     std::set<endpoint> silent; ///< Members that answer nothing.
+    endpoint holding; ///< A silent member that answers questions: it holds the flow.
     std::function<bool(const member_digest &)> loses = [](const auto &) { return false; };
 
     void introduce(const other_entry &other)
@@ -93,7 +95,9 @@
         const auto *request
             = valueOf(message) ? std::get_if<digest_request>(valueOf(message)) : nullptr;
         if (!request) {
-            if (!asksSilent(to, bytes))
+            if (to == holding)
+                answerQuestion(to, bytes, flow_lookup_result::held);
+            else if (!asksSilent(to, bytes))
                 answerNotHeld(to, bytes);
             return;
         }
@@ -338,6 +342,51 @@
     CHECK((fleet.resets() > 0) == isGone);
 }
 
+// Its processes outlive the entries of the domain.
+TEST_CASE("entry: members of a failure domain without entries are asked before a flow is reset")
+{
+    const bool isAnswered = GENERATE(true, false);
+    knowledge_fixture fleet;
+    other_entry third{.address = thirdEntry, .entryDomain = "c", .domain = "b", .boot = 3};
+    other_entry viewOfOwn{.address = thirdEntry, .entryDomain = "c", .domain = "a", .boot = 3};
+    other_entry emptyThird{.address = thirdEntry, .entryDomain = "c", .domain = "c", .boot = 3};
+    fleet.introduce({.address = otherEntry, .entryDomain = "b", .domain = "b"});
+    fleet.others = {&third, &viewOfOwn, &emptyThird};
+    fleet.reporting = {100};
+    fleet.silent = {addressOf(0), addressOf(1), addressOf(2)};
+    std::ranges::for_each(std::views::iota(0U, 3U), [&](auto i) { third.hear(fleet.now, i); });
+    viewOfOwn.hear(fleet.now, 100);
+    fleet.run(260ms);
+    auto pages = third.digest(fleet.now, true);
+    std::ranges::for_each(pages, [](auto &page) { page.originDomain = "b"; });
+    fleet.deliver(third, pages);
+    third.unheardMs = 5000;
+    const auto pass = [&](int rounds) {
+        for (int round = 0; round < rounds; ++round) {
+            viewOfOwn.hear(fleet.now, 100);
+            fleet.run(250ms);
+        }
+    };
+    pass(6);
+    // A digest of the domain that says nothing about these members.
+    auto later = third.digest(fleet.now, false);
+    std::ranges::for_each(later, [](auto &page) {
+        page.originDomain = "b";
+        page.complete = false;
+        page.members.clear();
+    });
+    fleet.deliver(third, later);
+    pass(4);
+    // The search asks before the silence is long enough to show anything.
+    fleet.sendRequest();
+    pass(2);
+    if (isAnswered)
+        fleet.holding = addressOf(1);
+    pass(34);
+    INFO("answered " << isAnswered);
+    CHECK((fleet.resets() > 0) != isAnswered);
+}
+
 TEST_CASE("entry: a member that another entry hears keeps its flow although segments go on coming")
 {
     knowledge_fixture fleet;
--- a/src/libtoucanrelay/relay_entry_search.cpp
+++ b/src/libtoucanrelay/relay_entry_search.cpp
@@ -100,13 +100,14 @@
     const auto order = fullSearchOrder(now, route, head.flowFromCaller());
     std::ranges::transform(order, std::back_inserter(progress->members),
         [](const auto *member) { return searched_member{.address = member->address}; });
+    addSilentMembers(now, *progress);
     cached.owner = {};
     cached.tried.clear();
     cached.confirmed = false;
     cached.established = true;
     progress->chainLength = std::min(maxHeaderCandidates + 1, order.size());
     if (order.empty()) {
-        concludeSearch(now, cached);
+        advanceSearch(now, cached);
         return;
     }
     m_searches.add();
@@ -114,6 +115,21 @@
     sendSegment(now, cached, std::span(progress->members).first(progress->chainLength));
 }
 
+// Members whose entries state nothing may report to others that are down. They get questions only:
+// a segment would end its way there.
+void relay_entry::addSilentMembers(instant now, search_progress &progress) const
+{
+    m_members.forEach([&](const relay_member &item) {
+        const bool isLeftOut = !item.lost || now <= item.goneAt() || isStatedGone(item, now);
+        if (isLeftOut || progress.members.size() >= maxSearchedMembers)
+            return;
+        const auto found
+            = std::ranges::find(progress.members, item.address, &searched_member::address);
+        if (found == progress.members.end())
+            progress.members.push_back({.address = item.address});
+    });
+}
+
 // The owner holds the flow until its process has started again; no other target can.
 bool relay_entry::isOwnerRestarting(instant now, const cached_flow &cached) const
 {
@@ -263,9 +279,12 @@
         .service = flow.service,
         .acknowledged = progress.head.acknowledged,
         .search = progress.number};
-    for (const auto &member : progress.members) {
-        if (!member.notHeld && !member.segmentSent)
-            batch[member.address].push_back(inquiry);
+    for (auto &member : progress.members) {
+        if (member.notHeld || member.segmentSent)
+            continue;
+        batch[member.address].push_back(inquiry);
+        if (!member.questionedAt)
+            member.questionedAt = now;
     }
     progress.askedAt = now;
     ++progress.rounds;
@@ -302,6 +321,7 @@
             recordNotHeld(
                 now, cached, static_cast<std::size_t>(it - progress.members.begin()), false);
         } else if (!std::exchange(it->segmentSent, true)) {
+            it->questionedAt.reset();
             // Asking its target requires the segment.
             sendSegment(now, cached, std::span(&*it, 1));
         }
@@ -324,8 +344,9 @@
         resetLostFlow(now, progress.head, evidenceOf(now, progress));
         return;
     }
+    const auto evidence = evidenceOf(now, progress);
     const bool needsNews = !domainsWithoutNews(progress.flowSeenAt, now).empty()
-        || !evidenceOf(now, progress).unheard.empty();
+        || !evidence.unheard.empty() || evidence.isQuestionDue;
     if (needsNews && m_inconclusiveSearches.size() < maxWatchedSearches)
         m_inconclusiveSearches.insert(progress.head.flowFromCaller());
 }
@@ -363,6 +384,10 @@
             unclear.insert(evidence.unheard.begin(), evidence.unheard.end());
             continue;
         }
+        if (evidence.isQuestionDue) {
+            askAgain(now, found->second);
+            continue;
+        }
         const auto last = std::move(found->second.progress);
         const auto *route = m_config->routeAt(flow.service);
         if (inconclusiveReason(now, *last).empty())
@@ -374,6 +399,30 @@
         requestNews(now, domain);
 }
 
+// Members that have become silent since the search began, or did so shortly before, are asked; the
+// answers of the others still hold.
+void relay_entry::askAgain(instant now, cached_flow &cached)
+{
+    auto &progress = *cached.progress;
+    const auto flow = progress.head.flowFromCaller();
+    if (m_watchedSearches.size() >= maxWatchedSearches) {
+        m_inconclusiveSearches.insert(flow);
+        return;
+    }
+    addSilentMembers(now, progress);
+    for (auto &member : progress.members) {
+        const auto *item = m_members.at(member.address);
+        if (!item || now <= item->goneAt())
+            continue;
+        member.segmentSent = false;
+        member.questionedAt.reset();
+    }
+    progress.stage = search_stage::questions;
+    progress.rounds = 0;
+    m_watchedSearches.insert(flow);
+    logSearch(now, cached, "asked again", {}, progress.members.size());
+}
+
 // Returns why the search does not show that the flow is gone; empty when it does. It does when all
 // members that may have opened the flow are known and each was asked and does not hold the flow. A
 // member without an answer is down; that is conclusive once it has been silent for goneAfter
@@ -407,19 +456,22 @@
 void relay_entry::addEvidence(instant now, const relay_member &item, const searched_member *asked,
     search_evidence &evidence) const
 {
-    const instant limit
-        = item.leaving && item.flows > 0 ? member_table::plannedStopTime : member_table::goneAfter;
     const auto silence = now - item.lastSeen;
+    const bool isSilent = now > item.goneAt();
+    const bool isUnanswered = asked && asked->questionedAt && *asked->questionedAt >= item.goneAt();
     if (asked && asked->notHeld) {
         ++(asked->segmentReturned ? evidence.returned : evidence.denied);
-    } else if (silence > limit && isSilenceConclusive(item, limit, now)) {
+    } else if (isSilent
+        && (isStatedGone(item, now) || (isUnanswered && isUnheardElsewhere(item, now)))) {
         ++evidence.silent;
         evidence.shortestSilence = std::min<instant>(evidence.shortestSilence, silence);
     } else if (item.holdsNoFlows() && (asked || item.lost)) {
         ++evidence.withoutTarget;
     } else {
         evidence.missing = item.name + (asked ? " did not answer" : " was not asked");
-        if (silence > limit)
+        if (isSilent && isUnheardElsewhere(item, now))
+            evidence.isQuestionDue = true;
+        else if (isSilent)
             evidence.unheard.insert(item.domain);
     }
 }
--- a/src/libtoucanrelay/relay_members.cpp
+++ b/src/libtoucanrelay/relay_members.cpp
@@ -119,6 +119,12 @@
         && now - lastSeen <= member_table::plannedStopTime;
 }
 
+instant relay_member::goneAt() const
+{
+    return lastSeen
+        + (leaving && flows > 0 ? member_table::plannedStopTime : member_table::goneAfter);
+}
+
 std::uint64_t relay_member::expectedLoad() const
 {
     constexpr std::uint64_t thousand = 1000;
--- a/src/libtoucanrelay/relay_target_entries.cpp
+++ b/src/libtoucanrelay/relay_target_entries.cpp
@@ -24,6 +24,8 @@
 // A notice of a stop may be lost, and the process runs on for a few ticks only.
 constexpr std::size_t maxStopNotices = 3;
 constexpr std::size_t maxSubstituteEntries = 4;
+// Time for which a substitute that does not answer is tried before the next one.
+constexpr auto substituteTrialTime = 250ms;
 
 std::chrono::milliseconds intervalFor(std::size_t entries)
 {
@@ -145,14 +147,35 @@
                                 : instant(homeSilenceLimit);
     if (!home.empty() && now - lastSeen.value_or(m_started) < limit)
         return home;
+    const auto substitutes = substitutesAmong(now, std::move(others), home.size());
+    home.insert(home.end(), substitutes.begin(), substitutes.end());
+    return home;
+}
+
+// Those that answer, and while there are too few of them the others in turn: substitutes may be
+// down as well.
+std::vector<endpoint> relay_target::substitutesAmong(
+    instant now, std::vector<endpoint> entries, std::size_t homeEntries) const
+{
     // The order depends on the process, so that processes do not all choose the same entries.
     const auto weight = [&](const endpoint &address) {
         return rankWeight(m_options.boot, hashText(toString(address)));
     };
-    std::ranges::sort(others, std::greater<>(), weight);
-    others.resize(std::min(others.size(), maxSubstituteEntries));
-    home.insert(home.end(), others.begin(), others.end());
-    return home;
+    std::ranges::sort(entries, std::greater<>(), weight);
+    const auto interval = intervalFor(homeEntries + maxSubstituteEntries);
+    const auto limit = std::max<instant>(homeSilenceLimit, interval * 5 / 2);
+    const auto silent = std::ranges::stable_partition(entries, [&](const endpoint &address) {
+        const auto &entry = m_entries.at(address);
+        return entry.boot != 0 && now - entry.lastSeen < limit;
+    });
+    const auto answering = entries.size() - silent.size();
+    if (answering < maxSubstituteEntries && !silent.empty()) {
+        const auto turn = static_cast<std::size_t>((now - m_started) / substituteTrialTime);
+        const auto first = turn * (maxSubstituteEntries - answering) % silent.size();
+        std::ranges::rotate(silent, silent.begin() + static_cast<std::ptrdiff_t>(first));
+    }
+    entries.resize(std::min(entries.size(), maxSubstituteEntries));
+    return entries;
 }
 
 void relay_target::sendReports(instant now, bool atOnce)
@@ -185,8 +208,9 @@
             continue;
         entry.lastReportSent = now;
         report.order = ++m_reportOrder;
+        // Only substitutes that answer are kept.
         report.wantsNotice = entry.reportsSent++ % reportsPerNotice == 0
-            || now - entry.lastSeen > entrySilenceLimit;
+            || now - entry.lastSeen > entrySilenceLimit || entry.domain != m_options.domain;
         m_port.sendPeer(address, encodeRelayMessage(report), {});
     }
 }
--- a/src/libtoucanrelay/relay_target_test.cpp
+++ b/src/libtoucanrelay/relay_target_test.cpp
@@ -207,6 +207,44 @@
     }
 }
 
+TEST_CASE("target process: of many substitute entries without power it finds the one that runs")
+{
+    constexpr std::uint32_t others = 40;
+    const auto addressOf
+        = [](std::uint32_t i) { return endpoint{.ip = 0x0a040000 + i, .port = 7000}; };
+    for (std::uint32_t running = 0; running < others; ++running) {
+        target_fixture fleet;
+        const endpoint home{.ip = 0x0a030001, .port = 7000};
+        std::vector<entry_place> places{{.address = home, .domain = "a"}};
+        for (std::uint32_t i = 0; i < others; ++i)
+            places.push_back({.address = addressOf(i), .domain = "b"});
+        const auto answer = [&](const endpoint &to) {
+            auto notice = encodeRelayMessage(entry_notice{
+                .name = "e", .domain = to == home ? "a" : "b", .boot = 7, .entries = places});
+            fleet.engine.onPeerBytes(fleet.now, to, notice);
+        };
+        answer(home);
+        std::map<endpoint, int> lateReports;
+        for (int step = 0; step < 160; ++step) {
+            fleet.now += 50ms;
+            fleet.engine.onTick(fleet.now);
+            for (auto &[to, bytes] : std::exchange(fleet.port.toPeers, {})) {
+                const auto message = decodeRelayMessage(bytes);
+                const auto *report
+                    = valueOf(message) ? std::get_if<target_report>(valueOf(message)) : nullptr;
+                if (!report)
+                    continue;
+                if (step >= 100)
+                    ++lateReports[to];
+                if (report->wantsNotice && to == addressOf(running))
+                    answer(to);
+            }
+        }
+        INFO("running " << running);
+        CHECK(lateReports[addressOf(running)] >= 9);
+    }
+}
+
 TEST_CASE("target process: after a restart no flow is reported as not held while reports are late")
 {
     engine_fixture fleet;
