--- a/src/libtoucanrelay/relay_entry_knowledge_test.cpp
+++ b/src/libtoucanrelay/relay_entry_knowledge_test.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <functional>
-#include <ranges>
 #include <toucan/digest_book.h>
 
 using namespace toucan;
@@ -354,7 +353,8 @@
     fleet.others = {&third, &viewOfOwn, &emptyThird};
     fleet.reporting = {100};
     fleet.silent = {addressOf(0), addressOf(1), addressOf(2)};
-    std::ranges::for_each(std::views::iota(0U, 3U), [&](auto i) { third.hear(fleet.now, i); });
+    for (std::uint32_t i = 0; i < 3; ++i)
+        third.hear(fleet.now, i);
     viewOfOwn.hear(fleet.now, 100);
     fleet.run(260ms);
     auto pages = third.digest(fleet.now, true);
--- a/src/libtoucanrelay/relay_target_entries.cpp
+++ b/src/libtoucanrelay/relay_target_entries.cpp
@@ -164,15 +164,16 @@
     std::ranges::sort(entries, std::greater<>(), weight);
     const auto interval = intervalFor(homeEntries + maxSubstituteEntries);
     const auto limit = std::max<instant>(homeSilenceLimit, interval * 5 / 2);
-    const auto silent = std::ranges::stable_partition(entries, [&](const endpoint &address) {
-        const auto &entry = m_entries.at(address);
-        return entry.boot != 0 && now - entry.lastSeen < limit;
-    });
-    const auto answering = entries.size() - silent.size();
-    if (answering < maxSubstituteEntries && !silent.empty()) {
+    const auto silent
+        = std::stable_partition(entries.begin(), entries.end(), [&](const endpoint &address) {
+              const auto &entry = m_entries.at(address);
+              return entry.boot != 0 && now - entry.lastSeen < limit;
+          });
+    const auto answering = static_cast<std::size_t>(silent - entries.begin());
+    if (answering < maxSubstituteEntries && silent != entries.end()) {
         const auto turn = static_cast<std::size_t>((now - m_started) / substituteTrialTime);
-        const auto first = turn * (maxSubstituteEntries - answering) % silent.size();
-        std::ranges::rotate(silent, silent.begin() + static_cast<std::ptrdiff_t>(first));
+        const auto first = turn * (maxSubstituteEntries - answering) % (entries.size() - answering);
+        std::rotate(silent, silent + static_cast<std::ptrdiff_t>(first), entries.end());
     }
     entries.resize(std::min(entries.size(), maxSubstituteEntries));
     return entries;
