--- a/src/libtoucanlab/relay_fleet_test.cpp
+++ b/src/libtoucanlab/relay_fleet_test.cpp
@@ -429,6 +429,40 @@
     CHECK(countAnswered(fleet, fresh) == fresh.size());
 }
 
+// Each search asks other entries for news; their replies must not keep the member in use.
+TEST_CASE("relay: flows of a process that is gone are reset although callers go on asking for them")
+{
+    constexpr std::size_t entries = 6;
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        auto fleet = makeFleet({.entries = entries, .targets = 9, .seed = seed});
+        fleet.run(4s);
+        const auto flows = openFlows(fleet, 90);
+        for (std::size_t entry = 0; entry < entries; ++entry)
+            fleet.killEntry(entry);
+        fleet.run(300ms);
+        for (std::size_t entry = 0; entry < entries; ++entry)
+            fleet.startEntry(entry);
+        fleet.run(3s);
+        std::vector<std::size_t> held;
+        std::ranges::copy_if(flows, std::back_inserter(held),
+            [&](std::size_t flow) { return fleet.holder(flow) == 0; });
+        REQUIRE_FALSE(held.empty());
+        fleet.killProcess(0);
+        fleet.crashTarget(0);
+        // Silence shows something after 4 s; a flow that is gone is reset within 2 s then.
+        for (int second = 0; second < 6; ++second) {
+            for (const auto flow : held) {
+                if (!fleet.wasReset(flow))
+                    fleet.request(flow);
+            }
+            fleet.run(1s);
+        }
+        INFO("seed " << seed);
+        CHECK(countReset(fleet, held) == held.size());
+        CHECK(listOf(fleet.violations()).empty());
+    }
+}
+
 // Seen at the grown size: searches ended at processes whose targets did not come back.
 TEST_CASE("relay: a search goes on past a process whose target does not run")
 {
--- a/src/libtoucanrelay/digest_book.cpp
+++ b/src/libtoucanrelay/digest_book.cpp
@@ -170,7 +170,9 @@
     const bool keepsAll = !statesKept(page) || view.includedHash == page.keptHash
         || members.keptOf(page.domain)
             == member_table::summary{.count = page.keptCount, .hash = page.keptHash};
-    if (isSameInUse)
+    // A requested reply may rest on a digest of this entry. Entries would confirm to each other for
+    // ever that a member runs of which none hears.
+    if (isSameInUse && page.requestedAtMs == 0)
         members.confirm(now, page.domain);
     if (isSameInUse && keepsAll) {
         differsSince.reset();
