--- a/src/libtoucanrelay/digest_book.cpp
+++ b/src/libtoucanrelay/digest_book.cpp
@@ -170,7 +170,9 @@
     const bool keepsAll = !statesKept(page) || view.includedHash == page.keptHash
         || members.keptOf(page.domain)
             == member_table::summary{.count = page.keptCount, .hash = page.keptHash};
-    if (isSameInUse)
+    // A requested reply may rest on a digest of this entry. Entries would confirm to each other for
+    // ever that a member runs of which none hears.
+    if (isSameInUse && page.requestedAtMs == 0)
         members.confirm(now, page.domain);
     if (isSameInUse && keepsAll) {
         differsSince.reset();
@@ -254,6 +256,12 @@
         : std::max(found->second.ownStatementAt, found->second.otherStatementAt);
 }
 
+std::optional<instant> digest_book::ownStatementAt(std::string_view domain) const
+{
+    const auto found = m_views.find(domain);
+    return found == m_views.end() ? std::nullopt : found->second.ownStatementAt;
+}
+
 bool digest_book::isUnheardSince(
     std::string_view domain, const std::string &witness, instant since) const
 {
