Entries keep what they send within the rate of their link

Cause: uploads fill the links of small entries; queues there pass 200 ms, callers send copies, which fill the links further, and openings and small requests of everybody get no answer. Change: transfer_gate admits as many uploads as their windows are carried within 60 ms, holds the openings of others and refuses those that would wait for over half of their objective. It never resets an opening of which another entry may have received a copy. link_scheduler queues segments beyond the rate in the process: small requests first, then bulk in turn by flow; copies of queued segments are dropped. Ruled out: a refusal of waiting openings without their copies seen (it could reset a flow that another entry opened), and placing them without room (test 'an entry serves on after a pause': the excess keeps the link full).

--- a/src/include/toucan/relay_entry.h
+++ b/src/include/toucan/relay_entry.h
@@ -12,6 +12,7 @@
 #include <toucan/entry_roster.h>
 #include <toucan/event_log.h>
 #include <toucan/flow_table_keeper.h>
+#include <toucan/link_scheduler.h>
 #include <toucan/message_state.h>
 #include <toucan/metrics.h>
 #include <toucan/opening_queue.h>
@@ -20,6 +21,7 @@
 #include <toucan/relay_port.h>
 #include <toucan/segment.h>
 #include <toucan/start_history.h>
+#include <toucan/transfer_gate.h>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -80,9 +82,15 @@
     /// or stopped.
     void onPause(instant now);
     /// Replaces the options while the engine runs; names, addresses and `boot` must stay the same.
-    void setOptions(relay_entry_options options) { m_options = std::move(options); }
-    /// Runs timed work. Call at least each tickInterval.
+    void setOptions(relay_entry_options options);
+    /// Runs timed work. Call at least each tickInterval, and when untilLinkDue() has passed.
     void onTick(instant now);
+    /// Time until a queued segment or opening is due; nullopt while none is queued.
+    std::optional<instant> untilLinkDue(instant now) const;
+    /// Drops what is queued for the link; call after the VM was paused.
+    void discardQueued();
+    /// Sends what is queued for the link; call before the process exits.
+    void flushQueued(instant now);
 
     /// Longest time between two calls of onTick.
     static constexpr std::chrono::milliseconds tickInterval{250};
@@ -157,6 +165,7 @@
         std::unique_ptr<search_progress> progress; ///< The last of these searches.
         bool wasParked = false; ///< Its opening was parked at this entry.
         bool refusedOnce = false; ///< All candidates of an opening have refused it once.
+        flow_volume volume; ///< Data from the caller; not counted without a rate of the link.
     };
 
     /// An opening that waits for a configuration or for the first reports of targets.
@@ -231,6 +240,14 @@
     void logSearch(instant now, const cached_flow &cached, std::string_view outcome,
         const endpoint &first, std::size_t asked, std::string_view undecided = {});
     void forward(const endpoint &to, const relay_header &header, byte_view bytes);
+    bool admitTransfer(instant now, const segment &head, const route_rule &route, byte_view bytes,
+        instant startedAt);
+    void forwardInTurn(instant now, const segment &head, const route_rule &route,
+        cached_flow &cached, const relay_header &header, byte_view bytes);
+    void serveLink(instant now);
+    void placeHeldOpenings(instant now);
+    void logLink(instant now);
+    void publishLinkMetrics();
     relay_header headerFor(relay_kind kind, std::string_view service) const;
 
     void handle(instant now, const endpoint &from, const target_report &message);
@@ -310,6 +327,10 @@
     digest_book m_digests;
     flow_table_keeper m_flowTables;
     start_history m_starts;
+    link_scheduler m_link;
+    transfer_gate m_transfers;
+    std::uint64_t m_searchedBytes = 0; ///< Sent to find owners of flows.
+    std::optional<instant> m_linkShortAt; ///< Last time at which the link was short.
     bool m_ownDomainComplete = false; ///< All members of the own domain were known.
     store_standing m_store = store_standing::not_asked;
     instant m_storeLostAt{};
--- a/src/libtoucanrelay/relay_entry.cpp
+++ b/src/libtoucanrelay/relay_entry.cpp
@@ -58,6 +58,8 @@
     , m_dropped(metrics.numberOf("toucan_segments_dropped_total"))
     , m_malformed(metrics.numberOf("toucan_malformed_datagrams_total"))
     , m_roster(m_options.peer, m_options.domain)
+    , m_link(m_options.linkRate)
+    , m_transfers(m_options.linkRate)
     , m_started(now)
     , m_knowledgeSince(now)
 { }
@@ -92,10 +94,10 @@
         return;
     }
     const auto *route = m_config->routeAt(head.destination);
-    if (route)
-        onOpening(now, head, *route, bytes, startedAt);
-    else
+    if (!route)
         resetFlow(now, head, "no route has the address");
+    else if (admitTransfer(now, head, *route, bytes, startedAt))
+        onOpening(now, head, *route, bytes, startedAt);
 }
 
 // Keeps an opening for the short time until it can be placed, instead of waiting for the caller's
@@ -297,7 +299,7 @@
     }
     cached.established = true;
     m_forwarded.add();
-    forward(cached.owner, header, bytes);
+    forwardInTurn(now, head, *route, cached, header, bytes);
 }
 
 void relay_entry::resetFlow(
@@ -353,6 +355,9 @@
 {
     std::array<std::uint8_t, maxRelayHeaderBytes> head{};
     const auto size = encodeRelayHeader(header, head);
+    m_link.count(link_class::control, size + bytes.size());
+    if (header.search > 0)
+        m_searchedBytes += size + bytes.size();
     m_port.sendPeer(to, byte_view(head).first(size), bytes);
 }
 
@@ -403,9 +408,11 @@
     retryParked(now);
     retryInconclusiveSearches(now);
     advanceSearches(now);
+    serveLink(now);
     if (now - m_lastSweep >= sweepInterval) {
         m_lastSweep = now;
         sweepFlows(now);
+        m_transfers.sweep(now);
         m_flowTables.sweep(now);
         m_starts.sweep(now);
         publishGauges(now);
@@ -440,6 +447,7 @@
     m_metrics.numberOf("toucan_config_age_ms").set(m_config ? milliseconds(now - m_configAt) : 0);
     m_metrics.numberOf("toucan_domains_revision").set(m_domains.inForce().point.revision);
     m_metrics.numberOf("toucan_store_era").set(m_domains.inForce().point.era);
+    publishLinkMetrics();
 }
 
 bool relay_entry::isReady(instant now) const
@@ -466,7 +474,8 @@
         return false;
     const auto since = now - *m_leavingSince;
     return since + exitReserve >= m_options.grace
-        || (since >= fabricRemovalTime && now - m_lastCaller >= quietBeforeExit);
+        || (since >= fabricRemovalTime && now - m_lastCaller >= quietBeforeExit && m_link.empty()
+            && m_transfers.waiting() == 0);
 }
 
 void relay_entry::logOpening(instant now, const segment &head, std::string_view outcome,
--- a/src/toucanbridge/entry_relay_server.cpp
+++ b/src/toucanbridge/entry_relay_server.cpp
@@ -122,11 +122,12 @@
 {
     bool leaving = false;
     while (!m_engine.mayExit(monotonicNow())) {
-        waitForSockets(
-            std::array<const udp_socket *, 2>{&*m_callerSocket, &*m_peerSocket}, pollInterval);
+        waitForSockets(std::array<const udp_socket *, 2>{&*m_callerSocket, &*m_peerSocket},
+            waitTime(monotonicNow()));
         const auto now = monotonicNow();
         if (discardAfterPause(now, *m_callerSocket)) {
             m_engine.onPause(now);
+            m_engine.discardQueued();
         } else {
             readBatch(
                 *m_peerSocket, m_buffer, [&](const endpoint &from, std::span<std::uint8_t> bytes) {
@@ -156,6 +157,16 @@
             logStop("signalled", m_engine.flowCount());
         }
     }
+    m_engine.flushQueued(monotonicNow());
+}
+
+// Time to wait for datagrams, until what the engine has queued is due.
+std::chrono::milliseconds entry_relay_server::waitTime(instant now) const
+{
+    const auto due = m_engine.untilLinkDue(now);
+    return due ? std::clamp<std::chrono::milliseconds>(
+               std::chrono::ceil<std::chrono::milliseconds>(*due), 1ms, pollInterval)
+               : pollInterval;
 }
 
 // Activates the store followers while the failure domain needs them, and passes the state of the
--- a/src/toucanbridge/entry_relay_server.h
+++ b/src/toucanbridge/entry_relay_server.h
@@ -25,6 +25,7 @@
     void queueConfig(const relay_config_ptr &config, std::string source);
     http_response answer(const incoming_request &question) const;
     void loop();
+    std::chrono::milliseconds waitTime(instant now) const;
     void updateStoreState(instant now);
     void updateRegistration(instant now);
     nlohmann::json describeStatus(instant now) const;
