--- a/src/libtoucanrelay/relay_entry_link.cpp
+++ b/src/libtoucanrelay/relay_entry_link.cpp
@@ -7,7 +7,9 @@
 
 using namespace std::chrono_literals;
 
-// Time without a queue after which the link has room again.
+// Backlog from which the link is short; one window of a caller takes less.
+constexpr instant shortBacklog = 50ms;
+// Time without such a backlog after which the link has room again.
 constexpr instant easedAfter = 1s;
 
 } // namespace
@@ -111,7 +113,7 @@
 // One line when the link becomes short, and one when it has had room for a while.
 void relay_entry::logLink(instant now)
 {
-    const bool isShort = !m_link.empty() || m_transfers.waiting() > 0;
+    const bool isShort = m_transfers.waiting() > 0 || m_link.backlog(now) >= shortBacklog;
     const bool wasShort = m_linkShortAt.has_value();
     if (isShort)
         m_linkShortAt = now;
