Order, refusal and shares of openings at the process beside a target

Cause: a waiting opening was judged once, on arrival, and dropped without an answer at the end of its attempt; priorities and time limits were not read, a cold target refused its whole queue, and one caller could take all slots.

A refusal is sent only when all due copies came here; entries ignore refusals of a process that does not keep the opening any more, and reset parked openings before their attempts end. Interface: workAhead (time) instead of a count.

--- a/src/include/toucan/opening_gate.h
+++ b/src/include/toucan/opening_gate.h
@@ -10,6 +10,7 @@
 #include <deque>
 #include <string_view>
 #include <toucan/target_liveness.h>
+#include <vector>
 
 namespace toucan {
 
@@ -61,6 +62,8 @@
 public:
     /// Openings in the second before `now`.
     std::size_t count(instant now);
+    /// Earliest times of the next `limit` openings when each second may have `limit` of them.
+    std::vector<instant> nextStarts(instant now, std::size_t limit);
     void add(instant now) { m_times.push_back(now); }
 
 private:
--- a/src/include/toucan/relay_entry.h
+++ b/src/include/toucan/relay_entry.h
@@ -200,11 +200,14 @@
     search_evidence evidenceOf(instant now, const search_progress &progress) const;
     void addEvidence(instant now, const relay_member &item, const searched_member *asked,
         search_evidence &evidence) const;
-    void onRefused(instant now, const segment &head, byte_view bytes);
+    void onRefused(instant now, const endpoint &from, const relay_header &header,
+        const segment &head, byte_view bytes);
+    void endParked(instant now, const parked_opening &item, std::string_view reason);
     void onNotFound(instant now, const endpoint &from, const relay_header &header,
         const segment &head, byte_view bytes);
     void suspectOwner(instant now, const flow_key &flow);
-    void park(const segment &head, byte_view bytes, instant startedAt, instant notBefore = {});
+    void park(instant now, const segment &head, byte_view bytes, instant startedAt,
+        instant notBefore = {});
     void retryParked(instant now);
     bool isWithoutConfig(instant now) const;
     void rejectParked(instant now);
--- a/src/include/toucan/relay_target.h
+++ b/src/include/toucan/relay_target.h
@@ -32,6 +32,7 @@
     std::chrono::milliseconds reportInterval{1200}; ///< Time between two reports of the target.
     double coldOvershoot = 1; ///< Factor on the cold rate that must never be exceeded.
     double coldSlack = 0; ///< Openings a second allowed on top of that factor.
+    double classFloor = 0.2; ///< queue_policy::classFloor.
     bool firstStart = false; ///< No flow was open before this start.
     std::uint64_t boot = 0; ///< Random number that identifies this start of the process.
 };
@@ -58,10 +59,14 @@
     /// Adds entries listed by the platform; reports are sent to new ones at once.
     void onEntries(instant now, std::span<const entry_place> entries);
     /// Replaces the options while the engine runs; names, addresses and `boot` must not change.
-    void setOptions(relay_target_options options) { m_options = std::move(options); }
+    void setOptions(relay_target_options options)
+    {
+        m_options = std::move(options);
+        m_queue.setClassFloor(m_options.classFloor);
+    }
     /// Runs timers: timeouts, the queue, reports, metrics. Call at least every tickInterval.
     void onTick(instant now);
-    /// The process was suspended: drops the queued openings, whose admission state is outdated.
+    /// The process was suspended: refuses the queued openings, whose admission state is outdated.
     void onPause(instant now);
     /// Starts a stop: reports to entries that no more openings may be placed here.
     void startLeaving(instant now);
@@ -142,20 +147,27 @@
         instant now, const segment &head, const relay_header &header, byte_view bytes);
     opening_verdict queueOpening(instant now, const segment &head, const relay_packet &packet);
     void serveQueue(instant now);
-    void dropExpired(instant now);
+    void judgeQueue(instant now);
+    void refuseWaiting(instant now, const unserved_opening &item);
+    void returnWaiting(const waiting_opening &opening);
+    waiting_opening makeWaiting(instant now, const segment &head, const relay_header &header) const;
+    void updateQueuePace(instant now);
     void expectRequest(instant now, const flow_key &key, flow &item);
     void cancelExpectedRequest(flow &item);
     void expireExpectedRequests(instant now);
     std::uint64_t occupiedSlots() const { return m_waitingRequests + m_expectedRequests; }
     std::uint64_t slots() const;
     void updateLoad(instant now);
-    std::uint64_t expectedWait(instant now, const relay_header &header) const;
+    std::uint64_t expectedWait(instant now, const segment &head, const relay_header &header) const;
+    std::chrono::milliseconds workAhead(instant now) const;
+    std::chrono::milliseconds expectedCost(const segment &opening) const;
     std::uint64_t excessRequests() const
     {
         return occupiedSlots() - std::min(occupiedSlots(), slots());
     }
-    void recordWait(instant now, relay_header &header) const;
-    endpoint candidateWithShorterQueue(instant now, const relay_header &header) const;
+    void recordWait(instant now, const segment &head, relay_header &header) const;
+    endpoint candidateWithShorterQueue(
+        instant now, const segment &head, const relay_header &header) const;
     void passOn(const relay_header &header, relay_kind kindWhenExhausted, byte_view bytes);
     void passOnOpening(flow &item, byte_view opening);
     void trackCallerSegment(instant now, flow &item, const segment &head);
@@ -215,7 +227,8 @@
     std::vector<endpoint> reportRecipients(instant now) const;
     void sendReports(instant now, bool atOnce);
     void sendStopNotice(instant now);
-    void logOpening(instant now, const segment &head, std::string_view outcome);
+    void logOpening(instant now, const segment &head, std::string_view outcome,
+        const opening_forecast *forecast = nullptr, instant waited = {});
 
     relay_target_options m_options;
     const segment_codec &m_codec;
@@ -223,6 +236,8 @@
     metrics::registry &m_metrics;
     event_log &m_log;
     std::array<metrics::number *, openingVerdictCount> m_verdicts{};
+    std::array<metrics::number *, queueRefusalCount> m_refusals{};
+    metrics::distribution &m_refusalWait;
     metrics::number &m_returnedOpenings; ///< Openings that the target returned.
     metrics::number &m_passedOn;
     metrics::number &m_malformed;
@@ -242,6 +257,7 @@
     smoothed_level m_load;
     failure_share m_failures;
     opening_queue m_queue;
+    instant m_lastJudged{}; ///< When the waiting openings were judged last.
     std::uint64_t m_waitingRequests = 0;
     std::uint64_t m_expectedRequests = 0; ///< Slots reserved for first requests of new flows.
     std::deque<std::pair<instant, flow_key>> m_expectedFlows; ///< Oldest first.
--- a/src/libtoucanrelay/flow_trail.cpp
+++ b/src/libtoucanrelay/flow_trail.cpp
@@ -87,6 +87,18 @@
     return names;
 }
 
+// What a refused opening would have waited, and by which figures; empty for other lines.
+std::string describeWait(const trail_line &line)
+{
+    const auto reason = field(line, "reason");
+    if (reason.empty())
+        return {};
+    return fmt::format(" ({}: after {} ms in the queue it would have waited {} ms more and had {} "
+                       "ms left, at {} slots with {} ms a request)",
+        reason, number(line, "waitedMs"), number(line, "expectedWaitMs"), number(line, "leftMs"),
+        number(line, "slots"), number(line, "serviceMs"));
+}
+
 std::string describeRefusals(const std::vector<trail_line> &path)
 {
     std::string text;
@@ -94,8 +106,8 @@
         const auto outcome = field(line, "outcome");
         if (line.event != "opening_decided" || line.part != "target" || outcome == "accepted")
             continue;
-        text += fmt::format("{}{} decided {} with {} requests waiting", text.empty() ? "" : "; ",
-            line.vm, outcome, number(line, "load"));
+        text += fmt::format("{}{} decided {} with {} requests waiting{}", text.empty() ? "" : "; ",
+            line.vm, outcome, number(line, "load"), describeWait(line));
     }
     return text.empty() ? "no verdict of a target is in the logs" : text;
 }
--- a/src/libtoucanrelay/flow_trail_test.cpp
+++ b/src/libtoucanrelay/flow_trail_test.cpp
@@ -91,3 +91,17 @@
     CHECK(finds(trail, "e1 left out 5 lines of kind flow_searched"));
     CHECK(finds(trail, "e1 reset the flow"));
 }
+
+TEST_CASE("trail: a refusal states what the opening would have waited, and by which figures")
+{
+    std::istringstream lines(
+        R"(1.0 t1 target {"event":"opening_decided","timeMs":1000,"caller":"1.2.3.4:5","outcome":"overloaded","load":9,"reason":"wait too long","waitedMs":120,"expectedWaitMs":1400,"leftMs":1260,"serviceMs":300,"slots":2}
+1.1 e1 entry {"event":"flow_reset","timeMs":1001,"caller":"1.2.3.4:5","reason":"refused by all targets asked"}
+)");
+    trail_reader reader("1.2.3.4:5");
+    reader.read(lines, "?");
+    CHECK(finds(reader.trail(),
+        "t1 decided overloaded with 9 requests waiting (wait too long: after 120 ms in the queue "
+        "it "
+        "would have waited 1400 ms more and had 1260 ms left, at 2 slots with 300 ms a request)"));
+}
--- a/src/libtoucanrelay/opening_gate.cpp
+++ b/src/libtoucanrelay/opening_gate.cpp
@@ -61,6 +61,16 @@
     return m_times.size();
 }
 
+std::vector<instant> opening_window::nextStarts(instant now, std::size_t limit)
+{
+    using namespace std::chrono_literals;
+    const auto taken = std::min(count(now), limit);
+    std::vector<instant> starts(limit - taken, now);
+    std::ranges::transform(m_times.end() - static_cast<std::ptrdiff_t>(taken), m_times.end(),
+        std::back_inserter(starts), [](instant time) { return time + 1s; });
+    return starts;
+}
+
 void smoothed_level::set(instant now, double value)
 {
     m_smoothed = read(now);
--- a/src/libtoucanrelay/relay_entry.cpp
+++ b/src/libtoucanrelay/relay_entry.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <fmt/format.h>
 #include <toucan/ranking.h>
 #include <toucan/relay_entry.h>
 
@@ -25,6 +26,8 @@
 constexpr std::uint64_t parkedRounds = 2;
 // Parked openings take a few hundred bytes each.
 constexpr std::size_t maxParkedOpenings = 2000;
+// Time in which a reset reaches the caller before its attempt ends.
+constexpr auto resetReserve = 20ms;
 // After the caller closes a flow, retransmissions still need the owner.
 constexpr auto finishedLifetime = 8s;
 constexpr auto sweepInterval = 2s;
@@ -88,7 +91,7 @@
         if (isWithoutConfig(now))
             resetFlow(now, head, "no configuration is known");
         else
-            park(head, bytes, startedAt);
+            park(now, head, bytes, startedAt);
         return;
     }
     const auto *route = m_config->routeAt(head.destination);
@@ -100,18 +103,36 @@
 
 // Keeps an opening for the short time until it can be placed, instead of waiting for the caller's
 // next copy, which may come much later or not at all.
-void relay_entry::park(const segment &head, byte_view bytes, instant startedAt, instant notBefore)
+void relay_entry::park(
+    instant now, const segment &head, byte_view bytes, instant startedAt, instant notBefore)
 {
     const auto flow = head.flowFromCaller();
+    parked_opening item{.head = head,
+        .bytes = byte_buffer(bytes.begin(), bytes.end()),
+        .startedAt = startedAt,
+        .notBefore = notBefore};
     if (m_parked.size() >= maxParkedOpenings && !m_parked.contains(flow)) {
-        m_dropped.add();
+        endParked(now, item, "too many openings wait");
         return;
     }
     m_flows[flow].wasParked = true;
-    m_parked[flow] = {.head = head,
-        .bytes = byte_buffer(bytes.begin(), bytes.end()),
-        .startedAt = startedAt,
-        .notBefore = notBefore};
+    m_parked[flow] = std::move(item);
+}
+
+// A target that was sent an earlier copy may have answered it, so that only an opening that no
+// target has is reset.
+void relay_entry::endParked(instant now, const parked_opening &item, std::string_view reason)
+{
+    const auto found = m_flows.find(item.head.flowFromCaller());
+    const bool mayBeOpen
+        = found != m_flows.end() && (found->second.established || found->second.owner);
+    if (mayBeOpen || now >= item.startedAt + attemptTime) {
+        m_dropped.add();
+        return;
+    }
+    logOpening(now, item.head, fmt::format("reset: {}", reason), nullptr, 0);
+    resetFlow(now, item.head, reason);
+    m_flows.erase(item.head.flowFromCaller());
 }
 
 bool relay_entry::isWithoutConfig(instant now) const
@@ -138,14 +159,18 @@
     if (m_parked.empty() || !m_config || now - m_lastRetry < parkedRetryInterval)
         return;
     m_lastRetry = now;
-    const auto ended = std::erase_if(
-        m_parked, [&](const auto &item) { return now >= item.second.startedAt + attemptTime; });
-    m_dropped.add(ended);
+    std::vector<parked_opening> ended;
     std::vector<parked_opening> due;
     for (const auto &[flow, item] : m_parked) {
-        if (mayBePlaced(now, item))
+        if (now + parkedRetryInterval >= item.startedAt + attemptTime - resetReserve)
+            ended.push_back(item);
+        else if (mayBePlaced(now, item))
             due.push_back(item);
     }
+    for (const auto &item : ended) {
+        m_parked.erase(item.head.flowFromCaller());
+        endParked(now, item, "no target took the flow in time");
+    }
     std::ranges::sort(due, std::greater<>(), &parked_opening::startedAt);
     for (const auto &item : due) {
         m_parked.erase(item.head.flowFromCaller());
@@ -238,7 +263,7 @@
     if (chosen.order.empty()) {
         if (isLearning(now) || mayBecomeReady(members)) {
             logOpening(now, head, "parked: targets have not reported yet", nullptr, 0);
-            park(head, bytes, cached.startedAt);
+            park(now, head, bytes, cached.startedAt);
             return;
         }
         logOpening(now, head, "reset: no target takes flows", nullptr, 0);
@@ -356,15 +381,24 @@
     m_port.sendPeer(to, byte_view(head).first(size), bytes);
 }
 
-void relay_entry::onRefused(instant now, const segment &head, byte_view bytes)
+void relay_entry::onRefused(instant now, const endpoint &from, const relay_header &header,
+    const segment &head, byte_view bytes)
 {
     const auto found = m_flows.find(head.flowFromCaller());
     const auto *route = m_config ? m_config->routeAt(head.destination) : nullptr;
     if (found == m_flows.end() || !route || found->second.established)
         return;
     auto &cached = found->second;
+    // It waited at its sender. A copy that was placed elsewhere meanwhile may have been taken.
+    if (header.shortestWaitAt == from && cached.owner != from)
+        return;
     cached.owner = {};
     cached.keptAt.reset();
+    const auto attemptEnd = cached.startedAt + attemptTime;
+    if (now >= attemptEnd) {
+        m_flows.erase(found);
+        return;
+    }
     for (const auto &address : cached.tried) {
         if (auto *member = m_members.at(address))
             member->refusedAt = now;
@@ -376,16 +410,16 @@
         .tried = {cached.tried.data(), cached.tried.size()},
         .now = now};
     // One more round with other targets; after that all that could be asked have refused.
-    if (!std::exchange(cached.refusedOnce, true)
+    if (!std::exchange(cached.refusedOnce, true) && now + resetReserve < attemptEnd
         && !m_options.place(m_members.membersOf(service), request).order.empty()) {
         placeOpening(now, head, *route, cached, bytes);
         return;
     }
-    if (isLearning(now) && now < cached.startedAt + attemptTime) {
+    if (isLearning(now) && now + refusedRetryDelay < attemptEnd) {
         logOpening(now, head, "parked: refused by all targets asked", nullptr, 0);
         cached.refusedOnce = false;
         cached.tried.clear();
-        park(head, bytes, cached.startedAt, now + refusedRetryDelay);
+        park(now, head, bytes, cached.startedAt, now + refusedRetryDelay);
         return;
     }
     logOpening(now, head, "reset: refused by all targets asked", nullptr, 0);
--- a/src/libtoucanrelay/relay_entry_peers.cpp
+++ b/src/libtoucanrelay/relay_entry_peers.cpp
@@ -54,7 +54,7 @@
         return;
     }
     if (packet.header.kind == relay_kind::refused_opening)
-        onRefused(now, *head, packet.bytes);
+        onRefused(now, from, packet.header, *head, packet.bytes);
     else if (packet.header.kind == relay_kind::not_found)
         onNotFound(now, from, packet.header, *head, packet.bytes);
     else
--- a/src/libtoucanrelay/relay_entry_test.cpp
+++ b/src/libtoucanrelay/relay_entry_test.cpp
@@ -183,3 +183,64 @@
     open();
     CHECK(isReset());
 }
+
+TEST_CASE(
+    "entry: a refusal from a process that kept the opening resets it, unless another has it now")
+{
+    const bool isPlacedAnew = GENERATE(false, true);
+    entry_fixture fleet;
+    fleet.advance(4s);
+    fleet.report(reportOf("t1", target_standing::ready, 0));
+    auto bytes = fleet.codec.encode(opening, {});
+    fleet.engine.onCallerBytes(fleet.now, bytes);
+    auto sent = std::exchange(fleet.port.toPeers, {});
+    REQUIRE(sent.size() == 1);
+    const auto keep = [&](const endpoint &process) {
+        auto kept = encodeRelayMessage(opening_kept{.caller = caller, .service = service});
+        fleet.engine.onPeerBytes(fleet.now, process, kept);
+    };
+    keep(processAddress);
+    if (isPlacedAnew)
+        keep(otherProcess);
+    fleet.now += 300ms;
+    auto packet = decodeRelayPacket(sent.front().second);
+    REQUIRE(packet);
+    packet->header.kind = relay_kind::refused_opening;
+    packet->header.shortestWaitAt = processAddress;
+    auto reply = fleet.packet(packet->header, opening);
+    fleet.engine.onPeerBytes(fleet.now, processAddress, reply);
+    CHECK(fleet.port.toCallers.size() == (isPlacedAnew ? 0 : 1));
+}
+
+TEST_CASE("entry: a refusal after the end of the attempt resets nothing")
+{
+    entry_fixture fleet;
+    fleet.advance(4s);
+    fleet.report(reportOf("t1", target_standing::ready, 0));
+    auto bytes = fleet.codec.encode(opening, {});
+    fleet.engine.onCallerBytes(fleet.now, bytes);
+    auto sent = std::exchange(fleet.port.toPeers, {});
+    REQUIRE(sent.size() == 1);
+    fleet.now += attemptTime;
+    auto packet = decodeRelayPacket(sent.front().second);
+    REQUIRE(packet);
+    packet->header.kind = relay_kind::refused_opening;
+    auto reply = fleet.packet(packet->header, opening);
+    fleet.engine.onPeerBytes(fleet.now, processAddress, reply);
+    CHECK(fleet.port.toCallers.empty());
+    CHECK(fleet.port.takePackets().empty());
+}
+
+TEST_CASE("entry: a parked opening is reset before its attempt ends")
+{
+    entry_fixture fleet;
+    auto bytes = fleet.codec.encode(opening, {});
+    fleet.engine.onCallerBytes(fleet.now, bytes);
+    CHECK(fleet.port.toCallers.empty());
+    for (auto age = 10ms; age < attemptTime; age += 10ms) {
+        fleet.now += 10ms;
+        fleet.engine.onTick(fleet.now);
+    }
+    REQUIRE(fleet.port.toCallers.size() == 1);
+    CHECK(fleet.codec.decode(fleet.port.toCallers.front())->reset);
+}
--- a/src/libtoucanrelay/relay_target.cpp
+++ b/src/libtoucanrelay/relay_target.cpp
@@ -35,6 +35,7 @@
     , m_port(port)
     , m_metrics(metrics)
     , m_log(log)
+    , m_refusalWait(metrics.distributionOf("toucan_refusal_wait_ms"))
     , m_returnedOpenings(metrics.numberOf("toucan_openings_returned_total"))
     , m_passedOn(metrics.numberOf("toucan_segments_passed_on_total"))
     , m_malformed(metrics.numberOf("toucan_malformed_datagrams_total"))
@@ -50,6 +51,10 @@
     for (std::size_t i = 0; i < m_verdicts.size(); ++i)
         m_verdicts[i] = &metrics.numberOf(
             "toucan_openings_judged_total", "verdict", toString(static_cast<opening_verdict>(i)));
+    for (std::size_t i = 0; i < m_refusals.size(); ++i)
+        m_refusals[i] = &metrics.numberOf(
+            "toucan_openings_refused_total", "reason", toString(static_cast<queue_refusal>(i)));
+    m_queue.setClassFloor(m_options.classFloor);
 }
 
 void relay_target::onPeerBytes(instant now, const endpoint &from, std::span<std::uint8_t> bytes)
@@ -84,24 +89,32 @@
     }
     auto next = header;
     auto verdict = evaluate(now, header);
+    const bool isCold = verdict == opening_verdict::cold;
+    updateQueuePace(now);
     // A copy of a queued opening does not overtake others.
     if (m_queue.contains(key)) {
         verdict = queueOpening(now, head, packet);
-    } else if (verdict == opening_verdict::busy) {
-        recordWait(now, next);
-    } else if (verdict == opening_verdict::waits) {
-        const auto better = candidateWithShorterQueue(now, header);
+    } else if (verdict == opening_verdict::busy || (isCold && !header.candidates.empty())) {
+        recordWait(now, head, next);
+    } else if (verdict == opening_verdict::waits || isCold) {
+        const auto better = candidateWithShorterQueue(now, head, header);
         next.shortestWaitAt = {};
         if (better)
             next.candidates.assign(1, better);
         verdict = better ? opening_verdict::busy : queueOpening(now, head, packet);
     }
-    logOpening(now, head, toString(verdict));
+    logOpening(now, head, toString(verdict),
+        verdict == opening_verdict::overloaded ? &m_queue.lastForecast() : nullptr);
     m_verdicts[static_cast<std::size_t>(verdict)]->add();
-    if (verdict == opening_verdict::accepted)
+    if (verdict == opening_verdict::accepted) {
+        m_queue.recordArrival(now, makeWaiting(now, head, header));
         acceptOpening(now, head, header, packet.bytes);
-    else if (verdict != opening_verdict::waits)
+    } else if (verdict != opening_verdict::waits) {
         passOn(next, relay_kind::refused_opening, packet.bytes);
+    }
+    // It may take the time of others that wait.
+    if (verdict == opening_verdict::waits)
+        judgeQueue(now);
 }
 
 void relay_target::acceptOpening(
@@ -119,6 +132,8 @@
         .openedAt = now,
         .lastPacketAt = now};
     m_unansweredOpenings.emplace_back(now, key);
+    m_queue.recordServed(
+        now, head.source, waiting_opening{.priority = header.priority}.priorityClass());
     expectRequest(now, key, item);
     m_port.sendTarget(bytes);
 }
@@ -420,8 +435,14 @@
     m_flows.erase(it);
 }
 
-void relay_target::logOpening(instant now, const segment &head, std::string_view outcome)
+void relay_target::logOpening(instant now, const segment &head, std::string_view outcome,
+    const opening_forecast *forecast, instant waited)
 {
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    const auto figure = [&](auto read) {
+        return forecast ? static_cast<std::uint64_t>(read(*forecast).count()) : 0;
+    };
     m_log.write(now,
         opening_decided{.caller = head.source,
             .service = head.destination,
@@ -431,7 +452,14 @@
             .load = occupiedSlots() + m_queue.size(),
             .eligible = m_flows.size(),
             .revision = m_newestConfig.point.revision,
-            .domainsRevision = m_domains.inForce().point.revision});
+            .domainsRevision = m_domains.inForce().point.revision,
+            .reason = forecast && forecast->refusal ? std::string(toString(*forecast->refusal))
+                                                    : std::string(),
+            .waitedMs = static_cast<std::uint64_t>(duration_cast<milliseconds>(waited).count()),
+            .expectedWaitMs = figure([](const auto &item) { return item.wait; }),
+            .leftMs = figure([](const auto &item) { return item.left; }),
+            .serviceMs = forecast ? static_cast<std::uint64_t>(m_queue.serviceTime().count()) : 0,
+            .slots = forecast ? slots() : 0});
 }
 
 } // namespace toucan
--- a/src/libtoucanrelay/relay_target_queue.cpp
+++ b/src/libtoucanrelay/relay_target_queue.cpp
@@ -10,18 +10,8 @@
 
 // Minimum reduction of the wait that justifies one more hop to another target.
 constexpr std::uint64_t minWaitGainMs = 10;
-
-waiting_opening makeWaiting(instant now, const segment &head, const relay_packet &packet)
-{
-    auto header = packet.header;
-    header.candidates.clear();
-    header.shortestWaitAt = {};
-    return {.head = head,
-        .header = std::move(header),
-        .bytes = byte_buffer(packet.bytes.begin(), packet.bytes.end()),
-        .attemptStart = now - std::chrono::milliseconds(packet.header.ageMs),
-        .objective = std::chrono::milliseconds(packet.header.objectiveMs)};
-}
+// Minimum time between two judgements of the queue without a new opening.
+constexpr auto judgeInterval = 10ms;
 
 } // namespace
 
@@ -60,19 +50,51 @@
     }
 }
 
+waiting_opening relay_target::makeWaiting(
+    instant now, const segment &head, const relay_header &header) const
+{
+    return {.head = head,
+        .attemptStart = now - std::chrono::milliseconds(header.ageMs),
+        .objective = std::chrono::milliseconds(header.objectiveMs),
+        .timeLimit = std::chrono::milliseconds(header.timeLimitMs),
+        .priority = header.priority,
+        .cost = expectedCost(head)};
+}
+
+// Time of the requests at the target beyond its slots, for one slot.
+std::chrono::milliseconds relay_target::workAhead(instant /*now*/) const
+{
+    return static_cast<std::int64_t>(excessRequests()) * m_queue.serviceTime();
+}
+
+// Expected time of an opening's first request at the target.
+std::chrono::milliseconds relay_target::expectedCost(const segment & /*opening*/) const
+{
+    return m_queue.serviceTime();
+}
+
+// A cold target takes only some openings each second, whatever its slots.
+void relay_target::updateQueuePace(instant now)
+{
+    const bool isLimited
+        = standing(now) == target_standing::cold && coldLimit() <= opening_queue::maxOpenings;
+    m_queue.setAllowedStarts(
+        isLimited ? m_recentOpenings.nextStarts(now, coldLimit()) : std::vector<instant>());
+}
+
 // Expected wait of an opening at this target, milliseconds.
-std::uint64_t relay_target::expectedWait(instant now, const relay_header &header) const
+std::uint64_t relay_target::expectedWait(
+    instant now, const segment &head, const relay_header &header) const
 {
-    const waiting_opening opening{.attemptStart = now - std::chrono::milliseconds(header.ageMs),
-        .objective = std::chrono::milliseconds(header.objectiveMs)};
-    const auto wait = m_queue.expectedWait(now, opening, slots(), excessRequests());
+    const auto wait
+        = m_queue.expectedWait(now, makeWaiting(now, head, header), slots(), workAhead(now));
     return static_cast<std::uint64_t>(wait.count());
 }
 
 // Records the wait at this target in the header for the candidates that are asked next.
-void relay_target::recordWait(instant now, relay_header &header) const
+void relay_target::recordWait(instant now, const segment &head, relay_header &header) const
 {
-    const auto wait = expectedWait(now, header);
+    const auto wait = expectedWait(now, head, header);
     if (!header.shortestWaitAt || wait < header.shortestWaitMs) {
         header.shortestWaitMs = wait;
         header.shortestWaitAt = m_options.peer;
@@ -80,28 +102,64 @@
 }
 
 // An earlier candidate with a shorter wait than this one; empty when this one has the shortest.
-endpoint relay_target::candidateWithShorterQueue(instant now, const relay_header &header) const
+endpoint relay_target::candidateWithShorterQueue(
+    instant now, const segment &head, const relay_header &header) const
 {
     const bool isBetter = header.shortestWaitAt && header.shortestWaitAt != m_options.peer
-        && header.shortestWaitMs + minWaitGainMs < expectedWait(now, header);
+        && header.shortestWaitMs + minWaitGainMs < expectedWait(now, head, header);
     return isBetter ? header.shortestWaitAt : endpoint{};
 }
 
 opening_verdict relay_target::queueOpening(
     instant now, const segment &head, const relay_packet &packet)
 {
-    if (!m_queue.offer(now, makeWaiting(now, head, packet), slots(), excessRequests()))
+    auto opening = makeWaiting(now, head, packet.header);
+    opening.header = packet.header;
+    opening.header.candidates.clear();
+    opening.header.shortestWaitAt = {};
+    opening.bytes.assign(packet.bytes.begin(), packet.bytes.end());
+    if (!m_queue.offer(now, std::move(opening), slots(), workAhead(now))) {
+        m_refusals[static_cast<std::size_t>(*m_queue.lastForecast().refusal)]->add();
+        m_refusalWait.add(0);
         return opening_verdict::overloaded;
+    }
     updateLoad(now);
     m_port.sendPeer(packet.header.entry,
         encodeRelayMessage(opening_kept{.caller = head.source, .service = head.destination}), {});
     return opening_verdict::waits;
 }
 
-void relay_target::dropExpired(instant now)
+// The opening was not passed to the target. Its entry takes the refusal only from the process that
+// keeps the opening: a copy may have been placed elsewhere meanwhile.
+void relay_target::refuseWaiting(instant now, const unserved_opening &item)
+{
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    const auto &opening = item.opening;
+    const auto waited = now - opening.queuedAt;
+    const bool isProven = item.proof != refusal_proof::missing;
+    logOpening(now, opening.head,
+        isProven ? toString(opening_verdict::overloaded) : "left to the process with its copies",
+        &item.forecast, waited);
+    m_verdicts[static_cast<std::size_t>(opening_verdict::overloaded)]->add();
+    m_refusals[static_cast<std::size_t>(*item.forecast.refusal)]->add();
+    m_refusalWait.add(static_cast<double>(duration_cast<milliseconds>(waited).count()));
+    if (isProven)
+        returnWaiting(opening);
+}
+
+void relay_target::returnWaiting(const waiting_opening &opening)
+{
+    auto header = opening.header;
+    header.shortestWaitAt = m_options.peer;
+    passOn(header, relay_kind::refused_opening, opening.bytes);
+}
+
+void relay_target::judgeQueue(instant now)
 {
-    for (const auto &item : m_queue.takeExpired(now))
-        logOpening(now, item.head, "dropped: the caller's attempt ended in the queue");
+    m_lastJudged = now;
+    const auto refused = m_queue.judge(now, slots(), workAhead(now));
+    std::ranges::for_each(refused, [&](const auto &item) { refuseWaiting(now, item); });
 }
 
 // Queued openings are evaluated again: the target may have become draining, silent or out of
@@ -110,25 +168,33 @@
 {
     if (m_queue.empty())
         return;
-    dropExpired(now);
+    updateQueuePace(now);
     while (const auto *next = m_queue.next(now)) {
         const auto verdict = evaluate(now, next->header);
-        if (verdict == opening_verdict::waits)
+        if (verdict == opening_verdict::waits || verdict == opening_verdict::cold)
             break;
         const auto item = *m_queue.take(next->head.flowFromCaller());
         logOpening(now, item.head, toString(verdict));
         m_verdicts[static_cast<std::size_t>(verdict)]->add();
         if (verdict == opening_verdict::accepted)
             acceptOpening(now, item.head, item.header, item.bytes);
-        else
-            passOn(item.header, relay_kind::refused_opening, item.bytes);
+        else if (item.proofOfRefusal(now) != refusal_proof::missing)
+            returnWaiting(item);
     }
+    if (now - m_lastJudged >= judgeInterval)
+        judgeQueue(now);
     updateLoad(now);
 }
 
 void relay_target::onPause(instant now)
 {
-    m_queue.clear();
+    for (auto &opening : m_queue.takeAll()) {
+        const auto proof = opening.proofOfRefusal(now);
+        refuseWaiting(now,
+            {.opening = std::move(opening),
+                .forecast = {.refusal = queue_refusal::process_paused},
+                .proof = proof});
+    }
     updateLoad(now);
 }
 
--- a/src/libtoucanrelay/relay_target_queue_test.cpp
+++ b/src/libtoucanrelay/relay_target_queue_test.cpp
@@ -34,9 +34,10 @@
                 .slots = slots,
                 .draining = standing == target_standing::draining});
     }
-    void open(std::uint16_t callerPort, const relay_header &extra = {})
+    void open(std::uint16_t callerPort, const relay_header &extra = {}, std::uint32_t copy = 0)
     {
         auto head = opening;
+        head.copy = copy;
         head.source.port = callerPort;
         auto header = extra;
         header.kind = relay_kind::opening;
@@ -85,6 +86,29 @@
         }
         return ports;
     }
+    // Plays time with the copies of one opening; returns its age when it was refused.
+    std::optional<std::chrono::milliseconds> playUntilRefused(
+        std::uint16_t callerPort, std::chrono::milliseconds until, bool withCopies = true)
+    {
+        port = {};
+        for (auto age = 10ms; age <= until; age += 10ms) {
+            now += 10ms;
+            if (withCopies && (age == 200ms || age == 600ms))
+                open(callerPort, {.ageMs = static_cast<std::uint64_t>(age.count())},
+                    age == 200ms ? 1 : 2);
+            engine.onTick(now);
+            for (const auto &[to, bytes] : std::exchange(port.toPeers, {})) {
+                auto copy = bytes;
+                const auto packet = decodeRelayPacket(copy);
+                if (packet && packet->header.kind == relay_kind::refused_opening) {
+                    CHECK(to == entryAddress);
+                    CHECK(packet->header.shortestWaitAt == processAddress);
+                    return age;
+                }
+            }
+        }
+        return std::nullopt;
+    }
     // Number of opening_kept messages sent to the entry.
     std::size_t countKept() const
     {
@@ -251,3 +275,52 @@
     CHECK(passedOn->header.shortestWaitAt == processAddress);
     CHECK(passedOn->header.shortestWaitMs > 0);
 }
+
+TEST_CASE("target queue: an opening that is never served is refused before its attempt ends")
+{
+    queue_fixture target;
+    target.fill();
+    target.open(10);
+    const auto age = target.playUntilRefused(10, 2s);
+    REQUIRE(age);
+    CHECK(*age < attemptTime);
+    CHECK(target.metrics.text().find("toucan_openings_refused_total") != std::string::npos);
+    target.answer(1);
+    CHECK(target.takeOpened().empty());
+}
+
+// Another process may have placed a copy that did not come here, and the flow may be open.
+TEST_CASE("target queue: an opening whose copies went elsewhere is not refused after them")
+{
+    queue_fixture target;
+    target.fill();
+    target.open(10);
+    CHECK_FALSE(target.playUntilRefused(10, 2s, false));
+}
+
+TEST_CASE("target queue: openings queued before a pause of the process are refused")
+{
+    queue_fixture target;
+    target.fill();
+    target.open(10);
+    target.port = {};
+    target.now += 100ms;
+    target.engine.onPause(target.now);
+    const auto packets = target.port.takePackets();
+    REQUIRE(packets.size() == 1);
+    CHECK(packets.front() == std::pair(relay_kind::refused_opening, entryAddress));
+}
+
+TEST_CASE("target queue: an opening is refused when more urgent ones take its place")
+{
+    queue_fixture target;
+    target.fill();
+    target.open(10, {.objectiveMs = 80, .timeLimitMs = 250, .priority = 1});
+    target.now += 100ms;
+    target.port = {};
+    for (std::uint16_t each = 20; each < 40; ++each)
+        target.open(each, {.objectiveMs = 900});
+    const auto packets = target.port.takePackets();
+    const auto refused = std::pair(relay_kind::refused_opening, entryAddress);
+    CHECK(std::ranges::count(packets, refused) == 1);
+}
--- a/src/toucantarget/target_relay_server.cpp
+++ b/src/toucantarget/target_relay_server.cpp
@@ -24,6 +24,7 @@
         .reportInterval = settings.reportInterval,
         .coldOvershoot = settings.coldOvershoot,
         .coldSlack = settings.coldSlack,
+        .classFloor = settings.classFloor,
         .firstStart = settings.firstStart == "true",
         .boot = boot};
 }
