Targets report remaining work in time; placement by expected end

Cause: an entry compares requests per slot, whatever they cost and however slow a target is.

Change: work_estimator at the process beside a target (distributions by route and kind, remaining time by age, speed); workUs and meanUs in target_report and member_state; placement "work" beside "load" and "hash": expected end, no later candidate that ends more than twice as late, distance between domains learned from round trips. Falls back to load while times are unknown, and chooses like it while they are similar. Metrics, fields of opening_decided, a finding of explain. The emulator gets work by request, slots, callers by domain and delays between domains.

Conclusion: kept as a setting, the default stays load.

--- a/src/include/toucan/lab/relay_fleet.h
+++ b/src/include/toucan/lab/relay_fleet.h
@@ -25,6 +25,14 @@
     std::uint64_t slots = 9;
     std::chrono::milliseconds work{50}; ///< Time that a target works on a request.
     bool logs = false; ///< Structured log lines go to standard output.
+    placement_policy place = placeByLoad;
+    work_estimator::parts estimator;
+    /// Time that a target works on a flow's request; `work` for each when empty. Targets that have
+    /// it work on `slots` requests at once, others on any number.
+    std::function<std::chrono::milliseconds(
+        std::size_t target, const flow_key &flow, std::uint32_t request)>
+        workOf;
+    std::chrono::microseconds domainDelay{0}; ///< More for datagrams between failure domains.
 };
 
 /// Loses chosen datagrams between one entry and other processes.
@@ -47,6 +55,10 @@
 
     /// Opens a flow through a random entry and sends one request; returns the number of the flow.
     std::size_t openFlow() { return m_callers.open(mainAddress()); }
+    /// The same for a caller in a failure domain, whose segments go through entries of it.
+    std::size_t openFlowIn(const std::string &domain);
+    /// Time from the opening of a flow to the newest answer on it; nullopt without one.
+    std::optional<std::chrono::microseconds> answeredAfter(std::size_t flow) const;
     /// Sends another request on an open flow, through a random entry.
     void request(std::size_t flow) { m_callers.request(flow); }
     /// Callers use only these entries from now on; all when empty.
@@ -150,7 +162,7 @@
     bool lost();
     bool isFiltered(const endpoint &from, const endpoint &to, byte_view bytes);
     void deliver(const endpoint &from, const endpoint &to, byte_buffer bytes);
-    void toCaller(byte_buffer bytes);
+    void toCaller(const std::string &fromDomain, byte_buffer bytes);
     void sendFromCaller(byte_buffer bytes);
     void checkReset(std::size_t flow);
     void countStray(byte_view bytes, const target_node &taker);
@@ -163,7 +175,9 @@
     entry_node *entryAt(const endpoint &peer);
     target_node *targetAt(const endpoint &peer);
     bool isInCutDomain(const endpoint &peer);
-    entry_node *chooseEntry();
+    entry_node *chooseEntry(const std::string &domain);
+    std::string domainOfCaller(byte_view bytes, bool isSender) const;
+    std::string domainOf(const endpoint &peer);
     relay_entry_options entryOptions(const entry_node &node);
     relay_target_options targetOptions(const target_node &node, bool first);
     void tickEntry(std::size_t entry, std::uint64_t start);
@@ -180,6 +194,9 @@
     std::vector<std::unique_ptr<entry_node>> m_entries;
     std::vector<std::unique_ptr<target_node>> m_targets;
     segment_callers m_callers;
+    std::map<std::size_t, std::string> m_callerDomains; ///< By flow; others use any entry.
+    std::map<std::size_t, instant> m_openedAt; ///< By flow, for flows of these callers.
+    std::map<std::size_t, instant> m_answeredAt;
     std::set<std::size_t> m_usedEntries;
     std::set<std::pair<std::size_t, std::size_t>> m_cuts;
     std::set<std::string> m_cutDomains;
--- a/src/include/toucan/lab/segment_callers.h
+++ b/src/include/toucan/lab/segment_callers.h
@@ -19,6 +19,7 @@
     std::function<void(byte_buffer)> send; ///< Hands a segment to the fabric.
     std::function<void(std::chrono::microseconds, std::function<void()>)> schedule;
     std::function<void(std::size_t flow)> onReset; ///< The system reset a flow.
+    std::function<void(std::size_t flow)> onAnswer; ///< A request was answered; may be empty.
 };
 
 /// What became of the callers' flows.
--- a/src/include/toucan/lab/segment_target.h
+++ b/src/include/toucan/lab/segment_target.h
@@ -3,6 +3,7 @@
 /// A stand-in target whose flows are connections of a segment transport: takes openings, answers
 /// each request after a while, sends answers again when asked, and returns what it does not hold.
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <random>
@@ -18,6 +19,9 @@
 {
     const segment_codec &codec;
     std::chrono::milliseconds work{50}; ///< Time that it works on a request.
+    /// Time that it works on a flow's request with this number; `work` for each when empty.
+    std::function<std::chrono::milliseconds(const flow_key &, std::uint32_t request)> workOf;
+    std::size_t slots = 0; ///< Requests that it works on at once; 0: any number.
     std::uint64_t seed = 1; ///< For sequence numbers.
     std::function<void(byte_buffer)> send; ///< Sends a segment to the process beside it.
     std::function<void(std::chrono::microseconds, std::function<void()>)> schedule;
@@ -56,9 +60,12 @@
         bool established = false;
         std::uint32_t callerNext = 0;
         std::uint32_t answered = 0;
+        std::uint32_t taken = 0;
     };
 
     void onOpening(const segment &head);
+    void take(const flow_key &key);
+    void startNext();
     void onEstablished(const segment &head, byte_view bytes);
     void reply(const flow_key &key, const held_flow &flow, std::uint32_t number);
 
@@ -66,6 +73,8 @@
     std::mt19937_64 m_random;
     std::map<flow_key, held_flow> m_held;
     std::map<std::pair<flow_key, std::uint32_t>, int> m_runs;
+    std::deque<std::pair<flow_key, std::chrono::milliseconds>> m_waiting; ///< No slot is free.
+    std::size_t m_working = 0;
     std::uint64_t m_lifetime = 0;
     std::size_t m_openings = 0;
     bool m_running = true;
--- a/src/include/toucan/relay_entry.h
+++ b/src/include/toucan/relay_entry.h
@@ -156,6 +156,7 @@
         std::uint16_t searches = 0; ///< Searches since the owner was last known.
         std::unique_ptr<search_progress> progress; ///< The last of these searches.
         bool wasParked = false; ///< Its opening was parked at this entry.
+        std::optional<instant> ownerAskedAt; ///< When the owner was sent what it confirms.
         bool refusedOnce = false; ///< All candidates of an opening have refused it once.
     };
 
@@ -227,7 +228,7 @@
     void resetFlow(instant now, const segment &head, std::string_view reason,
         const search_evidence &evidence = {});
     void logOpening(instant now, const segment &head, std::string_view outcome,
-        const relay_member *target, std::size_t eligible);
+        const relay_member *target, std::size_t eligible, const expected_end &end = {});
     void logSearch(instant now, const cached_flow &cached, std::string_view outcome,
         const endpoint &first, std::size_t asked, std::string_view undecided = {});
     void forward(const endpoint &to, const relay_header &header, byte_view bytes);
@@ -295,6 +296,8 @@
     event_log &m_log;
     metrics::number &m_openings;
     metrics::number &m_forwarded;
+    metrics::number &m_openingsToOthers; ///< Openings sent to other failure domains.
+    metrics::number &m_bytesToOthers; ///< Bytes of callers' segments sent there.
     metrics::number &m_searches;
     metrics::number &m_dropped;
     metrics::number &m_malformed;
@@ -302,6 +305,7 @@
     relay_config_ptr m_config; ///< In force.
     config_choice m_choice;
     domain_outages m_domains;
+    domain_distances m_distances;
     std::uint64_t m_followedEra = 0; ///< Era of the store at the last tick.
     std::optional<instant> m_eraFollowedSince; ///< Followed without a loss in that era since.
     std::unordered_set<endpoint> m_droppedRoutes; ///< Addresses whose route was removed.
--- a/src/include/toucan/relay_members.h
+++ b/src/include/toucan/relay_members.h
@@ -30,6 +30,8 @@
     std::uint64_t flows = 0;
     std::uint64_t waiting = 0;
     std::uint64_t load = 0; ///< Smoothed waiting requests for each slot, thousandths.
+    std::uint64_t workUs = 0; ///< Smoothed time of work still to do for each slot, microseconds.
+    std::uint64_t meanUs = 0; ///< Expected time of a request there, microseconds; 0: unknown.
     std::uint64_t openRate = 0; ///< Openings per second that a cold target can take.
     std::uint64_t openedSince = 0; ///< Openings sent to it since the newest report.
     std::chrono::milliseconds interval{250}; ///< Time between two updates of its state.
@@ -45,6 +47,8 @@
     bool reportedLost = false; ///< Its domain's entries report it as lost.
     instant changedAt{}; ///< Last change that other entries need.
     std::uint64_t reportedLoad = 0; ///< Load at the last change.
+    std::uint64_t reportedWorkUs = 0; ///< Work at the last change.
+    std::uint64_t reportedMeanUs = 0; ///< Time of a request at the last change.
     std::uint64_t stateHash = 0; ///< Over the fields that must be equal in all entries.
 
     /// True while at most one of its updates is late or lost.
@@ -66,6 +70,9 @@
     bool isAnswering() const { return !lost && suspectedSince == instant{}; }
     /// Load including openings sent since the newest report, thousandths of a slot.
     std::uint64_t expectedLoad() const;
+    /// Work before an opening that is sent now, including that of openings sent since the newest
+    /// report, in requests of `meanUs` for each slot; only while meanUs is known.
+    double expectedQueue() const;
 };
 
 /// State of a member as text: "lost" or its standing.
--- a/src/include/toucan/relay_placement.h
+++ b/src/include/toucan/relay_placement.h
@@ -13,6 +13,7 @@
 
 #include <boost/container/static_vector.hpp>
 #include <span>
+#include <toucan/domain_distances.h>
 #include <toucan/relay_config.h>
 #include <toucan/relay_members.h>
 
@@ -32,6 +33,17 @@
     instant now{};
     /// Maximum openings for each slot of a member since its newest report; 0: no limit.
     std::uint64_t maxRoundsPerReport = 0;
+    const domain_distances *distances = nullptr; ///< Not used by all policies.
+};
+
+/// Expected time from now to the end of a request, and its parts, ms.
+struct expected_end
+{
+    double workMs = 0; ///< Work before it at the target.
+    double costMs = 0; ///< The request itself.
+    double distanceMs = 0; ///< Cost of another failure domain.
+
+    double totalMs() const { return workMs + costMs + distanceMs; }
 };
 
 /// Candidates in the order in which they are asked.
@@ -53,13 +65,19 @@
 
 /// Chooses candidates for an opening by load, with a preference for the own failure domain.
 placement placeByLoad(std::span<relay_member *const> members, const placement_request &request);
+/// Chooses candidates by the expected end of the request at each. Where all targets take about as
+/// long for a request, and domains are near each other, the choice is that of placeByLoad, as it is
+/// while the time that a candidate takes is unknown.
+placement placeByWork(std::span<relay_member *const> members, const placement_request &request);
+/// Expected end of a request that is sent to `item` now, if its target's times are known.
+std::optional<expected_end> expectedEnd(const relay_member &item, const placement_request &request);
 /// Chooses candidates by the flow's rendezvous order alone; the baseline for placeByLoad.
 placement placeByHash(std::span<relay_member *const> members, const placement_request &request);
 
 /// Function that chooses candidates.
 using placement_policy
     = placement (*)(std::span<relay_member *const> members, const placement_request &request);
-/// The policy with this name in settings: "load" or "hash"; nullptr for other names.
+/// The policy with this name in settings: "load", "work" or "hash"; nullptr for other names.
 placement_policy placementNamed(std::string_view name);
 
 /// Members that may hold a flow, most likely first. Lost members are excluded.
--- a/src/include/toucan/relay_target.h
+++ b/src/include/toucan/relay_target.h
@@ -15,6 +15,7 @@
 #include <toucan/relay_packet.h>
 #include <toucan/relay_port.h>
 #include <toucan/segment.h>
+#include <toucan/work_estimator.h>
 #include <unordered_map>
 
 namespace toucan {
@@ -32,6 +33,7 @@
     std::chrono::milliseconds reportInterval{1200}; ///< Time between two reports of the target.
     double coldOvershoot = 1; ///< Factor on the cold rate that must never be exceeded.
     double coldSlack = 0; ///< Openings a second allowed on top of that factor.
+    work_estimator::parts estimator; ///< Parts of the estimate of work that are used.
     bool firstStart = false; ///< No flow was open before this start.
     std::uint64_t boot = 0; ///< Random number that identifies this start of the process.
 };
@@ -109,6 +111,7 @@
         std::chrono::milliseconds slowestAnswer{0};
         bool isRequestExpected = false; ///< A slot is reserved for its first request.
         bool beganWithFreeSlot = false; ///< The target had a free slot when the request began.
+        std::uint64_t workNumber = 0; ///< Number of the request that has no answer yet.
         bool callerFinished = false;
         bool targetFinished = false;
         /// It was not open when an earlier start sent its table, but may have opened before that
@@ -168,7 +171,18 @@
     flow_lookup_result lookUpFlow(
         instant now, const flow_key &key, std::uint32_t acknowledged) const;
     void notifyEntry(const flow_key &key, flow &item);
-    void beginRequest(instant now, flow &item);
+    void beginRequest(instant now, flow &item, const segment &head);
+    /// Work as reported to entries; zero while it is unknown.
+    struct work_figures
+    {
+        std::uint64_t remainingUs = 0; ///< For each slot.
+        std::uint64_t meanUs = 0;
+    };
+    work_figures workFigures(instant now, double slotCount) const;
+    double remainingWork(instant now) const;
+    double workAhead(instant now) const;
+    void recordEstimate(const work_estimator::outcome &outcome);
+    void recordWorkMetrics(instant now);
     void endRequest(instant now, flow &item, bool answered);
     void erase(instant now, flow_map::iterator it, std::string_view outcome);
     void recordTargetSeen(instant now);
@@ -228,6 +242,10 @@
     metrics::number &m_malformed;
     metrics::distribution &m_firstAnswer;
     metrics::number &m_unansweredRequests; ///< Requests whose flow ended before the answer.
+    metrics::number &m_expectedWorkMs; ///< Sum over measured requests.
+    metrics::number &m_seenWorkMs;
+    metrics::number &m_estimateErrorMs; ///< Sum of absolute differences.
+    metrics::number &m_measuredRequests;
 
     liveness_record m_liveness;
     domain_outages m_domains;
@@ -240,6 +258,8 @@
     std::map<endpoint, entry_state> m_entries;
     opening_window m_recentOpenings;
     smoothed_level m_load;
+    smoothed_level m_work; ///< Time of work still to do at the target, ms.
+    work_estimator m_estimator;
     failure_share m_failures;
     opening_queue m_queue;
     std::uint64_t m_waitingRequests = 0;
--- a/src/libtoucanlab/relay_fleet.cpp
+++ b/src/libtoucanlab/relay_fleet.cpp
@@ -46,7 +46,8 @@
           .ips = callerAddresses,
           .send = [this](byte_buffer bytes) { sendFromCaller(std::move(bytes)); },
           .schedule = [this](auto delay, auto act) { after(delay, std::move(act)); },
-          .onReset = [this](std::size_t flow) { checkReset(flow); }})
+          .onReset = [this](std::size_t flow) { checkReset(flow); },
+          .onAnswer = [this](std::size_t flow) { m_answeredAt[flow] = m_now; }})
 {
     if (!m_options.logs)
         event_log::silence();
@@ -87,7 +88,9 @@
     if (lost())
         return;
     // A filtered datagram takes its delay from the generator too, so that the others keep theirs.
-    const auto time = delay();
+    auto time = delay();
+    if (m_options.domainDelay.count() > 0 && domainOf(from) != domainOf(to))
+        time += m_options.domainDelay;
     if (isFiltered(from, to, bytes))
         return;
     after(time, [this, from, to, data = std::move(bytes)]() mutable {
@@ -152,11 +155,49 @@
 
 // --- Callers
 
-relay_fleet::entry_node *relay_fleet::chooseEntry()
+std::size_t relay_fleet::openFlowIn(const std::string &domain)
+{
+    const auto flow = m_callers.open(mainAddress());
+    m_callerDomains[flow] = domain;
+    m_openedAt[flow] = m_now;
+    return flow;
+}
+
+std::optional<std::chrono::microseconds> relay_fleet::answeredAfter(std::size_t flow) const
+{
+    const auto found = m_answeredAt.find(flow);
+    const auto opened = m_openedAt.find(flow);
+    if (found == m_answeredAt.end() || opened == m_openedAt.end())
+        return std::nullopt;
+    return std::chrono::duration_cast<std::chrono::microseconds>(found->second - opened->second);
+}
+
+// Empty for callers that use any entry.
+std::string relay_fleet::domainOfCaller(byte_view bytes, bool isSender) const
+{
+    if (m_callerDomains.empty())
+        return {};
+    const auto head = m_codec.decode(bytes);
+    const auto flow
+        = head ? m_callers.flowOf(isSender ? head->source : head->destination) : std::nullopt;
+    const auto found = flow ? m_callerDomains.find(*flow) : m_callerDomains.end();
+    return found == m_callerDomains.end() ? std::string() : found->second;
+}
+
+std::string relay_fleet::domainOf(const endpoint &peer)
+{
+    if (const auto *entry = entryAt(peer))
+        return entry->domain;
+    const auto *target = targetAt(peer);
+    return target ? target->domain : std::string();
+}
+
+relay_fleet::entry_node *relay_fleet::chooseEntry(const std::string &domain)
 {
     std::vector<entry_node *> usable;
     for (const auto &node : m_entries) {
-        if (node->engine && (m_usedEntries.empty() || m_usedEntries.contains(node->number)))
+        if (node->engine && (m_usedEntries.empty() || m_usedEntries.contains(node->number))
+            && (domain.empty() || node->domain == domain))
             usable.push_back(node.get());
     }
     if (usable.empty())
@@ -166,7 +207,7 @@
 
 void relay_fleet::sendFromCaller(byte_buffer bytes)
 {
-    auto *entry = chooseEntry();
+    auto *entry = chooseEntry(domainOfCaller(bytes, true));
     if (!entry || lost())
         return;
     after(delay(), [this, number = entry->number, data = std::move(bytes)]() mutable {
@@ -176,9 +217,13 @@
     });
 }
 
-void relay_fleet::toCaller(byte_buffer bytes)
+void relay_fleet::toCaller(const std::string &fromDomain, byte_buffer bytes)
 {
-    after(delay(), [this, data = std::move(bytes)] { m_callers.onSegment(data); });
+    auto time = delay();
+    const auto domain = domainOfCaller(bytes, false);
+    if (!domain.empty() && domain != fromDomain)
+        time += m_options.domainDelay;
+    after(time, [this, data = std::move(bytes)] { m_callers.onSegment(data); });
 }
 
 void relay_fleet::checkReset(std::size_t flow)
@@ -233,6 +278,7 @@
         .peer = node.peer,
         .seeds = seeds(),
         .domains = m_options.domains,
+        .place = m_options.place,
         .boot = m_random()};
 }
 
--- a/src/libtoucanlab/relay_fleet_nodes.h
+++ b/src/libtoucanlab/relay_fleet_nodes.h
@@ -50,7 +50,7 @@
     }
     void sendCaller(const endpoint &, byte_view bytes) override
     {
-        fleet.toCaller(byte_buffer(bytes.begin(), bytes.end()));
+        fleet.toCaller(domain, byte_buffer(bytes.begin(), bytes.end()));
     }
     void sendTarget(byte_view) override { }
     void fetchConfig(const endpoint &from, const config_stamp &) override;
@@ -85,6 +85,8 @@
         , service(std::move(serviceName))
         , target({.codec = owner.m_codec,
               .work = owner.m_options.work,
+              .workOf = workOf(),
+              .slots = owner.m_options.workOf ? owner.m_options.slots : 0,
               .seed = owner.m_random(),
               .send = [this](byte_buffer bytes) { answer(std::move(bytes)); },
               .schedule = [this](auto delay, auto act) { fleet.after(delay, std::move(act)); },
@@ -99,7 +101,7 @@
     }
     void sendCaller(const endpoint &, byte_view bytes) override
     {
-        fleet.toCaller(byte_buffer(bytes.begin(), bytes.end()));
+        fleet.toCaller(domain, byte_buffer(bytes.begin(), bytes.end()));
     }
     void sendTarget(byte_view bytes) override
     {
@@ -122,6 +124,15 @@
         });
     }
 
+    std::function<std::chrono::milliseconds(const flow_key &, std::uint32_t)> workOf()
+    {
+        if (!fleet.m_options.workOf)
+            return {};
+        return [this](const flow_key &flow, std::uint32_t request) {
+            return fleet.m_options.workOf(number, flow, request);
+        };
+    }
+
     void answer(byte_buffer bytes)
     {
         fleet.after(fleet_layout::localDelay, [this, data = std::move(bytes)]() mutable {
--- a/src/libtoucanlab/relay_fleet_targets.cpp
+++ b/src/libtoucanlab/relay_fleet_targets.cpp
@@ -47,6 +47,7 @@
         .service = node.service,
         .peer = node.peer,
         .seeds = seeds(),
+        .estimator = m_options.estimator,
         .firstStart = first,
         .boot = m_random()};
 }
--- a/src/libtoucanlab/segment_callers.cpp
+++ b/src/libtoucanlab/segment_callers.cpp
@@ -95,6 +95,8 @@
         flow.peerNext += head->length;
         ++flow.answered;
         ++m_outcome.answered;
+        if (m_options.onAnswer)
+            m_options.onAnswer(*number);
     }
 }
 
--- a/src/libtoucanlab/segment_target.cpp
+++ b/src/libtoucanlab/segment_target.cpp
@@ -5,6 +5,8 @@
 void segment_target::restart()
 {
     m_held.clear();
+    m_waiting.clear();
+    m_working = 0;
     m_openings = 0;
     ++m_lifetime;
     m_running = true;
@@ -80,10 +82,31 @@
         return;
     }
     ++m_runs[{key, head.sequence}];
-    m_options.schedule(m_options.work, [this, key, lifetime = m_lifetime] {
+    take(key);
+}
+
+void segment_target::take(const flow_key &key)
+{
+    const auto number = m_held.at(key).taken++;
+    m_waiting.emplace_back(key, m_options.workOf ? m_options.workOf(key, number) : m_options.work);
+    startNext();
+}
+
+void segment_target::startNext()
+{
+    if (m_waiting.empty() || (m_options.slots > 0 && m_working >= m_options.slots))
+        return;
+    const auto [key, work] = m_waiting.front();
+    m_waiting.pop_front();
+    ++m_working;
+    m_options.schedule(work, [this, key = key, lifetime = m_lifetime] {
+        if (!m_running || m_lifetime != lifetime)
+            return;
+        --m_working;
         const auto still = m_held.find(key);
-        if (m_running && m_lifetime == lifetime && still != m_held.end())
+        if (still != m_held.end())
             reply(key, still->second, still->second.answered++);
+        startNext();
     });
 }
 
--- a/src/libtoucanrelay/digest_book.cpp
+++ b/src/libtoucanrelay/digest_book.cpp
@@ -33,6 +33,8 @@
         .slots = item.slots,
         .flows = item.flows,
         .load = item.load,
+        .workUs = item.workUs,
+        .meanUs = item.meanUs,
         .openRate = item.openRate,
         .leaving = item.leaving,
         .lost = item.lost,
--- a/src/libtoucanrelay/flow_trail.cpp
+++ b/src/libtoucanrelay/flow_trail.cpp
@@ -139,6 +139,11 @@
     if (line.event == "opening_decided" && number(line, "copy") > 0)
         return fmt::format("{} received copy {} of the opening: earlier ones were not answered",
             line.vm, number(line, "copy"));
+    if (line.event == "opening_decided" && number(line, "endMs") > 0)
+        return fmt::format("{} expected the request to end at {} after {} ms: {} ms of work before "
+                           "it, {} ms of its own and {} ms for the distance",
+            line.vm, field(line, "target"), number(line, "endMs"), number(line, "workMs"),
+            number(line, "costMs"), number(line, "distanceMs"));
     if (line.event == "opening_decided" && field(line, "outcome").starts_with("parked"))
         return fmt::format("{} parked the opening ({})", line.vm, field(line, "outcome"));
     return {};
--- a/src/libtoucanrelay/flow_trail_test.cpp
+++ b/src/libtoucanrelay/flow_trail_test.cpp
@@ -91,3 +91,15 @@
     CHECK(finds(trail, "e1 left out 5 lines of kind flow_searched"));
     CHECK(finds(trail, "e1 reset the flow"));
 }
+
+TEST_CASE("trail: the expected end of a request is named with its parts")
+{
+    std::istringstream lines(
+        R"(1.0 e1 entry {"event":"opening_decided","timeMs":1000,"caller":"1.2.3.4:5","outcome":"placed","target":"t4","endMs":77,"workMs":12,"costMs":55,"distanceMs":10}
+)");
+    trail_reader reader("1.2.3.4:5");
+    reader.read(lines, "?");
+    CHECK(finds(reader.trail(),
+        "e1 expected the request to end at t4 after 77 ms: 12 ms of work before it, 55 ms of its "
+        "own and 10 ms for the distance"));
+}
--- a/src/libtoucanrelay/relay_decisions_test.cpp
+++ b/src/libtoucanrelay/relay_decisions_test.cpp
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <ranges>
 #include <set>
 #include <toucan/event_log.h>
 #include <toucan/opening_gate.h>
@@ -226,6 +227,88 @@
     CHECK(placementNamed("other") == nullptr);
 }
 
+TEST_CASE("placement: by work chooses as by load while times are unknown or similar")
+{
+    auto members = makeMembers(8);
+    const auto pointers = pointersTo(members);
+    const domains_out out;
+    const auto isSameChoice = [&] {
+        return std::ranges::all_of(
+            std::views::iota(std::uint64_t{0}, std::uint64_t{200}), [&](std::uint64_t hash) {
+                const placement_request request{
+                    .flowHash = hash, .domain = "a", .out = out, .tried = {}, .now = 100s};
+                return placeByWork(pointers, request).order == placeByLoad(pointers, request).order;
+            });
+    };
+    for (std::size_t i = 0; i < members.size(); ++i) {
+        members[i].load = 130 * i;
+        members[i].openedSince = i % 3;
+    }
+    CHECK(isSameChoice());
+    for (auto &item : members) {
+        item.meanUs = item.load % 4 == 0 ? 50'000 : 60'000;
+        item.workUs = item.load * item.meanUs / 1000;
+    }
+    CHECK(isSameChoice());
+    // Processes of an older version among them send no times.
+    for (auto &item : members) {
+        item.meanUs = 500'000;
+        item.workUs = 9'000'000;
+    }
+    members.front().meanUs = 0;
+    std::vector<relay_member *> others{&members[0], &members[2]};
+    const placement_request request{
+        .flowHash = 3, .domain = "a", .out = out, .tried = {}, .now = 100s};
+    CHECK(placeByWork(others, request).order == placeByLoad(others, request).order);
+}
+
+TEST_CASE("placement: by work prefers the target where the request ends first")
+{
+    auto members = makeMembers(2);
+    members[1].domain = "a";
+    const auto pointers = pointersTo(members);
+    const domains_out out;
+    const auto first = [&](const domain_distances *distances = nullptr) {
+        return placeByWork(pointers,
+            {.flowHash = 3,
+                .domain = "a",
+                .out = out,
+                .tried = {},
+                .now = 100s,
+                .distances = distances})
+            .order.front();
+    };
+    members[0].meanUs = 250'000;
+    members[1].meanUs = 50'000;
+    members[1].workUs = 150'000;
+    CHECK(first() == &members[1]);
+    members[1].workUs = 20'000;
+    // A free slot of the slow target is worth less than a short wait at the other.
+    CHECK(
+        placeByWork(pointers, {.flowHash = 3, .domain = "a", .out = out, .tried = {}, .now = 100s})
+            .order.size()
+        == 1);
+    members[1].workUs = 350'000;
+    CHECK(first() == &members[0]);
+    // The same times, in another domain that is near or far.
+    members[0].meanUs = members[1].meanUs = 50'000;
+    members[0].workUs = 0;
+    members[1].workUs = 9'000;
+    members[0].domain = "b";
+    domain_distances distances("a");
+    const auto learn = [&](instant there) {
+        for (int i = 0; i < 40; ++i) {
+            distances.record("a", 1ms);
+            distances.record("b", there);
+        }
+    };
+    CHECK(first() == &members[0]);
+    learn(2ms);
+    CHECK(first(&distances) == &members[0]);
+    learn(8ms);
+    CHECK(first(&distances) == &members[1]);
+}
+
 TEST_CASE("placement: the search starts with the candidates of the flow's opening")
 {
     auto members = makeMembers(12);
--- a/src/libtoucanrelay/relay_entry.cpp
+++ b/src/libtoucanrelay/relay_entry.cpp
@@ -54,9 +54,12 @@
     , m_log(log)
     , m_openings(metrics.numberOf("toucan_openings_total", "outcome", "placed"))
     , m_forwarded(metrics.numberOf("toucan_segments_forwarded_total"))
+    , m_openingsToOthers(metrics.numberOf("toucan_openings_to_other_domains_total"))
+    , m_bytesToOthers(metrics.numberOf("toucan_bytes_to_other_domains_total"))
     , m_searches(metrics.numberOf("toucan_searches_total", "outcome", "asked"))
     , m_dropped(metrics.numberOf("toucan_segments_dropped_total"))
     , m_malformed(metrics.numberOf("toucan_malformed_datagrams_total"))
+    , m_distances(m_options.domain)
     , m_roster(m_options.peer, m_options.domain)
     , m_started(now)
     , m_knowledgeSince(now)
@@ -228,7 +231,8 @@
         .out = m_domains.inForce(),
         .tried = {cached.tried.data(), cached.tried.size()},
         .now = now,
-        .maxRoundsPerReport = cached.wasParked ? parkedRounds : 0};
+        .maxRoundsPerReport = cached.wasParked ? parkedRounds : 0,
+        .distances = &m_distances};
     auto chosen = m_options.place(members, request);
     if (chosen.order.empty()) {
         cached.tried.clear();
@@ -249,7 +253,10 @@
     for (const auto *other : std::span(chosen.order.data(), chosen.order.size()).subspan(1))
         header.candidates.push_back(other->address);
     auto *first = chosen.order.front();
-    logOpening(now, head, "placed", first, chosen.eligible);
+    const auto end = expectedEnd(*first, request);
+    logOpening(now, head, "placed", first, chosen.eligible, end.value_or(expected_end{}));
+    if (first->domain != m_options.domain)
+        m_openingsToOthers.add();
     ++first->openedSince;
     cached.owner = first->address;
     cached.openedAt = now;
@@ -295,8 +302,12 @@
                 header.candidates.push_back(other);
         }
     }
+    if (!header.candidates.empty() && !cached.ownerAskedAt)
+        cached.ownerAskedAt = now;
     cached.established = true;
     m_forwarded.add();
+    if (owner && owner->domain != m_options.domain)
+        m_bytesToOthers.add(bytes.size());
     forward(cached.owner, header, bytes);
 }
 
@@ -406,6 +417,8 @@
     if (now - m_lastSweep >= sweepInterval) {
         m_lastSweep = now;
         sweepFlows(now);
+        for (const auto &[domain, roundTrip] : m_distances.roundTrips())
+            m_metrics.numberOf("toucan_domain_round_trip_us", "domain", domain).set(roundTrip);
         m_flowTables.sweep(now);
         m_starts.sweep(now);
         publishGauges(now);
@@ -470,7 +483,7 @@
 }
 
 void relay_entry::logOpening(instant now, const segment &head, std::string_view outcome,
-    const relay_member *target, std::size_t eligible)
+    const relay_member *target, std::size_t eligible, const expected_end &end)
 {
     using std::chrono::duration_cast;
     using std::chrono::milliseconds;
@@ -485,6 +498,10 @@
             .target = target ? target->name : std::string(),
             .load = target ? target->expectedLoad() : 0,
             .loadAgeMs = static_cast<std::uint64_t>(age),
+            .endMs = static_cast<std::uint64_t>(end.totalMs()),
+            .workMs = static_cast<std::uint64_t>(end.workMs),
+            .costMs = static_cast<std::uint64_t>(end.costMs),
+            .distanceMs = static_cast<std::uint64_t>(end.distanceMs),
             .eligible = eligible,
             .revision = stampOf(m_config).point.revision,
             .domainsRevision = m_domains.inForce().point.revision});
--- a/src/libtoucanrelay/relay_entry_search.cpp
+++ b/src/libtoucanrelay/relay_entry_search.cpp
@@ -428,8 +428,13 @@
 {
     const flow_key flow{.caller = message.caller, .service = message.service};
     const auto found = m_flows.find(flow);
-    if (found != m_flows.end())
-        adoptOwner(now, flow, found->second, from, true);
+    if (found == m_flows.end())
+        return;
+    const auto *member = m_members.at(from);
+    const auto askedAt = std::exchange(found->second.ownerAskedAt, std::nullopt);
+    if (member && askedAt && !found->second.confirmed && found->second.owner == from)
+        m_distances.record(member->domain, now - *askedAt);
+    adoptOwner(now, flow, found->second, from, true);
 }
 
 // `hasSegment`: the owner already has the segment that started the search.
--- a/src/libtoucanrelay/relay_members.cpp
+++ b/src/libtoucanrelay/relay_members.cpp
@@ -23,6 +23,9 @@
         : target_standing::unknown;
 }
 
+// Factor on the expected time of a request that is sent to other domains.
+constexpr double notableMeanRatio = 1.5;
+
 // Fields of which every change is sent to other entries.
 using notable_state = std::tuple<std::string, std::string, endpoint, std::uint64_t, std::uint64_t,
     target_standing, bool, std::uint64_t>;
@@ -49,14 +52,26 @@
     return rankWeight(item.nameHash, address << 1U | static_cast<std::uint64_t>(item.leaving));
 }
 
+bool isWorkNotable(const relay_member &item)
+{
+    const auto [low, high] = std::minmax(item.meanUs, item.reportedMeanUs);
+    if (static_cast<double>(high) > static_cast<double>(low) * notableMeanRatio)
+        return true;
+    constexpr std::uint64_t thousand = 1000;
+    const auto [less, more] = std::minmax(item.workUs, item.reportedWorkUs);
+    return item.meanUs > 0 && (more - less) * thousand >= notableLoadChange * item.meanUs;
+}
+
 void recordChange(instant now, relay_member &item, const notable_state &previous)
 {
     const auto difference
         = std::max(item.load, item.reportedLoad) - std::min(item.load, item.reportedLoad);
-    if (previous == notableState(item) && difference < notableLoadChange)
+    if (previous == notableState(item) && difference < notableLoadChange && !isWorkNotable(item))
         return;
     item.changedAt = now;
     item.reportedLoad = item.load;
+    item.reportedWorkUs = item.workUs;
+    item.reportedMeanUs = item.meanUs;
     item.stateHash = hashOf(item);
 }
 
@@ -94,6 +109,8 @@
     item.slots = state.slots;
     item.flows = state.flows;
     item.load = state.load;
+    item.workUs = state.workUs;
+    item.meanUs = state.meanUs;
     item.openRate = state.openRate;
     item.leaving = state.leaving;
     item.openedSince = 0;
@@ -127,6 +144,15 @@
     return load + openedSince * openingWeight / std::max<std::uint64_t>(slots, 1);
 }
 
+double relay_member::expectedQueue() const
+{
+    constexpr double openingWeight = 0.25; // As for expectedLoad().
+    const auto sent = static_cast<double>(openedSince) * openingWeight
+        / static_cast<double>(std::max<std::uint64_t>(slots, 1));
+    return static_cast<double>(workUs) / static_cast<double>(std::max<std::uint64_t>(meanUs, 1))
+        + sent;
+}
+
 relay_member *member_table::find(std::string_view name) const
 {
     for (const auto &[address, item] : m_members) {
--- a/src/libtoucanrelay/relay_placement.cpp
+++ b/src/libtoucanrelay/relay_placement.cpp
@@ -12,6 +12,15 @@
 // there costs a few milliseconds, a quarter of a queue about as much as half a request.
 constexpr std::uint64_t otherDomainPenalty = 150;
 
+// Times of a request at two targets that differ by a smaller factor are taken as equal.
+constexpr double similarTimes = 1.5;
+// A later candidate where the request ends later than at the first by more than this factor is not
+// asked: waiting for a slot at the first is shorter.
+constexpr double maxEndRatio = 2;
+// Crossings of the link between two domains until a request is answered: opening, confirmation with
+// the request, answer to the opening, answer to the request. Two round trips.
+constexpr double roundTripsOfRequest = 2;
+
 struct ranked_member
 {
     std::uint64_t weight;
@@ -61,6 +70,49 @@
     });
 }
 
+double millisecondsOf(std::uint64_t microseconds)
+{
+    constexpr double thousand = 1000;
+    return static_cast<double>(microseconds) / thousand;
+}
+
+double otherDomainCost(const relay_member &item, const placement_request &request, double requestMs)
+{
+    if (item.domain == request.domain)
+        return 0;
+    constexpr double thousand = 1000;
+    const auto usual = static_cast<double>(otherDomainPenalty) / thousand * requestMs;
+    const auto distance
+        = request.distances ? request.distances->extraMs(item.domain) : std::nullopt;
+    return std::max(usual, distance.value_or(0) * roundTripsOfRequest);
+}
+
+expected_end endAt(const relay_member &item, const placement_request &request, double requestMs)
+{
+    return {.workMs = item.expectedQueue() * requestMs,
+        .costMs = requestMs,
+        .distanceMs = otherDomainCost(item, request, requestMs)};
+}
+
+// Time of a request at each candidate: one for all while they are similar.
+struct request_times
+{
+    std::vector<double> ms;
+    bool areSimilar = false;
+};
+
+request_times requestTimes(std::span<relay_member *const> candidates)
+{
+    request_times times{.ms = std::vector<double>(candidates.size())};
+    std::ranges::transform(candidates, times.ms.begin(),
+        [](const relay_member *item) { return millisecondsOf(item->meanUs); });
+    const auto [low, high] = std::ranges::minmax(times.ms);
+    times.areSimilar = high <= low * similarTimes;
+    if (times.areSimilar)
+        std::ranges::fill(times.ms, (low + high) / 2);
+    return times;
+}
+
 } // namespace
 
 bool takesOpenings(const relay_member &item, const domains_out &out, instant now)
@@ -90,6 +142,37 @@
     return result;
 }
 
+std::optional<expected_end> expectedEnd(const relay_member &item, const placement_request &request)
+{
+    if (item.meanUs == 0)
+        return std::nullopt;
+    return endAt(item, request, millisecondsOf(item.meanUs));
+}
+
+placement placeByWork(std::span<relay_member *const> members, const placement_request &request)
+{
+    const auto ranked = rankCandidates(members, request);
+    const auto likely = likelyOwners(ranked, request.domain);
+    if (likely.empty()
+        || std::ranges::any_of(likely, [](const relay_member *item) { return item->meanUs == 0; }))
+        return placeByLoad(members, request);
+    const auto times = requestTimes(likely);
+    std::vector<std::pair<double, relay_member *>> byEnd(likely.size());
+    std::ranges::transform(likely, times.ms, byEnd.begin(), [&](relay_member *item, double time) {
+        return std::pair(endAt(*item, request, time).totalMs(), item);
+    });
+    std::ranges::stable_sort(byEnd, {}, &std::pair<double, relay_member *>::first);
+    if (!times.areSimilar) {
+        const auto limit = byEnd.front().first * maxEndRatio;
+        std::erase_if(byEnd, [&](const auto &item) { return item.first > limit; });
+    }
+    byEnd.resize(std::min(byEnd.size(), maxOpeningCandidates));
+    placement result{.eligible = ranked.size()};
+    std::ranges::transform(
+        byEnd, std::back_inserter(result.order), &std::pair<double, relay_member *>::second);
+    return result;
+}
+
 placement placeByHash(std::span<relay_member *const> members, const placement_request &request)
 {
     const auto ranked = rankCandidates(members, request);
@@ -101,8 +184,8 @@
 
 placement_policy placementNamed(std::string_view name)
 {
-    constexpr std::array<std::pair<std::string_view, placement_policy>, 2> policies{
-        {{"load", placeByLoad}, {"hash", placeByHash}}};
+    constexpr std::array<std::pair<std::string_view, placement_policy>, 3> policies{
+        {{"load", placeByLoad}, {"work", placeByWork}, {"hash", placeByHash}}};
     const auto *const found
         = std::ranges::find(policies, name, &std::pair<std::string_view, placement_policy>::first);
     return found == policies.end() ? nullptr : found->second;
--- a/src/libtoucanrelay/relay_target.cpp
+++ b/src/libtoucanrelay/relay_target.cpp
@@ -40,7 +40,13 @@
     , m_malformed(metrics.numberOf("toucan_malformed_datagrams_total"))
     , m_firstAnswer(metrics.distributionOf("toucan_first_answer_ms"))
     , m_unansweredRequests(metrics.numberOf("toucan_requests_unanswered_total"))
+    , m_expectedWorkMs(metrics.numberOf("toucan_work_expected_ms_total"))
+    , m_seenWorkMs(metrics.numberOf("toucan_work_seen_ms_total"))
+    , m_estimateErrorMs(metrics.numberOf("toucan_work_error_ms_total"))
+    , m_measuredRequests(metrics.numberOf("toucan_work_measured_total"))
     , m_load(loadMemory)
+    , m_work(loadMemory)
+    , m_estimator(m_options.estimator)
     , m_lastTick(now)
     , m_flowTableComplete(m_options.firstStart)
     , m_observedSince(now)
@@ -337,7 +343,7 @@
     if (!isNew)
         return;
     item.callerNext = end;
-    beginRequest(now, item);
+    beginRequest(now, item, head);
 }
 
 std::size_t relay_target::heldFlowCount() const
@@ -369,6 +375,7 @@
         m_metrics.numberOf("toucan_flows").set(m_flows.size());
         m_metrics.numberOf("toucan_requests_waiting").set(m_waitingRequests);
         m_metrics.numberOf("toucan_openings_waiting").set(m_queue.size());
+        recordWorkMetrics(now);
         m_metrics.numberOf("toucan_standing").set(static_cast<std::uint64_t>(standing(now)));
         m_metrics.numberOf("toucan_config_revision").set(m_newestConfig.point.revision);
         m_metrics.numberOf("toucan_domains_revision").set(m_domains.inForce().point.revision);
--- a/src/libtoucanrelay/relay_target_answers.cpp
+++ b/src/libtoucanrelay/relay_target_answers.cpp
@@ -1,11 +1,12 @@
 // relay_target: segments from the target, and the start and end of requests.
 
 #include <algorithm>
+#include <cmath>
 #include <toucan/relay_target.h>
 
 namespace toucan {
 
-void relay_target::beginRequest(instant now, flow &item)
+void relay_target::beginRequest(instant now, flow &item, const segment &head)
 {
     cancelExpectedRequest(item);
     if (item.waitingSince)
@@ -17,6 +18,9 @@
     item.waitingSince = now;
     item.beganWithFreeSlot = m_waitingRequests < slots();
     ++m_waitingRequests;
+    const work_kind kind{
+        .route = head.destination, .bytes = head.length, .isFirst = item.requests == 1};
+    item.workNumber = m_estimator.begin(now, kind, item.beganWithFreeSlot);
     updateLoad(now);
 }
 
@@ -29,6 +33,7 @@
     item.slowestAnswer = std::max(item.slowestAnswer, took);
     item.waitingSince.reset();
     --m_waitingRequests;
+    recordEstimate(m_estimator.end(now, item.workNumber, answered));
     updateLoad(now);
     m_failures.add(now, !answered);
     if (answered)
@@ -39,6 +44,44 @@
         m_queue.recordServiceTime(took);
 }
 
+// Time of work still to do: requests in progress, those expected on offered flows, and the queue.
+double relay_target::remainingWork(instant now) const
+{
+    const auto coming = static_cast<double>(m_expectedRequests + m_queue.size());
+    return m_estimator.remainingMs(now) + coming * m_estimator.meanMs(now);
+}
+
+// Time of work that precedes an opening beyond the target's free slots, not divided by slots: the
+// requests without a slot follow each other at the rate at which those in progress end.
+double relay_target::workAhead(instant now) const
+{
+    const auto excess = static_cast<double>(excessRequests());
+    return excess * m_estimator.nextEndMs(now) * static_cast<double>(slots());
+}
+
+void relay_target::recordEstimate(const work_estimator::outcome &outcome)
+{
+    if (!outcome.isMeasured)
+        return;
+    const auto whole = [](double ms) { return static_cast<std::uint64_t>(std::lround(ms)); };
+    m_measuredRequests.add();
+    m_expectedWorkMs.add(whole(outcome.expectedMs));
+    m_seenWorkMs.add(whole(outcome.seenMs));
+    m_estimateErrorMs.add(whole(std::abs(outcome.expectedMs - outcome.seenMs)));
+}
+
+void relay_target::recordWorkMetrics(instant now)
+{
+    constexpr double thousand = 1000;
+    const auto whole = [](double value) { return static_cast<std::uint64_t>(std::lround(value)); };
+    m_metrics.numberOf("toucan_work_remaining_ms").set(whole(remainingWork(now)));
+    m_metrics.numberOf("toucan_work_slowness_thousandths")
+        .set(whole(m_estimator.slowness(now) * thousand));
+    for (const auto &route : m_estimator.routes(now))
+        m_metrics.numberOf("toucan_work_route_ms", "route", toString(route.address))
+            .set(whole(route.meanMs));
+}
+
 void relay_target::onTargetBytes(instant now, std::span<std::uint8_t> bytes)
 {
     const auto head = m_codec.decode(bytes);
--- a/src/libtoucanrelay/relay_target_entries.cpp
+++ b/src/libtoucanrelay/relay_target_entries.cpp
@@ -164,6 +164,8 @@
     m_reportedStanding = standing(now);
     const auto known = std::max<std::uint64_t>(slots(), 1);
     constexpr double thousand = 1000;
+    updateLoad(now);
+    const auto work = workFigures(now, static_cast<double>(known));
     target_report report{.member = m_options.name,
         .service = service(),
         .domain = m_options.domain,
@@ -175,6 +177,8 @@
         .waiting = occupiedSlots() + m_queue.size(),
         .load = static_cast<std::uint64_t>(m_load.read(now) * thousand / static_cast<double>(known))
             + m_failures.penalty(now),
+        .workUs = work.remainingUs,
+        .meanUs = work.meanUs,
         .openRate = coldLimit(),
         .leaving = m_leaving,
         .intervalMs = static_cast<std::uint64_t>(interval.count())};
@@ -191,6 +195,19 @@
     }
 }
 
+// Where requests cost the same, their number is the better measure of what is left to do.
+relay_target::work_figures relay_target::workFigures(instant now, double slotCount) const
+{
+    if (!m_estimator.isLearned(now))
+        return {};
+    constexpr double thousand = 1000;
+    const auto meanMs = std::max(m_estimator.meanMs(now), 1.0);
+    const auto left = m_estimator.isUneven(now) ? m_work.read(now) : m_load.read(now) * meanMs;
+    const auto penalty = static_cast<double>(m_failures.penalty(now)) * meanMs / thousand;
+    return {.remainingUs = static_cast<std::uint64_t>((left / slotCount + penalty) * thousand),
+        .meanUs = static_cast<std::uint64_t>(meanMs * thousand)};
+}
+
 // Entries take a member without flows whose target is gone as one that holds none.
 std::size_t relay_target::reportedFlowCount(instant now) const
 {
--- a/src/libtoucanrelay/relay_target_queue.cpp
+++ b/src/libtoucanrelay/relay_target_queue.cpp
@@ -33,6 +33,7 @@
 void relay_target::updateLoad(instant now)
 {
     m_load.set(now, static_cast<double>(m_waitingRequests + m_queue.size()));
+    m_work.set(now, remainingWork(now));
 }
 
 // Reserves a slot for the first request of a new flow, which follows within a few round trips.
--- a/src/libtoucanrelay/relay_target_queue_test.cpp
+++ b/src/libtoucanrelay/relay_target_queue_test.cpp
@@ -251,3 +251,39 @@
     CHECK(passedOn->header.shortestWaitAt == processAddress);
     CHECK(passedOn->header.shortestWaitMs > 0);
 }
+
+TEST_CASE_METHOD(queue_fixture, "target: work still to do is reported in time once it is known")
+{
+    const auto newest = [&] {
+        now += 5s;
+        port = {};
+        engine.onEntries(now, std::vector{entry_place{.address = entryAddress, .domain = "a"}});
+        engine.onTick(now);
+        const auto reports = port.messagesTo<target_report>(entryAddress);
+        REQUIRE(!reports.empty());
+        return reports.back();
+    };
+    CHECK(newest().meanUs == 0);
+    CHECK(newest().workUs == 0);
+    for (std::uint16_t each = 1; each <= 20; ++each) {
+        report(target_standing::ready);
+        open(each);
+        request(each);
+        now += 80ms;
+        answer(each);
+    }
+    const auto idle = newest();
+    CHECK(idle.meanUs >= 75'000);
+    CHECK(idle.meanUs <= 85'000);
+    // The smoothed level decays.
+    CHECK(idle.workUs < 1'000);
+    report(target_standing::ready);
+    open(50);
+    request(50);
+    now += 1s;
+    engine.onTick(now);
+    // One request at two slots.
+    const auto busy = newest();
+    CHECK(busy.workUs >= 25'000);
+    CHECK(busy.workUs <= 45'000);
+}
