--- a/src/libtoucanrelay/flow_trail_test.cpp
+++ b/src/libtoucanrelay/flow_trail_test.cpp
@@ -105,3 +105,15 @@
         "it "
         "would have waited 1400 ms more and had 1260 ms left, at 2 slots with 300 ms a request)"));
 }
+
+TEST_CASE("trail: the expected end of a request is named with its parts")
+{
+    std::istringstream lines(
+        R"(1.0 e1 entry {"event":"opening_decided","timeMs":1000,"caller":"1.2.3.4:5","outcome":"placed","target":"t4","endMs":77,"workMs":12,"costMs":55,"distanceMs":10}
+)");
+    trail_reader reader("1.2.3.4:5");
+    reader.read(lines, "?");
+    CHECK(finds(reader.trail(),
+        "e1 expected the request to end at t4 after 77 ms: 12 ms of work before it, 55 ms of its "
+        "own and 10 ms for the distance"));
+}
