Join the parts: one figure of the work before an opening

Cause: the queue of a target process counted requests, the estimate of work knows their remaining time. Change: relay_target::workAhead and expectedCost use the estimate while requests cost very different amounts, and the smoothed service time otherwise.

--- a/src/libtoucanrelay/relay_target_answers.cpp
+++ b/src/libtoucanrelay/relay_target_answers.cpp
@@ -51,14 +51,6 @@
     return m_estimator.remainingMs(now) + coming * m_estimator.meanMs(now);
 }
 
-// Time of work that precedes an opening beyond the target's free slots, not divided by slots: the
-// requests without a slot follow each other at the rate at which those in progress end.
-double relay_target::workAhead(instant now) const
-{
-    const auto excess = static_cast<double>(excessRequests());
-    return excess * m_estimator.nextEndMs(now) * static_cast<double>(slots());
-}
-
 void relay_target::recordEstimate(const work_estimator::outcome &outcome)
 {
     if (!outcome.isMeasured)
--- a/src/libtoucanrelay/relay_target_queue.cpp
+++ b/src/libtoucanrelay/relay_target_queue.cpp
@@ -1,6 +1,7 @@
 // relay_target: openings queued until the target has a free slot.
 
 #include <algorithm>
+#include <cmath>
 #include <toucan/relay_target.h>
 
 namespace toucan {
@@ -59,19 +60,27 @@
         .objective = std::chrono::milliseconds(header.objectiveMs),
         .timeLimit = std::chrono::milliseconds(header.timeLimitMs),
         .priority = header.priority,
-        .cost = expectedCost(head)};
+        .cost = expectedCost(now)};
 }
 
-// Time of the requests at the target beyond its slots, for one slot.
-std::chrono::milliseconds relay_target::workAhead(instant /*now*/) const
+// Time of the requests at the target beyond its slots, for one slot. While requests cost very
+// different amounts, those without a slot follow each other at the rate at which the running ones
+// are expected to end.
+std::chrono::milliseconds relay_target::workAhead(instant now) const
 {
-    return static_cast<std::int64_t>(excessRequests()) * m_queue.serviceTime();
+    const auto excess = excessRequests();
+    if (!m_estimator.isUneven(now))
+        return static_cast<std::int64_t>(excess) * m_queue.serviceTime();
+    const auto ms = static_cast<double>(excess * slots()) * m_estimator.nextEndMs(now);
+    return std::chrono::milliseconds(std::lround(ms));
 }
 
 // Expected time of an opening's first request at the target.
-std::chrono::milliseconds relay_target::expectedCost(const segment & /*opening*/) const
+std::chrono::milliseconds relay_target::expectedCost(instant now) const
 {
-    return m_queue.serviceTime();
+    return m_estimator.isUneven(now)
+        ? std::chrono::milliseconds(std::lround(m_estimator.meanMs(now)))
+        : m_queue.serviceTime();
 }
 
 // A cold target takes only some openings each second, whatever its slots.
