--- a/src/libtoucanrelay/relay_decisions_test.cpp
+++ b/src/libtoucanrelay/relay_decisions_test.cpp
@@ -1,5 +1,4 @@
 #include <catch2/catch.hpp>
-#include <ranges>
 #include <set>
 #include <toucan/event_log.h>
 #include <toucan/opening_gate.h>
