A parked opening is reset only when all of its copies came to this entry

Cause, by reading in the review of the parts: an entry that starts parks the first copy of an opening; after the fabric has moved the flow, another entry may place the next copy and the flow opens, and 1.34 s later the first entry reset it. Change: a reset of a parked opening needs every copy that is due, as in the queue of a target process; the others end as before, without an answer.

--- a/src/include/toucan/opening_queue.h
+++ b/src/include/toucan/opening_queue.h
@@ -29,6 +29,9 @@
 /// Start of the attempt whose opening with this copy number is received at `now`.
 instant attemptStartTime(instant now, std::uint32_t copy);
 
+/// Bit of a copy of an opening in waiting_opening::copies.
+std::uint8_t copyBit(std::uint32_t copy);
+
 /// Priorities that are told apart; all higher numbers count as the last one.
 inline constexpr std::size_t priorityClassCount = 8;
 
--- a/src/include/toucan/relay_entry.h
+++ b/src/include/toucan/relay_entry.h
@@ -166,6 +166,7 @@
         std::uint16_t searches = 0; ///< Searches since the owner was last known.
         std::unique_ptr<search_progress> progress; ///< The last of these searches.
         bool wasParked = false; ///< Its opening was parked at this entry.
+        std::uint8_t parkedCopies = 0; ///< Bit n: copy n of its opening was parked.
         std::optional<instant> ownerAskedAt; ///< When the owner was sent what it confirms.
         bool refusedOnce = false; ///< All candidates of an opening have refused it once.
         flow_volume volume; ///< Data from the caller; not counted without a rate of the link.
--- a/src/libtoucanrelay/opening_queue.cpp
+++ b/src/libtoucanrelay/opening_queue.cpp
@@ -94,6 +94,11 @@
     return now - copyTimes[std::min<std::size_t>(copy, copyTimes.size() - 1)];
 }
 
+std::uint8_t copyBit(std::uint32_t copy)
+{
+    return static_cast<std::uint8_t>(1U << std::min<std::size_t>(copy, copyTimes.size() - 1));
+}
+
 std::string_view toString(queue_refusal reason)
 {
     constexpr std::array<std::string_view, queueRefusalCount> names{
@@ -286,8 +291,7 @@
     instant now, waiting_opening opening, std::uint64_t slots, milliseconds workAhead)
 {
     const auto flow = flowOf(opening);
-    const auto copy = std::min<std::size_t>(opening.head.copy, copyTimes.size() - 1);
-    opening.copies = static_cast<std::uint8_t>(1U << copy);
+    opening.copies = copyBit(opening.head.copy);
     const auto same = find(flow);
     if (same != m_openings.end()) {
         opening.attemptStart = std::min(opening.attemptStart, same->attemptStart);
--- a/src/libtoucanrelay/relay_entry.cpp
+++ b/src/libtoucanrelay/relay_entry.cpp
@@ -120,18 +120,24 @@
         endParked(now, item, "too many openings wait");
         return;
     }
-    m_flows[flow].wasParked = true;
+    auto &cached = m_flows[flow];
+    cached.wasParked = true;
+    cached.parkedCopies |= copyBit(head.copy);
     m_parked[flow] = std::move(item);
 }
 
-// A target that was sent an earlier copy may have answered it, so that only an opening that no
-// target has is reset.
+// A target that was sent a copy may have answered it, by way of this entry or of another one that
+// received the copy. So an opening is reset only when all copies that the caller has sent were
+// parked here.
 void relay_entry::endParked(instant now, const parked_opening &item, std::string_view reason)
 {
     const auto found = m_flows.find(item.head.flowFromCaller());
+    const waiting_opening opening{.attemptStart = item.startedAt,
+        .copies = found == m_flows.end() ? copyBit(item.head.copy) : found->second.parkedCopies};
     const bool mayBeOpen
         = found != m_flows.end() && (found->second.established || found->second.owner);
-    if (mayBeOpen || now >= item.startedAt + attemptTime) {
+    const bool isProven = opening.proofOfRefusal(now) == refusal_proof::proven;
+    if (mayBeOpen || !isProven || now >= item.startedAt + attemptTime) {
         m_dropped.add();
         return;
     }
