The test of `record check` writes configurations through the adapter

Cause: it spelled the platform's field names itself, which stay in platform/. Change: platform::makeConfig writes the file; the same six checks.

--- a/testsuite/relay_program_test.cpp
+++ b/testsuite/relay_program_test.cpp
@@ -245,28 +245,34 @@
 {
     relay_deployment deployment;
     deployment.publishConfig(2);
-    const auto route = [](std::string_view port, std::string_view fields) {
-        return R"({"name":"r)" + std::string(port) + R"(","host":"198.18.0.1","pathPrefix":"/)"
-            + std::string(port) + R"(/","service":"first")" + std::string(fields) + '}';
-    };
-    const auto check = [&](int version, const std::string &routes) {
+    const auto check = [&](std::uint64_t version, std::vector<route_rule> routes) {
+        relay_config config;
+        config.stamp.version = version;
+        config.routes = std::move(routes);
+        config.services.push_back({.name = "first", .flows = 20, .coldRate = 1});
         const auto name = deployment.directory() / "config.json";
-        std::ofstream(name) << R"({"version":)" << version << R"(,"routes":[)" << routes
-                            << R"(],"services":[{"name":"first","maxConns":20,"warmupPerS":1}]})";
+        std::ofstream(name) << platform::makeConfig(config);
         return deployment.run({"record", "check", name.string()});
     };
-    const auto good = check(3, route("443", "") + ',' + route("444", ""));
+    const auto route = [](const std::string &name, std::uint16_t port) {
+        return route_rule{.name = name,
+            .address = {.ip = 0xc6120001, .port = port},
+            .shares = {{.service = "first"}}};
+    };
+    const auto good = check(3, {route("r1", 443), route("r2", 444)});
     INFO(good.output);
     CHECK(good.status == 0);
-    CHECK(good.output.find("changes: route r444: added") != std::string::npos);
-    const auto old = check(2, route("443", ""));
+    CHECK(good.output.find("changes: route r2: added") != std::string::npos);
+    const auto old = check(2, {route("r1", 443)});
     CHECK(old.status == errorInfo(error_kind::invalid_record).exitCode);
     CHECK(old.output.find("is not higher than version 2") != std::string::npos);
-    const auto late = check(3, route("443", R"(,"sloMs":400,"timeoutMs":300)"));
-    CHECK(late.status == errorInfo(error_kind::invalid_record).exitCode);
+    auto late = route("r1", 443);
+    late.objective = 400ms;
+    late.timeLimit = 300ms;
+    CHECK(check(3, {late}).status == errorInfo(error_kind::invalid_record).exitCode);
     deployment.store().setFaults({.down = true});
-    CHECK(
-        check(3, route("443", "")).status == errorInfo(error_kind::platform_unavailable).exitCode);
+    CHECK(check(3, {route("r1", 443)}).status
+        == errorInfo(error_kind::platform_unavailable).exitCode);
 }
 
 TEST_CASE("relay: both programs log when they are ready and how long it took")
