Review: a restarted process claims a flow that its target never held

After a restart, the process beside a target stores any segment of the target as proof of an open flow, also the repeated answer to an opening that the caller has opened elsewhere. A search then ends at that process, and the entry resets the flow of the live holder.

--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -251,11 +251,15 @@
         flow = self.flows.get(key)
         if packet.flags == SYN:
             if flow is None:
-                flow = self.flows[key] = {"seq": ip_number("127.0.0.1") ^ (hash(key) & 0xFFFFFFF),
-                                          "open": False, "next": packet.seq + 1, "sent": 0}
+                flow = self.flows[key] = {"seq": zlib.crc32(repr((key, self.ident)).encode()),
+                                          "open": False, "next": packet.seq + 1, "sent": 0,
+                                          "acked": 0}
                 self.record("back end %s took an opening from port %d"
                             % (self.ident, packet.src[1]))
-            self.send(Packet(packet.dst, packet.src, SYN | ACK, flow["seq"], flow["next"]))
+                self.send_again(key, Packet(packet.dst, packet.src, SYN | ACK, flow["seq"],
+                                            flow["next"]), lambda: flow["open"])
+            else:
+                self.send(Packet(packet.dst, packet.src, SYN | ACK, flow["seq"], flow["next"]))
             return
         expected = flow and (flow["open"] or packet.ack == (flow["seq"] + 1) & 0xFFFFFFFF)
         if not expected:
@@ -267,6 +271,7 @@
         if not flow["open"]:
             flow["open"] = True
             self.record("flow from port %d is open at back end %s" % (packet.src[1], self.ident))
+        flow["acked"] = max(flow["acked"], (packet.ack - flow["seq"] - 1) & 0xFFFFFFFF)
         if not packet.data:
             return
         if packet.seq == flow["next"] & 0xFFFFFFFF:
@@ -284,8 +289,27 @@
         data = ("answer of %s to %s" % (self.ident, request)).encode()
         seq = flow["seq"] + 1 + flow["sent"]
         flow["sent"] += len(data)
-        flow["last"] = Packet(key[1], key[0], ACK, seq, flow["next"], data)
-        self.send(flow["last"])
+        end = flow["sent"]
+        self.send_again(key, Packet(key[1], key[0], ACK, seq, flow["next"], data),
+                        lambda: flow["acked"] >= end)
+
+    def send_again(self, key, packet, is_acknowledged, number=0):
+        """Sends a packet, and again after 200 ms, doubling up to 1.6 s; gives up after 8 times."""
+        if self.stopped.is_set() or key not in self.flows or (number and is_acknowledged()):
+            return
+        if number > 8:
+            self.record("back end %s gives up the flow from port %d" % (self.ident, key[0][1]))
+            self.flows.pop(key, None)
+            return
+        self.send(packet)
+        timer = threading.Timer(min(0.2 * 2 ** number, 1.6), self.send_again,
+                                (key, packet, is_acknowledged, number + 1))
+        timer.daemon = True
+        timer.start()
+
+    def holds(self, port):
+        """True when a flow from `port` is open here."""
+        return any(key[0][1] == port and flow["open"] for key, flow in list(self.flows.items()))
 
     def crash(self):
         """Ends at once: its port is closed, its flows are gone, it says nothing more."""
@@ -313,6 +337,7 @@
     def __init__(self, address, port, route, entries, record):
         self.address, self.route, self.entries, self.record = address, route, entries, record
         self.flows = {}
+        self.lost_answers = set()  # Ports whose first answer to an opening the network loses.
         self.resets = []
         self.answers = {}
         self.lock = threading.Condition()
@@ -394,6 +419,9 @@
             flow["state"] = "reset"
         elif packet.total != packet.signed():
             self.record("port %d gets a packet that its sender did not write" % port)
+        elif packet.flags & SYN and port in self.lost_answers:
+            self.lost_answers.remove(port)
+            self.record("the network loses the first answer to the opening from port %d" % port)
         elif packet.flags & SYN and flow["state"] == "opening":
             flow["state"] = "open"
             flow["seq"] += 1
