Review: a late report of an earlier lifetime makes a restarted process deny open flows

If the first report after a restart is a delayed one of an earlier lifetime, the next report of the live target counts as a new lifetime, and the process denies all flows that it has not seen itself.

--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -186,10 +186,10 @@
 class BackEnd:
     """One lifetime of a back end: an endpoint of flows, and liveness reports to its machine."""
 
-    def __init__(self, machine, ident, record, work=0.05):
+    def __init__(self, machine, ident, record, work=0.05, first_number=1):
         self.machine, self.ident, self.record, self.work = machine, ident, record, work
         self.born = int(time.time() * 1000)
-        self.sequence = 0
+        self.sequence = first_number - 1  # Of the newest report; each start counts anew.
         self.state = "ready"
         self.flows = {}
         self.stopped = threading.Event()
@@ -215,7 +215,7 @@
             self.sequence += 1
             body = self.body()
         status = put_report(self.machine, self.ident, body)
-        if status is None or self.sequence <= 2 or self.state != "ready":
+        if status is None or body["seqNo"] <= 2 or self.state != "ready":
             self.record("back end %s on %s reports seqNo %d %s: %s"
                         % (self.ident, self.machine.name, body["seqNo"], body["state"], status))
         return status
@@ -250,8 +250,11 @@
         key = (packet.src, packet.dst)
         flow = self.flows.get(key)
         if packet.flags == SYN:
-            if flow is None:
-                flow = self.flows[key] = {"seq": zlib.crc32(repr((key, self.ident)).encode()),
+            # An opening with another number is a new flow; its sender has forgotten the old one.
+            if flow is None or flow["opening"] != packet.seq:
+                flow = self.flows[key] = {"seq": zlib.crc32(
+                                              repr((key, self.ident, packet.seq)).encode()),
+                                          "opening": packet.seq,
                                           "open": False, "next": packet.seq + 1, "sent": 0,
                                           "acked": 0}
                 self.record("back end %s took an opening from port %d"
@@ -352,10 +355,10 @@
             index = (packet.src[0] + packet.src[1]) % len(nodes)
             self.socket.sendto(packet.encode(), nodes[index].datagrams)
 
-    def open(self, port):
+    def open(self, port, first_seq=1000):
         """Opens a flow from `port`; True when it is open."""
         me = (ip_number(self.address), port)
-        flow = {"key": (me, self.route), "state": "opening", "seq": 1000 + port, "ack": 0}
+        flow = {"key": (me, self.route), "state": "opening", "seq": first_seq + port, "ack": 0}
         with self.lock:
             self.flows[port] = flow
         start = time.monotonic()
@@ -591,12 +594,14 @@
                               "warmupS": 3, "healthPath": "/health"}],
                 "limits": {"idleTimeoutMs": 15000}}
 
-    def start(self):
+    def start(self, without_back_end=()):
         self.store.write("config", "main", self.config())
         for machine in self.entries + self.sides:
             machine.start()
         self.starting = False
         for number, machine in enumerate(self.sides):
+            if machine in without_back_end:
+                continue
             self.back_ends.append(BackEnd(machine, "i-%d" % (number + 1), self.record, self.work))
         end = time.monotonic() + 15
         while time.monotonic() < end and not all(e.is_ready() for e in self.entries):
