--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -430,7 +430,9 @@
             flow["seq"] += 1
             flow["ack"] = (packet.seq + 1) & 0xFFFFFFFF
             self.send(Packet(flow["key"][0], self.route, ACK, flow["seq"], flow["ack"]))
-        elif packet.data and flow["state"] == "open" and packet.seq == flow["ack"]:
+        elif packet.data and flow["state"] == "open" and packet.seq != flow["ack"]:
+            self.send(Packet(flow["key"][0], self.route, ACK, flow["seq"], flow["ack"]))
+        elif packet.data and flow["state"] == "open":
             flow["ack"] = (flow["ack"] + len(packet.data)) & 0xFFFFFFFF
             text = packet.data.decode()
             self.answers[text.split(" to ")[1]] = text
