--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -192,6 +192,7 @@
         self.sequence = first_number - 1  # Of the newest report; each start counts anew.
         self.state = "ready"
         self.flows = {}
+        self.arrivals = []  # Time and requester's port of each packet.
         self.stopped = threading.Event()
         self.reporting = threading.Event()
         self.reporting.set()
@@ -248,6 +249,7 @@
             self.record("back end %s got a packet that its sender did not write" % self.ident)
             return
         key = (packet.src, packet.dst)
+        self.arrivals.append((time.monotonic(), packet.src[1]))
         flow = self.flows.get(key)
         if packet.flags == SYN:
             # An opening with another number is a new flow; its sender has forgotten the old one.
@@ -340,6 +342,7 @@
     def __init__(self, address, port, route, entries, record):
         self.address, self.route, self.entries, self.record = address, route, entries, record
         self.flows = {}
+        self.sends = []  # Time and port of each packet.
         self.lost_answers = set()  # Ports whose first answer to an opening the network loses.
         self.resets = []
         self.answers = {}
@@ -348,12 +351,17 @@
         self.socket.bind((address, port))
         threading.Thread(target=self.receive, daemon=True).start()
 
-    def send(self, packet):
-        # The routers hash the four addresses and ports over the nodes in rotation.
+    def route_of(self, port):
+        """The entry that gets the packets from `port`: the routers hash the four addresses and
+        ports over the nodes in rotation."""
         nodes = [entry for entry in self.entries if entry.in_rotation]
-        if nodes:
-            index = (packet.src[0] + packet.src[1]) % len(nodes)
-            self.socket.sendto(packet.encode(), nodes[index].datagrams)
+        return nodes[(ip_number(self.address) + port) % len(nodes)] if nodes else None
+
+    def send(self, packet):
+        node = self.route_of(packet.src[1])
+        self.sends.append((time.monotonic(), packet.src[1]))
+        if node:
+            self.socket.sendto(packet.encode(), node.datagrams)
 
     def open(self, port, first_seq=1000):
         """Opens a flow from `port`; True when it is open."""
@@ -500,6 +508,12 @@
                 self.process.wait()
         self.deployment.record("%s ended" % self.name)
 
+    def restart(self, pause):
+        """A planned restart: SIGTERM, and a start `pause` seconds after the end."""
+        self.end(signal.SIGTERM)
+        time.sleep(pause)
+        self.start()
+
     def is_ready(self):
         try:
             call = http.client.HTTPConnection(*self.readiness, timeout=0.5)
@@ -557,8 +571,8 @@
     limits = {"linkMbps": 1000.0}
     bounds = {"graceS": 6, "flowTtlS": 60, "warmupOvershoot": 1.5, "warmupSlack": 5}
 
-    def __init__(self, case, zones=("zone-a", "zone-b"), entries_per_zone=1, sides_per_zone=2,
-                 work=0.05):
+    def __init__(self, case, zones=("zone-a", "zone-b"), entries_per_zone=(1, 1),
+                 sides_per_zone=(2, 2), work=0.05):
         self.zones = list(zones)
         self.starting = True
         self.folder = tempfile.mkdtemp(prefix="toucan-review-")
@@ -573,13 +587,13 @@
         self.store = Store(self.store_address)
         self.entries, self.sides, self.back_ends = [], [], []
         host = 10
-        for zone in self.zones:
-            for number in range(entries_per_zone):
+        for zone, count in zip(self.zones, entries_per_zone):
+            for number in range(count):
                 self.entries.append(Machine(self, "edge-%s-%d" % (zone, number + 1), "edge", zone,
                                             self.net + str(host)))
                 host += 1
-        for zone in self.zones:
-            for number in range(sides_per_zone):
+        for zone, count in zip(self.zones, sides_per_zone):
+            for number in range(count):
                 self.sides.append(Machine(self, "side-%s-%d" % (zone, number + 1), "side", zone,
                                           self.net + str(host), "svc-1"))
                 host += 1
@@ -614,9 +628,11 @@
             raise CannotRun("an entry is not ready after 15 s")
         time.sleep(5)
 
-    def requester(self, number=1):
+    def requester(self, number=1, zone=None):
+        """A requester whose packets go to the entries of `zone`, or to all."""
+        entries = [entry for entry in self.entries if zone in (None, entry.zone)]
         item = Requester(self.net + str(200 + number), self.ports["datagrams"], self.route,
-                         self.entries, self.record)
+                         entries, self.record)
         self.requesters.append(item)
         return item
 
