A liveness report that lacks a field names no target

Cause: a report with another identity and a later start counts as a new lifetime. The address was compared only where the report stated one, and the adapter read a report without it, or without `born`, `zone` and `version`. Evidence: the log has `liveness_report` of `other-writer`, outcome `new lifetime`, and in the same millisecond a `flow_reset` for each flow, reason `the target started anew`. No other message came between.

The engine ignores reports whose address is not the target's, a missing one included.

Why it works: a report with a missing field is of another writer and names no target; it no longer reaches the record of lifetimes.

The engine's fixtures and the soak's targets state their address; the checks of "a report of another service or address ..." moved into a function.

--- a/src/include/toucan/target_liveness.h
+++ b/src/include/toucan/target_liveness.h
@@ -27,7 +27,7 @@
 {
     std::string id; ///< Identity of the target; may stay the same over a restart.
     std::string service;
-    endpoint address; ///< Where it receives packets; zero when not stated.
+    endpoint address; ///< Where it receives packets; zero in the last report.
     std::uint64_t startedMs = 0; ///< Start of this lifetime, Unix milliseconds.
     std::uint64_t sequence = 0; ///< Increases within a lifetime.
     std::uint64_t slots = 0; ///< Requests that it serves concurrently.
@@ -36,8 +36,8 @@
     std::chrono::milliseconds coldRemaining{0}; ///< Time until it is no longer cold.
 };
 
-/// Returns why a report is not one of the target of `service` at `address`, where both are known;
-/// empty when it may be. Another writer on the VM may report as well.
+/// Returns why a report is not one of the target of `service` at `address`, as far as these are
+/// known; empty when it may be. Another writer on the VM may report as well.
 std::string foreignReason(
     const target_liveness &report, std::string_view service, const endpoint &address);
 
--- a/src/libtoucanlab/soak_target.cpp
+++ b/src/libtoucanlab/soak_target.cpp
@@ -129,6 +129,7 @@
         const auto cold = m_coldUntilMs - milliseconds(monotonicNow());
         const bool taken = sendReport(platform::makeReport({.id = m_options.name,
             .service = m_options.service,
+            .address = m_options.address,
             .startedMs = sent.startedMs,
             .sequence = sent.sequence + 1,
             .slots = 8,
--- a/src/libtoucanrelay/engine_fixtures.h
+++ b/src/libtoucanrelay/engine_fixtures.h
@@ -111,8 +111,13 @@
                      .target = targetAddress},
             codec, port, metrics, log, now)
     {
-        engine.onLiveness(
-            now, {.id = "i1", .service = "main", .startedMs = 1, .sequence = 1, .slots = 4});
+        engine.onLiveness(now,
+            {.id = "i1",
+                .service = "main",
+                .address = targetAddress,
+                .startedMs = 1,
+                .sequence = 1,
+                .slots = 4});
         auto bytes = packet({.kind = relay_kind::opening,
                                 .entry = entryAddress,
                                 .serviceTag = serviceTagOf("main")},
--- a/src/libtoucanrelay/relay_target_queue_test.cpp
+++ b/src/libtoucanrelay/relay_target_queue_test.cpp
@@ -29,6 +29,7 @@
         engine.onLiveness(now,
             {.id = "i1",
                 .service = "main",
+                .address = targetAddress,
                 .startedMs = 1,
                 .sequence = ++sequence,
                 .slots = slots,
--- a/src/libtoucanrelay/relay_target_recovery_test.cpp
+++ b/src/libtoucanrelay/relay_target_recovery_test.cpp
@@ -23,8 +23,13 @@
         if (isOpen)
             sendRequest(sequence + 1);
         now += 1s;
-        engine.onLiveness(
-            now, {.id = "i1", .service = "main", .startedMs = 1, .sequence = 2, .slots = 4});
+        engine.onLiveness(now,
+            {.id = "i1",
+                .service = "main",
+                .address = targetAddress,
+                .startedMs = 1,
+                .sequence = 2,
+                .slots = 4});
         port = {};
         engine.startLeaving(now);
         pages = takeMessages<flow_table_page>(entryAddress);
@@ -77,6 +82,7 @@
         restarted->onLiveness(now,
             {.id = "i1",
                 .service = "main",
+                .address = targetAddress,
                 .startedMs = startedMs,
                 .sequence = number,
                 .slots = 4});
--- a/src/libtoucanrelay/relay_target_test.cpp
+++ b/src/libtoucanrelay/relay_target_test.cpp
@@ -64,8 +64,13 @@
         relay_target engine(
             {.name = "t1", .domain = "a", .service = "main", .peer = processAddress}, fleet.codec,
             fleet.port, fleet.metrics, fleet.log, fleet.now);
-        engine.onLiveness(
-            fleet.now, {.id = "i1", .service = "main", .startedMs = 1, .sequence = 1, .slots = 4});
+        engine.onLiveness(fleet.now,
+            {.id = "i1",
+                .service = "main",
+                .address = targetAddress,
+                .startedMs = 1,
+                .sequence = 1,
+                .slots = 4});
         relay_header header{.kind = relay_kind::opening,
             .entry = entryAddress,
             .serviceTag = serviceTagOf("main"),
@@ -131,8 +136,13 @@
         relay_target engine(
             {.name = "t1", .domain = "a", .service = "main", .peer = processAddress}, fleet.codec,
             fleet.port, fleet.metrics, fleet.log, fleet.now);
-        engine.onLiveness(
-            fleet.now, {.id = "i1", .service = "main", .startedMs = 1, .sequence = 1, .slots = 1});
+        engine.onLiveness(fleet.now,
+            {.id = "i1",
+                .service = "main",
+                .address = targetAddress,
+                .startedMs = 1,
+                .sequence = 1,
+                .slots = 1});
         const auto fromCaller = [&](relay_kind kind, segment head, std::uint16_t port) {
             head.source.port = port;
             auto bytes = fleet.packet(
@@ -290,31 +300,61 @@
     CHECK(std::ranges::count_if(fleet.port.toPeers, isNotice) == 2);
 }
 
+namespace {
+
 // Another program on the VM may send reports with a later start than the target's.
+constexpr std::uint64_t laterStartMs = 900;
+
+void checkEndsNoFlow(const target_liveness &foreign)
+{
+    target_fixture fleet;
+    fleet.sendRequest(target_fixture::sequence + 1);
+    REQUIRE(fleet.engine.flowCount() == 1);
+    fleet.now += 1s;
+    auto own = target_liveness{.id = "i1",
+        .service = "main",
+        .address = targetAddress,
+        .startedMs = 1,
+        .sequence = 2,
+        .slots = 4};
+    fleet.engine.onLiveness(fleet.now, own);
+    fleet.engine.onLiveness(fleet.now, foreign);
+    CHECK(fleet.port.toCallers.empty());
+    CHECK(fleet.engine.flowCount() == 1);
+    // The target's own reports still count.
+    own.sequence = 3;
+    own.draining = true;
+    fleet.engine.onLiveness(fleet.now, own);
+    CHECK(fleet.engine.standing(fleet.now) == target_standing::draining);
+    CHECK(fleet.engine.service() == "main");
+}
+
+} // namespace
+
 TEST_CASE("target process: a report of another service or address ends no flow of the target")
 {
-    const target_liveness foreign{
-        .id = "monitor", .service = "main", .startedMs = 900, .sequence = 1, .slots = 1};
-    auto otherService = foreign;
-    otherService.service = "node-monitor";
-    auto otherAddress = foreign;
-    otherAddress.address = {.ip = targetAddress.ip, .port = 9090};
-    for (const auto &report : {otherService, otherAddress}) {
-        target_fixture fleet;
-        fleet.sendRequest(target_fixture::sequence + 1);
-        REQUIRE(fleet.engine.flowCount() == 1);
-        fleet.now += 1s;
-        fleet.engine.onLiveness(
-            fleet.now, {.id = "i1", .service = "main", .startedMs = 1, .sequence = 2, .slots = 4});
-        fleet.engine.onLiveness(fleet.now, report);
-        CHECK(fleet.port.toCallers.empty());
-        CHECK(fleet.engine.flowCount() == 1);
-        // The target's own reports still count.
-        fleet.engine.onLiveness(fleet.now,
-            {.id = "i1", .service = "main", .startedMs = 1, .sequence = 3, .draining = true});
-        CHECK(fleet.engine.standing(fleet.now) == target_standing::draining);
-        CHECK(fleet.engine.service() == "main");
-    }
+    checkEndsNoFlow({.id = "monitor",
+        .service = "node-monitor",
+        .address = targetAddress,
+        .startedMs = laterStartMs,
+        .sequence = 1,
+        .slots = 1});
+    checkEndsNoFlow({.id = "monitor",
+        .service = "main",
+        .address = {.ip = targetAddress.ip, .port = 9090},
+        .startedMs = laterStartMs,
+        .sequence = 1,
+        .slots = 1});
+}
+
+// Such a report of another writer reset all open flows of a live target.
+TEST_CASE("target process: a report without an address ends no flow of the target")
+{
+    checkEndsNoFlow({.id = "other-writer",
+        .service = "main",
+        .startedMs = laterStartMs,
+        .sequence = 1,
+        .slots = 1});
 }
 
 // The platform's targets say good-bye and end some time later.
@@ -336,8 +376,12 @@
 TEST_CASE("target process: a late good-bye does not reset flows of a target with the same identity")
 {
     target_fixture fleet;
-    const target_liveness restarted{
-        .id = "i1", .service = "main", .startedMs = 900, .sequence = 1, .slots = 4};
+    const target_liveness restarted{.id = "i1",
+        .service = "main",
+        .address = targetAddress,
+        .startedMs = 900,
+        .sequence = 1,
+        .slots = 4};
     fleet.now += 2s;
     fleet.engine.onLiveness(fleet.now, restarted);
     auto bytes = fleet.packet(
@@ -453,8 +497,13 @@
 TEST_CASE("target process: a restarted process denies no flow of a target that said good-bye")
 {
     restarted_fixture fleet;
-    fleet.engine.onLiveness(
-        fleet.now, {.id = "i1", .service = "main", .startedMs = 1, .sequence = 9, .slots = 4});
+    fleet.engine.onLiveness(fleet.now,
+        {.id = "i1",
+            .service = "main",
+            .address = targetAddress,
+            .startedMs = 1,
+            .sequence = 9,
+            .slots = 4});
     fleet.engine.onLiveness(fleet.now, {.id = "i1", .leaving = true});
     CHECK(fleet.reportedFlows() > 0);
     CHECK(fleet.askForFlow() == static_cast<std::uint64_t>(flow_lookup_result::unknown));
@@ -537,6 +586,7 @@
         fleet.engine.onLiveness(fleet.now,
             {.id = "i1",
                 .service = "main",
+                .address = targetAddress,
                 .startedMs = startedMs,
                 .sequence = report,
                 .slots = 4});
@@ -569,8 +619,13 @@
     engine_fixture fleet;
     relay_target engine({.name = "t1", .domain = "a", .service = "main", .peer = processAddress},
         fleet.codec, fleet.port, fleet.metrics, fleet.log, fleet.now);
-    engine.onLiveness(
-        fleet.now, {.id = "i1", .service = "main", .startedMs = 1, .sequence = 1, .slots = 4});
+    engine.onLiveness(fleet.now,
+        {.id = "i1",
+            .service = "main",
+            .address = targetAddress,
+            .startedMs = 1,
+            .sequence = 1,
+            .slots = 4});
     auto bytes = fleet.packet({.kind = relay_kind::opening,
                                   .entry = entryAddress,
                                   .serviceTag = serviceTagOf("main"),
--- a/src/libtoucanrelay/target_liveness.cpp
+++ b/src/libtoucanrelay/target_liveness.cpp
@@ -19,7 +19,7 @@
         return {};
     if (!service.empty() && report.service != service)
         return "the target's service is not " + report.service;
-    if (address && report.address && report.address != address)
+    if (address && report.address != address)
         return "the target's address is not " + toString(report.address);
     return {};
 }
