A report's number is no proof that no flow is older than a start

What callers saw: a target numbered its reports from 0, and the process beside it was killed between reports 0 and 1.

Cause: a first report with a number of at most 1 counted as proof that no flow had been opened before the start, so that the process denied the flows that it did not know. Report 1 may be the second one, and a target may get openings before any report, while its earlier lifetime counts as ready. Evidence: the log has report 0, four accepted openings, `process_started` with another boot, report 1, and then denials without a segment to the target. It did not say that the table counted as complete: `liveness_report` has `complete` now, and `earlier_starts_judged` the evidence.

Change: a process denies flows if it is the first start of all, has found the target's port closed, or is the only start in the target's lifetime. The last takes the first or second report, and statements on starts, which entries send anyway. They state what time they cover (`coversMs`); one has to come from an entry of the own failure domain that was listening before the target started, and none may name another start that may have opened flows. Else the target is asked, as after any kill.

Why it works: a start that passed openings to the target had reported to the entries of its domain, and these keep starts for 15 s.

The fixture of the engines' tests is a first start of all, as report 1 alone no longer makes it complete.

--- a/src/include/toucan/flow_table_proof.h
+++ b/src/include/toucan/flow_table_proof.h
@@ -26,8 +26,11 @@
     void add(instant now, const endpoint &entry, const flow_table_statement &statement);
     /// Keepers of the table and other entries in `expected` that have made no statement.
     std::vector<endpoint> missing(std::span<const endpoint> expected) const;
-    /// A start after the one that sent the table that may have opened flows.
+    /// A start after the one that sent the table, or any one without a table, that may have opened
+    /// flows.
     std::optional<std::uint64_t> startBetween() const;
+    /// True when the statements of an entry name all starts that it heard of since `time`.
+    bool isCovered(const endpoint &entry, instant time) const;
     /// Number of entries that have made a statement.
     std::size_t statements() const { return m_statements.size(); }
 
@@ -40,12 +43,18 @@
         instant lastHeard{};
     };
 
+    struct entry_statement
+    {
+        instant coveredSince = instant::max();
+        std::vector<start> starts;
+    };
+
     bool mayFollowTable(std::span<const start> heard, const start &item) const;
 
     std::uint64_t m_table = 0; ///< Start that sent the table; 0 when there is none.
     std::vector<endpoint> m_keepers;
     std::set<std::uint64_t> m_included; ///< Starts whose flows are in the table.
-    std::map<endpoint, std::vector<start>> m_statements; ///< By entry.
+    std::map<endpoint, entry_statement> m_statements; ///< By entry.
     std::set<std::uint64_t> m_unused; ///< Starts that accepted no opening.
 };
 
--- a/src/include/toucan/lab/relay_fleet.h
+++ b/src/include/toucan/lab/relay_fleet.h
@@ -23,6 +23,7 @@
     double loss = 0; ///< Share of datagrams between processes that are lost.
     std::uint64_t seed = 1;
     std::uint64_t slots = 9;
+    std::uint64_t firstReport = 1; ///< Number of a target's first report.
     std::chrono::milliseconds work{50}; ///< Time that a target works on a request.
     bool logs = false; ///< Structured log lines go to standard output.
     placement_policy place = placeByLoad;
--- a/src/include/toucan/relay_target.h
+++ b/src/include/toucan/relay_target.h
@@ -197,6 +197,7 @@
     void recordWorkMetrics(instant now);
     void endRequest(instant now, flow &item, bool answered);
     void erase(instant now, flow_map::iterator it, std::string_view outcome);
+    void judgeFirstReport(std::uint64_t number, bool isPortClosed);
     void recordTargetSeen(instant now);
     instant observedSince() const;
     void endLifetime(instant now, instant lastSeen, std::string_view reason);
@@ -233,6 +234,7 @@
     std::vector<endpoint> entriesToAsk(instant now) const;
     std::vector<endpoint> heardEntriesToAsk(instant now) const;
     void judgeRestoredTable(instant now);
+    void judgeEarlierStarts(instant now);
     void endRecovery(instant now, std::string_view outcome);
     void requestFlowTable(instant now);
     void requestFlowTableAtOnce(instant now);
@@ -294,6 +296,9 @@
     instant m_lastTick;
     bool m_targetRefused = false; ///< Its port was closed and no sign of it came since.
     bool m_flowTableComplete = false;
+    /// The first report of the lifetime that was received here is its first or second one.
+    bool m_isEarlyReport = false;
+    bool m_isOnlyStart = false; ///< Entries know of no start that opened flows before this one.
     instant m_observedSince; ///< Every opening since then was seen here.
     std::map<std::uint64_t, flow_table_page> m_returnedPages; ///< Of an earlier start, by number.
     std::optional<flow_table_page> m_restoredPage; ///< First page of the table that was restored.
--- a/src/libtoucanlab/relay_fleet_nodes.h
+++ b/src/libtoucanlab/relay_fleet_nodes.h
@@ -71,7 +71,7 @@
     segment_target target;
     bool silent = false; ///< It takes packets and answers none.
     std::uint64_t lifetime = 0;
-    std::uint64_t sequence = 0;
+    std::uint64_t nextReport = 0; ///< Its number.
     bool draining = false;
     std::optional<instant> drainConfirmed;
     instant coldUntil{};
--- a/src/libtoucanlab/relay_fleet_targets.cpp
+++ b/src/libtoucanlab/relay_fleet_targets.cpp
@@ -140,7 +140,7 @@
     node.silent = false;
     node.draining = false;
     node.drainConfirmed.reset();
-    node.sequence = 0;
+    node.nextReport = m_options.firstReport;
     node.coldUntil = m_now + coldFor;
     const auto lifetime = ++node.lifetime;
     after(30ms, [this, target, lifetime] { reportTarget(target, lifetime); });
@@ -157,14 +157,14 @@
             {.id = "i" + std::to_string(target),
                 .service = node.service,
                 .startedMs = 1'000'000 + lifetime,
-                .sequence = ++node.sequence,
+                .sequence = node.nextReport++,
                 .slots = m_options.slots,
                 .draining = node.draining,
                 .coldRemaining = std::chrono::duration_cast<std::chrono::milliseconds>(cold)});
         if (node.draining && !node.drainConfirmed)
             node.drainConfirmed = m_now;
     } else {
-        ++node.sequence;
+        ++node.nextReport;
     }
     after(reportInterval, [this, target, lifetime] { reportTarget(target, lifetime); });
 }
--- a/src/libtoucanlab/relay_flow_table_test.cpp
+++ b/src/libtoucanlab/relay_flow_table_test.cpp
@@ -114,6 +114,38 @@
     }
 }
 
+// The next start took report 1 for the first one of the target and denied all of its flows.
+TEST_CASE("relay: flows survive a kill of their process between reports 0 and 1 of the target")
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        auto fleet = makeFleet(
+            {.entries = 3, .targets = 6, .domains = {"a", "b"}, .seed = seed, .firstReport = 0});
+        fleet.run(4s);
+        for (std::size_t target = 1; target < fleet.targetCount(); ++target)
+            fleet.drainTarget(target);
+        fleet.crashTarget(0);
+        fleet.run(2s);
+        fleet.startTarget(0);
+        fleet.run(100ms);
+        std::vector<std::size_t> flows(10);
+        std::ranges::generate(flows, [&] {
+            fleet.run(10ms);
+            return fleet.openFlow();
+        });
+        fleet.run(200ms);
+        fleet.killProcess(0);
+        fleet.run(100ms);
+        fleet.startProcess(0);
+        fleet.run(7s);
+        requestAll(fleet, flows);
+        fleet.run(2s);
+        INFO("seed " << seed);
+        CHECK(fleet.outcome().opened == flows.size());
+        CHECK(fleet.outcome().resetOpen == 0);
+        CHECK(fleet.violations().empty());
+    }
+}
+
 TEST_CASE("relay: flows are found after processes stopped as planned before they had their tables")
 {
     constexpr std::size_t targets = 12;
--- a/src/libtoucanrelay/engine_fixtures.h
+++ b/src/libtoucanrelay/engine_fixtures.h
@@ -108,7 +108,8 @@
                      .domain = "a",
                      .service = "main",
                      .peer = processAddress,
-                     .target = targetAddress},
+                     .target = targetAddress,
+                     .firstStart = true},
             codec, port, metrics, log, now)
     {
         engine.onLiveness(now,
--- a/src/libtoucanrelay/flow_table_proof.cpp
+++ b/src/libtoucanrelay/flow_table_proof.cpp
@@ -14,7 +14,9 @@
 void flow_table_proof::add(
     instant now, const endpoint &entry, const flow_table_statement &statement)
 {
-    auto &heard = m_statements[entry];
+    auto &[coveredSince, heard] = m_statements[entry];
+    coveredSince
+        = std::min<instant>(coveredSince, now - std::chrono::milliseconds(statement.coversMs));
     for (const auto &item : statement.starts) {
         if (item.unused)
             m_unused.insert(item.boot);
@@ -49,10 +51,16 @@
     return !precedes;
 }
 
+bool flow_table_proof::isCovered(const endpoint &entry, instant time) const
+{
+    const auto found = m_statements.find(entry);
+    return found != m_statements.end() && found->second.coveredSince <= time;
+}
+
 std::optional<std::uint64_t> flow_table_proof::startBetween() const
 {
     for (const auto &statement : m_statements) {
-        const auto &heard = statement.second;
+        const auto &heard = statement.second.starts;
         const auto found = std::ranges::find_if(
             heard, [&](const start &item) { return mayFollowTable(heard, item); });
         if (found != heard.end())
--- a/src/libtoucanrelay/flow_table_proof_test.cpp
+++ b/src/libtoucanrelay/flow_table_proof_test.cpp
@@ -74,3 +74,31 @@
     proof.add(now + 15s, first, statementOf({}));
     CHECK(proof.startBetween() == 2);
 }
+
+TEST_CASE("flow table proof: without a table any start may have opened flows")
+{
+    flow_table_proof proof;
+    proof.add(now, first, statementOf({}));
+    CHECK_FALSE(proof.startBetween());
+    proof.add(now, second, statementOf({{.boot = 3, .unused = true}}));
+    CHECK_FALSE(proof.startBetween());
+    proof.add(now, second, statementOf({{.boot = 4, .firstHeardMs = 9000, .lastHeardMs = 7000}}));
+    CHECK(proof.startBetween() == 4);
+}
+
+TEST_CASE("flow table proof: a statement covers the time in which its entry was listening")
+{
+    flow_table_proof proof;
+    CHECK_FALSE(proof.isCovered(first, now));
+    auto statement = statementOf({});
+    proof.add(now, first, statement);
+    CHECK_FALSE(proof.isCovered(first, now - 1ms));
+    statement.coversMs = 5000;
+    proof.add(now, first, statement);
+    CHECK(proof.isCovered(first, now - 5s));
+    CHECK_FALSE(proof.isCovered(first, now - 5001ms));
+    CHECK_FALSE(proof.isCovered(second, now));
+    // A later statement does not take an earlier one back.
+    proof.add(now + 1s, first, statementOf({}));
+    CHECK(proof.isCovered(first, now - 5s));
+}
--- a/src/libtoucanrelay/relay_entry_peers.cpp
+++ b/src/libtoucanrelay/relay_entry_peers.cpp
@@ -97,10 +97,14 @@
         flows += page.flows.size();
     }
     recordStart(now, from, message.boot, now);
+    const auto covered
+        = std::min(std::chrono::duration_cast<std::chrono::milliseconds>(now - m_knowledgeSince),
+            start_history::retention);
     send(from,
         flow_table_statement{.member = message.member,
             .boot = message.boot,
-            .starts = m_starts.startsOf(now, from, message.boot)});
+            .starts = m_starts.startsOf(now, from, message.boot),
+            .coversMs = static_cast<std::uint64_t>(covered.count())});
     if (!pages.empty())
         m_log.write(now,
             flow_table_passed{.member = message.member,
--- a/src/libtoucanrelay/relay_target_lifetime.cpp
+++ b/src/libtoucanrelay/relay_target_lifetime.cpp
@@ -15,6 +15,8 @@
 // Reports of a target that may be lost before the process beside it is up when all VMs start: they
 // start within 0.3 s, and a report is repeated after 1 s without a reply.
 constexpr std::uint64_t maxReportsBeforeStart = 2;
+// Number of a target's first report; some targets number from 0.
+constexpr std::uint64_t maxFirstReport = 1;
 // Targets answer openings within a millisecond, also under load.
 constexpr auto openingAnswerTimeout = 80ms;
 // Interval at which an opening is tried on a target that answers none.
@@ -38,8 +40,11 @@
     const auto serviceBefore = service();
     const bool first = !m_liveness.latest();
     const auto lastSeen = m_liveness.lastSeen();
+    const bool isPortClosed = m_targetRefused;
     const auto outcome = m_liveness.apply(now, report);
     const auto after = standing(now);
+    if (first && outcome != liveness_outcome::late)
+        judgeFirstReport(report.sequence, isPortClosed);
     if (first || before != after || outcome != liveness_outcome::applied)
         m_log.write(now,
             liveness_report{.target = report.id,
@@ -47,18 +52,13 @@
                 .sequence = report.sequence,
                 .standing = std::string(toString(after)),
                 .coldMs = static_cast<std::uint64_t>(report.coldRemaining.count()),
-                .outcome = std::string(toString(outcome))});
+                .outcome = std::string(toString(outcome)),
+                .complete = isFlowTableComplete(now)});
     if (outcome == liveness_outcome::late)
         return;
     // A good-bye may be read after the target has ended.
     if (!report.leaving)
         recordTargetSeen(now);
-    // No opening reaches a target before its first report, so no flow of it can be missing here
-    // after that one. At the first start of all, reports may have been lost before this process was
-    // up; more of them show that another process was there before. Times of two clocks would not.
-    if (first)
-        m_flowTableComplete
-            = report.sequence <= (m_options.firstStart ? 1 + maxReportsBeforeStart : 1);
     if (outcome == liveness_outcome::new_lifetime) {
         endLifetime(now, lastSeen, "the target started anew");
         m_failures = {};
@@ -68,6 +68,18 @@
         sendReports(now, true);
 }
 
+// The process sees all openings of its target, so no flow can be missing here that was opened since
+// it started. A target of which it gets one of the first reports started shortly before; still, an
+// earlier start may have passed openings to it, which only entries can rule out. At the first start
+// of all, reports may have been lost before this process was up; more of them show that another
+// process was there before. Times of two clocks would not.
+void relay_target::judgeFirstReport(std::uint64_t number, bool isPortClosed)
+{
+    m_flowTableComplete = isPortClosed
+        || (m_options.firstStart && number <= maxFirstReport + maxReportsBeforeStart);
+    m_isEarlyReport = number <= maxFirstReport;
+}
+
 void relay_target::recordTargetSeen(instant now)
 {
     m_targetLastSeen = now;
@@ -179,7 +191,7 @@
 bool relay_target::isFlowTableComplete(instant now) const
 {
     const bool isRestoredComplete = m_isTableConfirmed && m_restoredPage->complete;
-    return m_flowTableComplete || isRestoredComplete
+    return m_flowTableComplete || isRestoredComplete || (m_isEarlyReport && m_isOnlyStart)
         || now - observedSince() > m_options.flowLifetime;
 }
 
--- a/src/libtoucanrelay/relay_target_recovery.cpp
+++ b/src/libtoucanrelay/relay_target_recovery.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t maxKeepersAsked = 12;
 // Time for which the statements of silent keepers are awaited: a request or reply may be lost.
 constexpr auto statementTimeout = 250ms;
+// Time from the start of a target to its second report: a report without a reply ends after 1 s.
+constexpr int maxIntervalsToSecondReport = 3;
 // Earlier starts named in a table.
 constexpr std::size_t maxEarlierStarts = 8;
 // Entries return tables for this time after a start. Interval between the first requests, which
@@ -191,6 +193,7 @@
     judgeRestoredTable(now);
     if (m_recoveryEnded || m_leaving || now < m_nextTableRequest)
         return;
+    judgeEarlierStarts(now);
     m_nextTableRequest = now + std::max<instant>(firstRequestInterval, now - m_started);
     if (now - m_started > recoveryTime) {
         endRecovery(now, m_restoredPage ? "statements are missing" : "not restored");
@@ -237,6 +240,7 @@
         return;
     m_tableProof.add(now, from, message);
     judgeRestoredTable(now);
+    judgeEarlierStarts(now);
     const auto between = m_tableProof.startBetween();
     if (m_recoveryEnded && between && std::exchange(m_isTableConfirmed, false))
         endRecovery(now, outcomeOf(between));
@@ -310,6 +314,29 @@
         endRecovery(now, outcomeOf(between));
 }
 
+// A start that passed openings to the target had reported to the entries of its failure domain.
+// Those that were listening by then name it in their statements.
+void relay_target::judgeEarlierStarts(instant now)
+{
+    if (m_restoredPage || now - m_started < statementTimeout) {
+        m_isOnlyStart = false;
+        return;
+    }
+    const auto targetStart = m_started - m_options.reportInterval * maxIntervalsToSecondReport;
+    const auto homeEntries = entriesByRank(now, m_options.domain, false);
+    const bool isCovered = std::ranges::any_of(homeEntries,
+        [&](const endpoint &entry) { return m_tableProof.isCovered(entry, targetStart); });
+    const auto earlier = m_tableProof.startBetween();
+    const bool isOnlyStart = isCovered && !earlier;
+    if (std::exchange(m_isOnlyStart, isOnlyStart) == isOnlyStart)
+        return;
+    m_log.write(now,
+        earlier_starts_judged{.member = m_options.name,
+            .outcome = isOnlyStart ? "none is known" : "an entry has heard of one",
+            .boot = earlier.value_or(0),
+            .statements = m_tableProof.statements()});
+}
+
 void relay_target::restoreFlow(instant now, const tracked_flow &record)
 {
     const flow_key key{.caller = record.caller, .service = record.service};
--- a/src/libtoucanrelay/relay_target_recovery_test.cpp
+++ b/src/libtoucanrelay/relay_target_recovery_test.cpp
@@ -64,10 +64,13 @@
             restarted->onPeerBytes(now, entryAddress, page);
     }
     // An entry replies to the request of the process.
-    void state(const std::vector<heard_start> &starts = {}, const endpoint &entry = entryAddress)
+    void state(const std::vector<heard_start> &starts = {}, const endpoint &entry = entryAddress,
+        std::chrono::milliseconds covers = 0ms)
     {
-        auto statement
-            = encodeRelayMessage(flow_table_statement{.member = "t1", .boot = 2, .starts = starts});
+        auto statement = encodeRelayMessage(flow_table_statement{.member = "t1",
+            .boot = 2,
+            .starts = starts,
+            .coversMs = static_cast<std::uint64_t>(covers.count())});
         restarted->onPeerBytes(now, entry, statement);
     }
     void advance(std::chrono::milliseconds time)
@@ -383,3 +386,59 @@
         CHECK(messagesOfStop() == std::pair<std::size_t, std::size_t>(0, 1));
     }
 }
+
+// A target numbered its reports from 0. Its process was killed after report 0, and the next start
+// took report 1 for the first: it denied all flows of the target, which were reset.
+TEST_CASE("target process: a first report is no proof that no start before it opened flows")
+{
+    const auto number = GENERATE(0, 1);
+    restart_fixture fleet;
+    fleet.start(false);
+    SECTION("an entry has heard of such a start")
+    {
+        fleet.state({{.boot = 1, .firstHeardMs = 900, .lastHeardMs = 700}}, entryAddress, 15s);
+    }
+    SECTION("no entry has made a statement") { }
+    SECTION("the entry was started too late to have heard of it")
+    {
+        fleet.state({}, entryAddress, 2s);
+    }
+    SECTION("only an entry of another failure domain has made a statement")
+    {
+        fleet.state({}, otherEntry, 15s);
+    }
+    fleet.advance(1s);
+    fleet.report(1, number);
+    CHECK(fleet.askFor(caller) == unknown);
+    CHECK(fleet.askFor(otherCaller) == unknown);
+}
+
+TEST_CASE("target process: a first report is proof while no entry knows of a start before")
+{
+    restart_fixture fleet;
+    fleet.start(false);
+    fleet.state({}, entryAddress, 15s);
+    fleet.advance(1s);
+    CHECK(fleet.askFor(caller) == unknown);
+    fleet.report(1, GENERATE(0, 1));
+    CHECK(fleet.askFor(caller) == notHeld);
+    fleet.state({{.boot = 1, .firstHeardMs = 2000, .lastHeardMs = 1700}}, otherEntry, 15s);
+    CHECK(fleet.askFor(caller) == unknown);
+}
+
+TEST_CASE("target process: a closed port proves that no flow is older")
+{
+    restart_fixture fleet;
+    fleet.start(false);
+    fleet.restarted->onTargetRefused(fleet.now);
+    fleet.report(1, 4);
+    CHECK(fleet.askFor(caller) == notHeld);
+}
+
+TEST_CASE("target process: a good-bye that comes first is no first report")
+{
+    restart_fixture fleet;
+    fleet.start(false);
+    fleet.restarted->onLiveness(fleet.now, {.id = "i1", .leaving = true});
+    CHECK(fleet.askFor(caller) == unknown);
+}
