A report of a later lifetime is no proof that it began under this start

The target had crashed and started again, its process was killed, and the next start first got a delayed report of the earlier lifetime.

Change: a new lifetime is judged like the first one, by the statements of entries or a closed port; at the first start of all what was proven before still holds.

Why it works: nothing is concluded from the order in which reports of two lifetimes arrive.

Test: "target process: a late report of an earlier lifetime proves nothing about the next", on the logic before: both variants failed (denied in place of unknown). It passes now.

--- a/src/include/toucan/relay_target.h
+++ b/src/include/toucan/relay_target.h
@@ -197,7 +197,7 @@
     void recordWorkMetrics(instant now);
     void endRequest(instant now, flow &item, bool answered);
     void erase(instant now, flow_map::iterator it, std::string_view outcome);
-    void judgeFirstReport(std::uint64_t number, bool isPortClosed);
+    void judgeFirstReport(std::uint64_t number, bool isPortClosed, bool isAfterOtherLifetime);
     void recordTargetSeen(instant now);
     instant observedSince() const;
     void endLifetime(instant now, instant lastSeen, std::string_view reason);
--- a/src/libtoucanrelay/relay_target_lifetime.cpp
+++ b/src/libtoucanrelay/relay_target_lifetime.cpp
@@ -43,8 +43,9 @@
     const bool isPortClosed = m_targetRefused;
     const auto outcome = m_liveness.apply(now, report);
     const auto after = standing(now);
-    if (first && outcome != liveness_outcome::late)
-        judgeFirstReport(report.sequence, isPortClosed);
+    const bool isNewLifetime = outcome == liveness_outcome::new_lifetime;
+    if (isNewLifetime || (first && outcome != liveness_outcome::late))
+        judgeFirstReport(report.sequence, isPortClosed, isNewLifetime);
     if (first || before != after || outcome != liveness_outcome::applied)
         m_log.write(now,
             liveness_report{.target = report.id,
@@ -59,12 +60,11 @@
     // A good-bye may be read after the target has ended.
     if (!report.leaving)
         recordTargetSeen(now);
-    if (outcome == liveness_outcome::new_lifetime) {
+    if (isNewLifetime) {
         endLifetime(now, lastSeen, "the target started anew");
         m_failures = {};
-        m_flowTableComplete = true;
     }
-    if (before != after || serviceBefore != service() || outcome == liveness_outcome::new_lifetime)
+    if (before != after || serviceBefore != service() || isNewLifetime)
         sendReports(now, true);
 }
 
@@ -73,10 +73,14 @@
 // earlier start may have passed openings to it, which only entries can rule out. At the first start
 // of all, reports may have been lost before this process was up; more of them show that another
 // process was there before. Times of two clocks would not.
-void relay_target::judgeFirstReport(std::uint64_t number, bool isPortClosed)
+// A report of another lifetime that came before shows nothing: it may have been late.
+void relay_target::judgeFirstReport(
+    std::uint64_t number, bool isPortClosed, bool isAfterOtherLifetime)
 {
-    m_flowTableComplete = isPortClosed
-        || (m_options.firstStart && number <= maxFirstReport + maxReportsBeforeStart);
+    const bool isOfFirstStart = m_options.firstStart
+        && (isAfterOtherLifetime ? m_flowTableComplete
+                                 : number <= maxFirstReport + maxReportsBeforeStart);
+    m_flowTableComplete = isPortClosed || isOfFirstStart;
     m_isEarlyReport = number <= maxFirstReport;
 }
 
--- a/src/libtoucanrelay/relay_target_recovery_test.cpp
+++ b/src/libtoucanrelay/relay_target_recovery_test.cpp
@@ -442,3 +442,13 @@
     fleet.restarted->onLiveness(fleet.now, {.id = "i1", .leaving = true});
     CHECK(fleet.askFor(caller) == unknown);
 }
+
+// The next report of the live target counted as a new lifetime that had begun under this start.
+TEST_CASE("target process: a late report of an earlier lifetime proves nothing about the next")
+{
+    restart_fixture fleet;
+    fleet.start(false);
+    fleet.report(1, 0);
+    fleet.report(2, GENERATE(1, 7));
+    CHECK(fleet.askFor(caller) == unknown);
+}
