Test: a statement on starts covers the time in which the entry was listening

The entry's side of coversMs: the time since its start or its last pause, at most the time for which starts are kept. No change of the product.

--- a/src/libtoucanrelay/relay_entry_search_test.cpp
+++ b/src/libtoucanrelay/relay_entry_search_test.cpp
@@ -445,3 +445,25 @@
     CHECK(std::ranges::all_of(statements.front().starts,
         [](const heard_start &item) { return item.boot == 1 || item.unused; }));
 }
+
+TEST_CASE("entry: a statement on starts covers only the time in which the entry was listening")
+{
+    entry_fixture fleet;
+    const auto coveredMs = [&] {
+        fleet.port = {};
+        auto request = encodeRelayMessage(flow_table_request{.member = "t1", .boot = 2});
+        fleet.engine.onPeerBytes(fleet.now, processAddress, request);
+        const auto statements = fleet.port.messagesTo<flow_table_statement>(processAddress);
+        REQUIRE(statements.size() == 1);
+        return statements.front().coversMs;
+    };
+    CHECK(coveredMs() == 0);
+    fleet.now += 3s;
+    CHECK(coveredMs() == 3000);
+    // Starts are forgotten after a time.
+    fleet.now += 60s;
+    CHECK(coveredMs() == static_cast<std::uint64_t>(start_history::retention.count()));
+    fleet.engine.onPause(fleet.now);
+    fleet.now += 500ms;
+    CHECK(coveredMs() == 500);
+}
