First reports are proof again after a loss of power, and after a lifetime seen alive

No entry had been listening before the targets started, so none of the 53 first reports was proof (`complete` false in `liveness_report`), and all entries asked all targets for the old flows.

Change: statements that cover less count when no entry covers the time. Reports of the lifetime before that a process received over half a report interval show that the next one began under this start.

The test of the entry's statement that came with was wrong and had not been run: a silence of 60 s ends the entry's knowledge. It now advances by seconds, and checks the silence as well.

Tests: "... after a loss of power everywhere", "... follows one seen alive here has no older flow".

--- a/src/include/toucan/flow_table_proof.h
+++ b/src/include/toucan/flow_table_proof.h
@@ -31,6 +31,8 @@
     std::optional<std::uint64_t> startBetween() const;
     /// True when the statements of an entry name all starts that it heard of since `time`.
     bool isCovered(const endpoint &entry, instant time) const;
+    /// The same for any entry that has made a statement.
+    bool isCovered(instant time) const;
     /// Number of entries that have made a statement.
     std::size_t statements() const { return m_statements.size(); }
 
--- a/src/include/toucan/relay_target.h
+++ b/src/include/toucan/relay_target.h
@@ -197,7 +197,9 @@
     void recordWorkMetrics(instant now);
     void endRequest(instant now, flow &item, bool answered);
     void erase(instant now, flow_map::iterator it, std::string_view outcome);
-    void judgeFirstReport(std::uint64_t number, bool isPortClosed, bool isAfterOtherLifetime);
+    void judgeFirstReport(std::uint64_t number, bool isPortClosed);
+    void judgeNewLifetime(instant now, std::uint64_t number, bool hasStartedHere);
+    bool wasLifetimeAlive(instant lastSeen) const;
     void recordTargetSeen(instant now);
     instant observedSince() const;
     void endLifetime(instant now, instant lastSeen, std::string_view reason);
@@ -296,6 +298,7 @@
     instant m_lastTick;
     bool m_targetRefused = false; ///< Its port was closed and no sign of it came since.
     bool m_flowTableComplete = false;
+    std::optional<instant> m_lifetimeSeenSince; ///< First report here of the current lifetime.
     /// The first report of the lifetime that was received here is its first or second one.
     bool m_isEarlyReport = false;
     bool m_isOnlyStart = false; ///< Entries know of no start that opened flows before this one.
--- a/src/libtoucanrelay/flow_table_proof.cpp
+++ b/src/libtoucanrelay/flow_table_proof.cpp
@@ -57,6 +57,12 @@
     return found != m_statements.end() && found->second.coveredSince <= time;
 }
 
+bool flow_table_proof::isCovered(instant time) const
+{
+    return std::ranges::any_of(
+        m_statements, [&](const auto &item) { return item.second.coveredSince <= time; });
+}
+
 std::optional<std::uint64_t> flow_table_proof::startBetween() const
 {
     for (const auto &statement : m_statements) {
--- a/src/libtoucanrelay/relay_entry_search_test.cpp
+++ b/src/libtoucanrelay/relay_entry_search_test.cpp
@@ -457,13 +457,16 @@
         REQUIRE(statements.size() == 1);
         return statements.front().coversMs;
     };
-    CHECK(coveredMs() == 0);
-    fleet.now += 3s;
-    CHECK(coveredMs() == 3000);
-    // Starts are forgotten after a time.
-    fleet.now += 60s;
-    CHECK(coveredMs() == static_cast<std::uint64_t>(start_history::retention.count()));
+    for (std::uint64_t seconds = 0; seconds < 30; ++seconds) {
+        // Starts are forgotten after a time.
+        const auto kept = static_cast<std::uint64_t>(start_history::retention.count());
+        CHECK(coveredMs() == std::min(seconds * 1000, kept));
+        fleet.now += 1s;
+    }
     fleet.engine.onPause(fleet.now);
     fleet.now += 500ms;
     CHECK(coveredMs() == 500);
+    // After a long silence nothing counts that was heard before.
+    fleet.now += 60s;
+    CHECK(coveredMs() == 0);
 }
--- a/src/libtoucanrelay/relay_target_lifetime.cpp
+++ b/src/libtoucanrelay/relay_target_lifetime.cpp
@@ -44,8 +44,10 @@
     const auto outcome = m_liveness.apply(now, report);
     const auto after = standing(now);
     const bool isNewLifetime = outcome == liveness_outcome::new_lifetime;
-    if (isNewLifetime || (first && outcome != liveness_outcome::late))
-        judgeFirstReport(report.sequence, isPortClosed, isNewLifetime);
+    if (first && outcome != liveness_outcome::late)
+        judgeFirstReport(report.sequence, isPortClosed);
+    else if (isNewLifetime)
+        judgeNewLifetime(now, report.sequence, isPortClosed || wasLifetimeAlive(lastSeen));
     if (first || before != after || outcome != liveness_outcome::applied)
         m_log.write(now,
             liveness_report{.target = report.id,
@@ -57,6 +59,9 @@
                 .complete = isFlowTableComplete(now)});
     if (outcome == liveness_outcome::late)
         return;
+    // The lifetime may be known from a restored flow table only.
+    if (!m_lifetimeSeenSince)
+        m_lifetimeSeenSince = now;
     // A good-bye may be read after the target has ended.
     if (!report.leaving)
         recordTargetSeen(now);
@@ -73,15 +78,24 @@
 // earlier start may have passed openings to it, which only entries can rule out. At the first start
 // of all, reports may have been lost before this process was up; more of them show that another
 // process was there before. Times of two clocks would not.
-// A report of another lifetime that came before shows nothing: it may have been late.
-void relay_target::judgeFirstReport(
-    std::uint64_t number, bool isPortClosed, bool isAfterOtherLifetime)
-{
-    const bool isOfFirstStart = m_options.firstStart
-        && (isAfterOtherLifetime ? m_flowTableComplete
-                                 : number <= maxFirstReport + maxReportsBeforeStart);
-    m_flowTableComplete = isPortClosed || isOfFirstStart;
+void relay_target::judgeFirstReport(std::uint64_t number, bool isPortClosed)
+{
+    m_flowTableComplete = isPortClosed
+        || (m_options.firstStart && number <= maxFirstReport + maxReportsBeforeStart);
+    m_isEarlyReport = number <= maxFirstReport;
+}
+
+void relay_target::judgeNewLifetime(instant now, std::uint64_t number, bool hasStartedHere)
+{
+    m_flowTableComplete = m_flowTableComplete || hasStartedHere;
     m_isEarlyReport = number <= maxFirstReport;
+    m_lifetimeSeenSince = now;
+}
+
+// The only report of a lifetime may be a late one that was sent before this process started.
+bool relay_target::wasLifetimeAlive(instant lastSeen) const
+{
+    return m_lifetimeSeenSince && lastSeen - *m_lifetimeSeenSince >= m_options.reportInterval / 2;
 }
 
 void relay_target::recordTargetSeen(instant now)
--- a/src/libtoucanrelay/relay_target_recovery.cpp
+++ b/src/libtoucanrelay/relay_target_recovery.cpp
@@ -324,8 +324,12 @@
     }
     const auto targetStart = m_started - m_options.reportInterval * maxIntervalsToSecondReport;
     const auto homeEntries = entriesByRank(now, m_options.domain, false);
-    const bool isCovered = std::ranges::any_of(homeEntries,
+    const bool isHomeCovered = std::ranges::any_of(homeEntries,
         [&](const endpoint &entry) { return m_tableProof.isCovered(entry, targetStart); });
+    // After a loss of power everywhere no entry was listening, and the targets are new as well.
+    const bool haveAllStarted
+        = m_tableProof.statements() > 0 && !m_tableProof.isCovered(targetStart);
+    const bool isCovered = isHomeCovered || haveAllStarted;
     const auto earlier = m_tableProof.startBetween();
     const bool isOnlyStart = isCovered && !earlier;
     if (std::exchange(m_isOnlyStart, isOnlyStart) == isOnlyStart)
--- a/src/libtoucanrelay/relay_target_recovery_test.cpp
+++ b/src/libtoucanrelay/relay_target_recovery_test.cpp
@@ -399,9 +399,10 @@
         fleet.state({{.boot = 1, .firstHeardMs = 900, .lastHeardMs = 700}}, entryAddress, 15s);
     }
     SECTION("no entry has made a statement") { }
-    SECTION("the entry was started too late to have heard of it")
+    SECTION("the entry of its domain was started too late to have heard of it")
     {
         fleet.state({}, entryAddress, 2s);
+        fleet.state({}, otherEntry, 15s);
     }
     SECTION("only an entry of another failure domain has made a statement")
     {
@@ -426,6 +427,19 @@
     CHECK(fleet.askFor(caller) == unknown);
 }
 
+// After a loss of power everywhere, searches for flows that were gone asked all targets for a
+// minute.
+TEST_CASE("target process: a first report is proof after a loss of power everywhere")
+{
+    restart_fixture fleet;
+    fleet.start(false);
+    fleet.state({}, entryAddress, 100ms);
+    fleet.state({}, otherEntry, 300ms);
+    fleet.advance(1s);
+    fleet.report(1, 1);
+    CHECK(fleet.askFor(caller) == notHeld);
+}
+
 TEST_CASE("target process: a closed port proves that no flow is older")
 {
     restart_fixture fleet;
@@ -452,3 +466,16 @@
     fleet.report(2, GENERATE(1, 7));
     CHECK(fleet.askFor(caller) == unknown);
 }
+
+TEST_CASE("target process: a lifetime that follows one seen alive here has no older flow")
+{
+    restart_fixture fleet;
+    fleet.start(false);
+    fleet.report(1, 9);
+    CHECK(fleet.askFor(caller) == unknown);
+    fleet.advance(1200ms);
+    fleet.report(1, 10);
+    fleet.advance(1200ms);
+    fleet.report(2, 1);
+    CHECK(fleet.askFor(caller) == notHeld);
+}
