Review: a zone misses changes while two of its entries are silent

Case 13, rule CONFIG. Entries that do not follow the store themselves notice after 4 s that the two that do are silent; a change has to be in force within 3 s.

--- a/review/standins-3/cases.cpp
+++ b/review/standins-3/cases.cpp
@@ -160,7 +160,7 @@
                 check.troubledUntil[trio[static_cast<std::size_t>(i)]->name] = at + darkFor + fleet.contactMs + 500;
             }
         }
-        fleet.events().runUntil(at + 100);
+        fleet.events().runUntil(at + 20);
         current = current == "old-svc" ? "new-svc" : "old-svc";
         send(current);
         check.changes.push_back({now(), current});
